Set up the workspace, its checks and the shared types

Cause: nothing existed. Change: a package for each area, lint and format settings, the check script, identifiers, clock, errors, promises, and the ports to the platform's store and workers. The check script passes with an empty test suite. Conclusion: areas can now be built side by side.

--- /dev/null
+++ b/crates/base/src/resources.rs
@@ -0,0 +1,102 @@
+//! Processors, memory and accelerators.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource that a worker has and a task asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Resources {
+    /// Processors, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in mebibytes.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Nothing of anything.
+    pub const ZERO: Self = Self {
+        cpu_milli: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
+
+    /// Creates an amount from whole cores, mebibytes and accelerators.
+    pub const fn new(cores: u64, memory_mib: u64, accelerators: u32) -> Self {
+        Self {
+            cpu_milli: cores * 1000,
+            memory_mib,
+            accelerators,
+        }
+    }
+
+    /// Tells whether this amount fits into `room` in every resource.
+    pub const fn fits(&self, room: &Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Subtracts `other`, stopping at zero in each resource.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl Add for Resources {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli + rhs.cpu_milli,
+            memory_mib: self.memory_mib + rhs.memory_mib,
+            accelerators: self.accelerators + rhs.accelerators,
+        }
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Resources {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli - rhs.cpu_milli,
+            memory_mib: self.memory_mib - rhs.memory_mib,
+            accelerators: self.accelerators - rhs.accelerators,
+        }
+    }
+}
+
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, rhs: Self) {
+        *self = *self - rhs;
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{:03} cores, {} MiB, {} accelerators",
+            self.cpu_milli / 1000,
+            self.cpu_milli % 1000,
+            self.memory_mib,
+            self.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/companion/src/lib.rs
@@ -0,0 +1,1 @@
+//! The companion process beside each target and worker.
--- /dev/null
+++ b/crates/core/main.rs
@@ -0,0 +1,3 @@
+//! Runs the `monsoontrestle` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: requests, shards, membership and configuration.
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the targets, and load tools. Not shipped.
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of shards, their log, snapshots and recovery.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, views of the fleet, draining and subsets.
--- /dev/null
+++ b/crates/ops/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator commands.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Capacity, harm between neighbours, quotas, pre-emption and quarantine.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,4 @@
+//! Ports to the platform's store and workers, with their HTTP adapters.
+
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics and the report on service-level burn.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of target, limits, retries and outcomes of requests.
--- /dev/null
+++ b/crates/tables/src/lib.rs
@@ -0,0 +1,1 @@
+//! The two operator tables: parsing, checks, joins and differences.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the system's own processes, over JSON-RPC.
