Add control calls as values and their JSON-RPC client

Cause: decisions must stay free of sockets so that they run under virtual time. Change: one enum of calls and answers, a port that returns at once, and its adapter on a tokio runtime.

--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -5,8 +5,8 @@
 use jsonrpsee::proc_macros::rpc;
 
 use crate::{
-    AnnounceReply, Announcement, DoneAck, DoneReport, Gossip, JobRef, JobSpec, JobStatus, Poll,
-    PollReply, RevokeReply, SubmitReply,
+    AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, Gossip, JobRef, JobSpec,
+    JobStatus, Poll, PollReply, RevokeReply, SubmitReply,
 };
 
 /// Calls that an entry takes from companions and other entries.
@@ -39,6 +39,15 @@
     /// Cancels jobs; answers once committed, with those that are known.
     #[method(name = "cancel")]
     async fn cancel(&self, shard: ShardId, jobs: Vec<JobRef>) -> RpcResult<Vec<JobStatus>>;
+
+    /// Claims an idempotency key, or moves a claim that `replaces` still describes.
+    #[method(name = "claim")]
+    async fn claim(
+        &self,
+        shard: ShardId,
+        claim: Claim,
+        replaces: Option<Claim>,
+    ) -> RpcResult<ClaimReply>;
 }
 
 /// Calls that a companion takes from entries and operators.
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -253,3 +253,40 @@
     /// The acknowledged tasks.
     pub keys: Vec<TaskKey>,
 }
+
+/// A non-idempotent request's idempotency key with where it was sent, so that a retry joins it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Claim {
+    /// The route.
+    pub route: RouteName,
+    /// The caller's key.
+    pub key: Name,
+    /// The id under which the request is sent.
+    pub request: RequestId,
+    /// The target it is sent to.
+    pub target: TargetId,
+    /// The life of the target's companion.
+    pub incarnation: Incarnation,
+    /// Where the companion takes requests.
+    pub http_addr: std::net::SocketAddr,
+}
+
+/// The answer to a claim, sent once it is committed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ClaimReply {
+    /// The key is claimed as asked.
+    Granted,
+    /// The key was claimed before: join that request.
+    Held(Claim),
+    /// The key is not claimed by this call.
+    Refused {
+        /// Why.
+        reason: Name,
+    },
+    /// Whether the key is claimed is not known.
+    Unknown,
+    /// This entry does not own the shard.
+    NotOwner,
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,146 @@
+//! The adapter of the call port: JSON-RPC over HTTP, on the threads of a tokio runtime.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+
+use crate::{Answer, Call, CallPort, CallToken, CompanionApiClient, EntryApiClient};
+
+/// The largest control message, in bytes.
+const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Takes the answers of calls.
+type Sink = Arc<dyn Fn(CallToken, Result<Answer>) + Send + Sync>;
+
+/// What a [`Client`] needs to know.
+#[derive(Clone, Debug)]
+pub struct ClientCfg {
+    /// The runtime that carries the calls.
+    pub runtime: Handle,
+}
+
+/// Calls other processes and hands their answers to a sink.
+pub struct Client {
+    cfg: ClientCfg,
+    sink: Sink,
+    clients: Arc<Mutex<IndexMap<SocketAddr, HttpClient>>>,
+}
+
+impl Client {
+    /// Creates a client whose answers go to `sink`, on threads of the runtime.
+    pub fn new(
+        cfg: ClientCfg,
+        sink: impl Fn(CallToken, Result<Answer>) + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            cfg,
+            sink: Arc::new(sink),
+            clients: Arc::default(),
+        }
+    }
+
+    /// Returns the client of a peer, made on first use.
+    fn client(&self, to: SocketAddr) -> Result<HttpClient> {
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&to) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .request_timeout(Duration::from_secs(60))
+            .build(format!("http://{to}"))
+            .map_err(|e| Error::new(ErrorKind::Invalid, "build client", peer(to), e.to_string()))?;
+        clients.insert(to, client.clone());
+        Ok(client)
+    }
+}
+
+impl CallPort for Client {
+    fn submit(&self, to: SocketAddr, token: CallToken, timeout: Duration, call: Call) {
+        let sink = Arc::clone(&self.sink);
+        let client = match self.client(to) {
+            Ok(client) => client,
+            Err(e) => {
+                sink(token, Err(e));
+                return;
+            }
+        };
+        let clients = Arc::clone(&self.clients);
+        self.cfg.runtime.spawn(async move {
+            let answer = match tokio::time::timeout(timeout, send(&client, call)).await {
+                Ok(answer) => answer.map_err(|e| map_error(to, &e)),
+                Err(_elapsed) => Err(Error::new(
+                    ErrorKind::Timeout,
+                    "call",
+                    peer(to),
+                    "no answer in time",
+                )),
+            };
+            if answer.is_err() {
+                // The connections kept so far may all be dead: the next call opens new ones.
+                clients.lock().swap_remove(&to);
+            }
+            sink(token, answer);
+        });
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("cfg", &self.cfg)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Makes one call.
+async fn send(client: &HttpClient, call: Call) -> Result<Answer, ClientError> {
+    Ok(match call {
+        Call::Announce(msg) => {
+            Answer::Announce(Box::new(EntryApiClient::announce(client, *msg).await?))
+        }
+        Call::Poll(msg) => Answer::Poll(Box::new(EntryApiClient::poll(client, *msg).await?)),
+        Call::Done(msg) => Answer::Done(EntryApiClient::done(client, msg).await?),
+        Call::Gossip(msg) => Answer::Gossip(Box::new(EntryApiClient::gossip(client, *msg).await?)),
+        Call::Submit(shard, job) => {
+            Answer::Submit(EntryApiClient::submit(client, shard, *job).await?)
+        }
+        Call::Job(shard, job) => Answer::Job(EntryApiClient::job(client, shard, job).await?),
+        Call::Cancel(shard, jobs) => {
+            Answer::Cancel(EntryApiClient::cancel(client, shard, jobs).await?)
+        }
+        Call::Claim(shard, claim, replaces) => {
+            let replaces = replaces.map(|claim| *claim);
+            Answer::Claim(EntryApiClient::claim(client, shard, *claim, replaces).await?)
+        }
+        Call::Revoke(request, incarnation) => {
+            Answer::Revoke(CompanionApiClient::revoke(client, request, incarnation).await?)
+        }
+        Call::Drain => {
+            CompanionApiClient::drain(client).await?;
+            Answer::Drain
+        }
+    })
+}
+
+/// Maps a client error; only a refusal by the peer is sure to have had no effect.
+fn map_error(to: SocketAddr, e: &ClientError) -> Error {
+    let kind = match e {
+        ClientError::Call(_) => ErrorKind::Refused,
+        ClientError::RequestTimeout => ErrorKind::Timeout,
+        ClientError::ParseError(_) => ErrorKind::Malformed,
+        _ => ErrorKind::Interrupted,
+    };
+    Error::new(kind, "call", peer(to), e.to_string())
+}
+
+/// Returns the name of a peer in errors.
+fn peer(to: SocketAddr) -> String {
+    to.to_string()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,14 +2,18 @@
 
 mod api;
 mod batch;
+mod call;
+mod client;
 mod http;
 mod member;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
 pub use batch::{
-    DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order, Poll, PollAnswer,
-    PollReply, RunningTask, SubmitReply, TaskEnd,
+    Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
+    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd,
 };
+pub use call::{Answer, Call, CallPort, CallToken, Part, Reply};
+pub use client::{Client, ClientCfg};
 pub use http::{Outcome, header};
 pub use member::{
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
