--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -41,7 +41,7 @@
 }
 
 /// An error with its kind, the step that failed and the peer it failed with.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
     kind: ErrorKind,
     step: &'static str,
