place: add the placer's API with a first-fit decision

Cause: the shard owner needs the calls to be written against. Change: jobs wait in order of priority, deadline and arrival; the first worker with room gets them; decided placements are held until committed or dropped. Conclusion: a thin version behind the final API; harm, quotas, pre-emption and quarantine follow behind the same calls.

--- /dev/null
+++ b/crates/place/tests/basics.rs
@@ -0,0 +1,116 @@
+//! The ledger's hard limit and the order of the queue.
+
+use std::time::{Duration, Instant};
+
+use base::{Attempt, Resources, TaskKey};
+use place::{Decision, Ended, JobAsk, PlacedTask, Placer, PlacerCfg, WorkerView};
+use tables::Priority;
+
+fn worker(name: &str) -> WorkerView {
+    WorkerView {
+        worker: name.into(),
+        zone: "viti-suva".into(),
+        rack: "r1".into(),
+        capacity: Resources::new(8, 16_000, 0),
+        leaving: false,
+    }
+}
+
+fn ask(name: &str, cores: u64, priority: Priority) -> JobAsk {
+    JobAsk {
+        job: name.into(),
+        team: "press".into(),
+        class: "proof".into(),
+        priority,
+        resources: Resources::new(cores, 1_000, 0),
+        run_time: Some(Duration::from_secs(60)),
+        finish_by: None,
+        work_done: Duration::ZERO,
+        failures: 0,
+    }
+}
+
+fn placed(name: &str, cores: u64) -> PlacedTask {
+    PlacedTask {
+        key: TaskKey {
+            job: name.into(),
+            attempt: Attempt(1),
+        },
+        worker: "w1".into(),
+        class: "proof".into(),
+        team: "press".into(),
+        priority: Priority::Normal,
+        granted: Resources::new(cores, 1_000, 0),
+        run_time: Some(Duration::from_secs(60)),
+        work_done: Duration::ZERO,
+    }
+}
+
+fn jobs_placed(decisions: &[Decision]) -> Vec<String> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::Place { job, .. } => Some(job.to_string()),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn decided_placements_are_held_at_once() {
+    let now = Instant::now();
+    let mut placer = Placer::new(PlacerCfg::default(), 1);
+    placer.worker_seen(now, worker("w1"));
+    placer.job_queued(now, ask("a", 6, Priority::Normal));
+    placer.job_queued(now, ask("b", 6, Priority::Normal));
+
+    let first = placer.decide(now, 10);
+    let second = placer.decide(now, 10);
+
+    assert_eq!(jobs_placed(&first), ["a"]);
+    assert_eq!(jobs_placed(&second), Vec::<String>::new());
+    assert!(placer.why_waiting(&"b".into()).is_some());
+}
+
+#[test]
+fn urgent_work_goes_first() {
+    let now = Instant::now();
+    let mut placer = Placer::new(PlacerCfg::default(), 1);
+    placer.worker_seen(now, worker("w1"));
+    placer.job_queued(now, ask("a", 6, Priority::Normal));
+    placer.job_queued(now, ask("b", 6, Priority::Urgent));
+
+    let decisions = placer.decide(now, 10);
+
+    assert_eq!(jobs_placed(&decisions), ["b"]);
+}
+
+#[test]
+fn a_dropped_placement_waits_again() {
+    let now = Instant::now();
+    let mut placer = Placer::new(PlacerCfg::default(), 1);
+    placer.worker_seen(now, worker("w1"));
+    placer.job_queued(now, ask("a", 6, Priority::Normal));
+    placer.decide(now, 10);
+
+    placer.placement_dropped(&"a".into());
+    let decisions = placer.decide(now, 10);
+
+    assert_eq!(jobs_placed(&decisions), ["a"]);
+}
+
+#[test]
+fn an_ended_task_gives_its_room_back() {
+    let now = Instant::now();
+    let mut placer = Placer::new(PlacerCfg::default(), 1);
+    placer.worker_seen(now, worker("w1"));
+    placer.task_placed(now, placed("old", 6));
+    placer.job_queued(now, ask("a", 6, Priority::Normal));
+
+    let before = placer.decide(now, 10);
+    placer.task_ended(now, &placed("old", 6).key, Ended::Finished);
+    let after = placer.decide(now, 10);
+
+    assert_eq!(jobs_placed(&before), Vec::<String>::new());
+    assert_eq!(jobs_placed(&after), ["a"]);
+}
