--- /dev/null
+++ b/crates/entry/src/cfg.rs
@@ -0,0 +1,111 @@
+//! The settings of an entry: raw flags, resolved once to checked ones.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bpaf::{Parser, construct, long};
+
+/// Flags and environment variables as given.
+#[derive(Clone, Debug)]
+pub struct EntryFlags {
+    /// The name of this entry.
+    pub name: Option<String>,
+    /// The availability zone.
+    pub zone: String,
+    /// Where callers' requests are taken.
+    pub http: SocketAddr,
+    /// Where control calls are taken.
+    pub rpc: SocketAddr,
+    /// The store's address.
+    pub store: String,
+    /// Control addresses of other entries, to begin with.
+    pub peers: Vec<SocketAddr>,
+    /// How many threads serve requests.
+    pub threads: usize,
+}
+
+/// The checked settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryCfg {
+    /// The id of this entry, new at every start.
+    pub entry: EntryId,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Where callers' requests are taken; port 0 draws a free one.
+    pub http_addr: SocketAddr,
+    /// Where control calls are taken; port 0 draws a free one.
+    pub rpc_addr: SocketAddr,
+    /// The store's address.
+    pub store: Name,
+    /// Control addresses of other entries, to begin with.
+    pub peers: Vec<SocketAddr>,
+    /// How many threads serve requests.
+    pub threads: usize,
+}
+
+/// The default number of threads that serve requests.
+const DEFAULT_THREADS: usize = 128;
+
+/// Parses the flags of the `entry` command.
+pub fn entry_flags() -> impl Parser<EntryFlags> {
+    let name = long("name")
+        .env("MONSOONTRESTLE_NAME")
+        .help("Name of this entry; drawn at random by default")
+        .argument::<String>("NAME")
+        .optional();
+    let zone = long("zone")
+        .env("MONSOONTRESTLE_ZONE")
+        .help("Availability zone that this VM is in")
+        .argument::<String>("ZONE");
+    let http = long("http")
+        .env("MONSOONTRESTLE_HTTP")
+        .help("IP address and port for callers and operators")
+        .argument::<SocketAddr>("ADDR");
+    let rpc = long("rpc")
+        .env("MONSOONTRESTLE_RPC")
+        .help("IP address and port for the system's own processes")
+        .argument::<SocketAddr>("ADDR");
+    let store = long("store")
+        .env("MONSOONTRESTLE_STORE")
+        .help("IP address and port of the platform's key-value service")
+        .argument::<String>("ADDR");
+    let peers = long("peer")
+        .help("Control address of another entry; may be given more than once")
+        .argument::<SocketAddr>("ADDR")
+        .many();
+    let threads = long("threads")
+        .env("MONSOONTRESTLE_THREADS")
+        .help("Threads that serve requests")
+        .argument::<usize>("COUNT")
+        .fallback(DEFAULT_THREADS)
+        .display_fallback();
+    construct!(EntryFlags { name, zone, http, rpc, store, peers, threads })
+}
+
+impl EntryFlags {
+    /// Checks the flags and fills in what was left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] naming the flag that is wrong.
+    pub fn resolve(self) -> Result<EntryCfg> {
+        let invalid = |message| Error::new(ErrorKind::Invalid, "read settings", "entry", message);
+        if self.zone.is_empty() {
+            return Err(invalid("--zone: expected the name of an availability zone"));
+        }
+        if self.threads == 0 {
+            return Err(invalid("--threads: expected at least 1"));
+        }
+        let drawn = rand::random::<u32>();
+        let name = self.name.unwrap_or_else(|| "entry".to_owned());
+        Ok(EntryCfg {
+            entry: EntryId::new(format!("{name}-{drawn:08x}")),
+            zone: ZoneName::from(self.zone),
+            http_addr: self.http,
+            rpc_addr: self.rpc,
+            store: self.store.into(),
+            peers: self.peers,
+            threads: self.threads,
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,128 @@
+//! The actors of an entry in one deterministic runtime, whose time is passed in.
+
+use base::prelude::*;
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
+use wire::Part;
+
+use crate::EntryCfg;
+use crate::config::ConfigActor;
+use crate::event::{AdminEvent, Event};
+use crate::member::MemberActor;
+use crate::ports::Ports;
+use crate::request::RequestActor;
+use crate::shard::ShardActor;
+
+/// The actors of one entry.
+pub struct Node {
+    stakker: Stakker,
+    config: ActorOwn<ConfigActor>,
+    member: ActorOwn<MemberActor>,
+    request: ActorOwn<RequestActor>,
+    shard: ActorOwn<ShardActor>,
+}
+
+impl Node {
+    /// Creates the actors; they start to act at the first [`Node::run`].
+    ///
+    /// The same `seed` and the same events at the same times make the same decisions.
+    pub fn new(cfg: &Arc<EntryCfg>, ports: &Ports, now: Instant, seed: u64) -> Self {
+        let mut stakker = Stakker::new(now);
+        let s = &mut stakker;
+        let request =
+            actor!(s, RequestActor::init(Arc::clone(cfg), ports.clone(), seed), ret_nop!());
+        let shard = actor!(s, ShardActor::init(Arc::clone(cfg), ports.clone(), seed), ret_nop!());
+        let member = actor!(
+            s,
+            MemberActor::init(
+                Arc::clone(cfg),
+                ports.clone(),
+                seed,
+                request.clone(),
+                shard.clone()
+            ),
+            ret_nop!()
+        );
+        let config = actor!(
+            s,
+            ConfigActor::init(
+                Arc::clone(cfg),
+                ports.clone(),
+                seed,
+                request.clone(),
+                shard.clone(),
+                member.clone()
+            ),
+            ret_nop!()
+        );
+        call!([member], set_config(config.clone()));
+        Self { stakker, config, member, request, shard }
+    }
+
+    /// Hands an event to the actor that it concerns.
+    pub fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Announce(msg, reply) => call!([self.member], announce(msg, reply)),
+            Event::Gossip(msg, reply) => call!([self.member], gossip(msg, reply)),
+            Event::Poll(msg, reply) => call!([self.shard], poll(msg, reply)),
+            Event::Done(msg, reply) => call!([self.shard], done(msg, reply)),
+            Event::Submit(shard, job, reply) => call!([self.shard], submit(shard, job, reply)),
+            Event::Job(shard, job, reply) => call!([self.shard], job(shard, job, reply)),
+            Event::Cancel(shard, jobs, reply) => call!([self.shard], cancel(shard, jobs, reply)),
+            Event::Claim(shard, claim, replaces, reply) => {
+                call!([self.shard], claim(shard, claim, replaces, reply));
+            }
+            Event::Request(event) => call!([self.request], event(event)),
+            Event::Admin(event) => self.deliver_admin(event),
+            Event::Store(token, reply) => match token.part {
+                Part::Config => call!([self.config], store_reply(token.id, reply)),
+                Part::Member => call!([self.member], store_reply(token.id, reply)),
+                Part::Batch => call!([self.shard], store_reply(token.id, reply)),
+                Part::Request => {}
+            },
+            Event::Call(token, answer) => match token.part {
+                Part::Config => {}
+                Part::Member => call!([self.member], answer(token.id, answer)),
+                Part::Batch => call!([self.shard], answer(token.id, answer)),
+                Part::Request => call!([self.request], answer(token.id, answer)),
+            },
+            Event::Stop => {
+                call!([self.member], stop());
+                call!([self.shard], stop());
+                call!([self.request], stop());
+            }
+        }
+    }
+
+    fn deliver_admin(&mut self, event: AdminEvent) {
+        match event {
+            AdminEvent::Submit(job, reply) => call!([self.shard], submit_here(job, reply)),
+            AdminEvent::Job(pool, job, reply) => call!([self.shard], job_here(pool, job, reply)),
+            AdminEvent::Cancel(pool, jobs, reply) => {
+                call!([self.shard], cancel_here(pool, jobs, reply));
+            }
+            AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
+            AdminEvent::Status(reply) => call!([self.member], status(reply)),
+        }
+    }
+
+    /// Runs all that is due at `now`.
+    pub fn run(&mut self, now: Instant) {
+        self.stakker.run(now, false);
+    }
+
+    /// Returns when the next timer is due, if any is set.
+    pub fn next_due(&mut self) -> Option<Instant> {
+        self.stakker.next_expiry()
+    }
+
+    /// Tells whether a planned stop has come to its end.
+    pub fn is_stopped(&mut self) -> bool {
+        !self.stakker.not_shutdown()
+    }
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Node")
+    }
+}
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -290,3 +290,9 @@
     /// This entry does not own the shard.
     NotOwner,
 }
+
+/// Returns the shard that holds the jobs of a pool.
+pub fn shard_of_pool(pool: &PoolName) -> ShardId {
+    let hash = xxhash_rust::xxh3::xxh3_64(pool.as_str().as_bytes());
+    ShardId((hash & u64::from(u32::MAX)) as u32)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,11 +6,13 @@
 mod client;
 mod http;
 mod member;
+mod pool;
+pub mod timing;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
 pub use batch::{
     Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
-    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd,
+    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd, shard_of_pool,
 };
 pub use call::{Answer, Call, CallPort, CallToken, Part, Reply};
 pub use client::{Client, ClientCfg};
@@ -18,3 +20,4 @@
 pub use member::{
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
 };
+pub use pool::HttpPool;
--- /dev/null
+++ b/crates/wire/src/pool.rs
@@ -0,0 +1,94 @@
+//! A pool of threads that serve HTTP requests.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+
+use base::prelude::*;
+use tiny_http::{Request, Server};
+
+/// Serves HTTP requests on a fixed number of threads, each with one request at a time.
+pub struct HttpPool {
+    server: Arc<Server>,
+    addr: SocketAddr,
+    stopping: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl HttpPool {
+    /// Binds `addr` and starts `threads` threads that hand each request to `handler`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where the address cannot be bound.
+    pub fn start(
+        addr: SocketAddr,
+        threads: usize,
+        handler: impl Fn(Request) + Send + Sync + 'static,
+    ) -> Result<Self> {
+        let bind_error = |message: String| {
+            Error::new(
+                ErrorKind::Invalid,
+                "bind http address",
+                addr.to_string(),
+                message,
+            )
+        };
+        let server = Server::http(addr).map_err(|e| bind_error(e.to_string()))?;
+        let Some(addr) = server.server_addr().to_ip() else {
+            return Err(bind_error("not an IP address".to_owned()));
+        };
+        let server = Arc::new(server);
+        let handler = Arc::new(handler);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let threads = (0..threads)
+            .map(|_| {
+                let server = Arc::clone(&server);
+                let handler = Arc::clone(&handler);
+                let stopping = Arc::clone(&stopping);
+                std::thread::spawn(move || serve(&server, &stopping, &*handler))
+            })
+            .collect();
+        Ok(Self {
+            server,
+            addr,
+            stopping,
+            threads,
+        })
+    }
+
+    /// Returns the address that the pool is bound to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops taking requests and waits for those in progress.
+    pub fn stop(self) {
+        self.stopping.store(true, Ordering::Release);
+        for _ in &self.threads {
+            self.server.unblock();
+        }
+        for thread in self.threads {
+            // A handler that panicked has already been reported.
+            drop(thread.join());
+        }
+    }
+}
+
+impl fmt::Debug for HttpPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpPool")
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Takes requests until the pool stops.
+fn serve(server: &Server, stopping: &AtomicBool, handler: &(impl Fn(Request) + ?Sized)) {
+    while !stopping.load(Ordering::Acquire) {
+        // `unblock` makes `recv` return an error, as does a closed listener.
+        let Ok(req) = server.recv() else { continue };
+        handler(req);
+    }
+}
