--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,207 @@
+//! The entry as a running process: threads around the actors.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+
+use base::SystemClock;
+use base::prelude::*;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use jsonrpsee::server::ServerHandle;
+use platform::HttpStore;
+use platform::store::Store;
+use slog::{Logger, info};
+use tokio::runtime::Runtime;
+use wire::{Client, ClientCfg, HttpPool};
+
+use crate::http::Front;
+use crate::store_io::StoreIo;
+use crate::{EntryCfg, Event, Node, Ports, rpc};
+
+/// How long the loop sleeps when no timer is set.
+const MAX_SLEEP: Duration = Duration::from_millis(500);
+
+/// How many events the loop takes before it runs timers.
+const EVENTS_PER_RUN: usize = 256;
+
+/// How long a store call may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How many threads carry control calls.
+const RPC_THREADS: usize = 2;
+
+/// How long a planned stop waits for what is in progress.
+const STOP_GRACE: Duration = Duration::from_millis(500);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct App {
+    cfg: Arc<EntryCfg>,
+    events: Sender<Event>,
+    stopping: Arc<AtomicBool>,
+    http: HttpPool,
+    rpc: ServerHandle,
+    store_io: Arc<StoreIo>,
+    actors: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl App {
+    /// Binds the addresses and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
+    pub fn start(cfg: EntryCfg, log: &Logger) -> Result<Self> {
+        let store: Arc<dyn Store> = Arc::new(HttpStore::new(Arc::clone(&cfg.store), STORE_TIMEOUT));
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RPC_THREADS)
+            .enable_all()
+            .build()
+            .map_err(|e| {
+                Error::new(ErrorKind::Internal, "start runtime", "entry", e.to_string())
+            })?;
+        let (events, rx) = unbounded();
+        let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
+        let front = Front::new(events.clone(), log.clone());
+        let http = HttpPool::start(cfg.http_addr, cfg.threads, move |req| front.serve(req))?;
+        let cfg = Arc::new(EntryCfg {
+            http_addr: http.addr(),
+            rpc_addr,
+            ..cfg
+        });
+        info!(
+            log,
+            "entry: serves callers on {} and processes on {}",
+            http.addr(),
+            rpc_addr
+        );
+
+        let store_events = events.clone();
+        let store_io = Arc::new(StoreIo::start(&store, move |token, reply| {
+            // The actors may have ended first; then nobody wants the reply.
+            drop(store_events.send(Event::Store(token, reply)));
+        }));
+        let call_events = events.clone();
+        let client_cfg = ClientCfg {
+            runtime: runtime.handle().clone(),
+        };
+        let calls = Client::new(client_cfg, move |token, answer| {
+            drop(call_events.send(Event::Call(token, answer)));
+        });
+        let ports = Ports {
+            clock: Arc::new(SystemClock),
+            store: Arc::clone(&store_io) as Arc<dyn crate::StorePort>,
+            calls: Arc::new(calls),
+            log: log.clone(),
+        };
+        let stopping = Arc::new(AtomicBool::new(false));
+        let actors = std::thread::spawn({
+            let cfg = Arc::clone(&cfg);
+            let stopping = Arc::clone(&stopping);
+            move || run_actors(&cfg, &ports, &rx, &stopping)
+        });
+        Ok(Self {
+            cfg,
+            events,
+            stopping,
+            http,
+            rpc,
+            store_io,
+            actors,
+            runtime,
+        })
+    }
+
+    /// Returns the settings, with the addresses that were bound.
+    pub fn cfg(&self) -> &EntryCfg {
+        &self.cfg
+    }
+
+    /// Returns where callers' requests are taken.
+    pub fn http_addr(&self) -> SocketAddr {
+        self.cfg.http_addr
+    }
+
+    /// Stops as planned: finishes the requests in progress and gives up leases.
+    pub fn stop(self) {
+        // An error means that the actors have ended already.
+        drop(self.events.send(Event::Stop));
+        std::thread::sleep(STOP_GRACE);
+        let Self {
+            stopping,
+            http,
+            rpc,
+            store_io,
+            actors,
+            runtime,
+            ..
+        } = self;
+        http.stop();
+        stopping.store(true, Ordering::Release);
+        drop(rpc.stop());
+        drop(actors.join());
+        store_io.stop();
+        runtime.shutdown_background();
+    }
+
+    /// Stops at once, as a crash would: nothing is finished or given up.
+    pub fn kill(self) {
+        self.stopping.store(true, Ordering::Release);
+        drop(self.rpc.stop());
+        drop(self.http);
+        self.store_io.stop();
+        drop(self.actors.join());
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Runs the actors until the process stops.
+fn run_actors(cfg: &Arc<EntryCfg>, ports: &Ports, rx: &Receiver<Event>, stopping: &AtomicBool) {
+    let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.run(ports.clock.now());
+    while !stopping.load(Ordering::Acquire) {
+        let now = ports.clock.now();
+        let sleep = node.next_due().map_or(MAX_SLEEP, |due| {
+            due.saturating_duration_since(now).min(MAX_SLEEP)
+        });
+        match rx.recv_timeout(sleep) {
+            Ok(event) => {
+                node.deliver(event);
+                rx.try_iter()
+                    .take(EVENTS_PER_RUN)
+                    .for_each(|event| node.deliver(event));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        node.run(ports.clock.now());
+    }
+}
+
+/// Runs an entry until it is told to stop by a signal.
+///
+/// # Errors
+///
+/// Returns what kept the entry from starting.
+pub fn run(cfg: EntryCfg, log: &Logger) -> Result<()> {
+    let app = App::start(cfg, log)?;
+    wait_for_signal()?;
+    info!(log, "entry: stops as planned");
+    app.stop();
+    Ok(())
+}
+
+fn wait_for_signal() -> Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM]).map_err(|e| {
+        Error::new(
+            ErrorKind::Internal,
+            "watch signals",
+            "operating system",
+            e.to_string(),
+        )
+    })?;
+    signals.forever().next();
+    Ok(())
+}
--- a/crates/entry/src/cfg.rs
+++ b/crates/entry/src/cfg.rs
@@ -79,7 +79,15 @@
         .argument::<usize>("COUNT")
         .fallback(DEFAULT_THREADS)
         .display_fallback();
-    construct!(EntryFlags { name, zone, http, rpc, store, peers, threads })
+    construct!(EntryFlags {
+        name,
+        zone,
+        http,
+        rpc,
+        store,
+        peers,
+        threads
+    })
 }
 
 impl EntryFlags {
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -21,6 +21,7 @@
 pub(crate) struct ConfigActor {
     ports: Ports,
     doc: Option<TablesDoc>,
+    tables: Option<Arc<Tables>>,
     request: Actor<RequestActor>,
     shard: Actor<ShardActor>,
     member: Actor<MemberActor>,
@@ -36,15 +37,27 @@
         shard: Actor<ShardActor>,
         member: Actor<MemberActor>,
     ) -> Option<Self> {
-        let this = Self { ports, doc: None, request, shard, member };
+        let this = Self {
+            ports,
+            doc: None,
+            tables: None,
+            request,
+            shard,
+            member,
+        };
         this.read(cx);
         Some(this)
     }
 
     /// Asks the store for the tables.
     fn read(&self, _cx: CX![]) {
-        let token = StoreToken { part: Part::Config, id: 0 };
-        let call = StoreCall::Get { key: TablesDoc::KEY.into() };
+        let token = StoreToken {
+            part: Part::Config,
+            id: 0,
+        };
+        let call = StoreCall::Get {
+            key: TablesDoc::KEY.into(),
+        };
         self.ports.store.submit(StorePriority::Config, token, call);
     }
 
@@ -52,7 +65,10 @@
         if let Ok(StoreReply::Got(Some(kv))) = reply {
             match serde_json::from_slice::<TablesDoc>(&kv.value) {
                 Ok(doc) => self.offer(cx, doc),
-                Err(e) => error!(self.ports.log, "config: unreadable tables in the store: {}", e),
+                Err(e) => error!(
+                    self.ports.log,
+                    "config: unreadable tables in the store: {}", e
+                ),
             }
         }
         after!(READ_EVERY, [cx], |this, cx| this.read(cx));
@@ -60,19 +76,29 @@
 
     /// Puts tables in force where their generation is higher than what is.
     pub(crate) fn offer(&mut self, cx: CX![], doc: TablesDoc) {
-        let current = self.doc.as_ref().map_or(Generation(0), |doc| doc.generation);
+        let current = self
+            .doc
+            .as_ref()
+            .map_or(Generation(0), |doc| doc.generation);
         if doc.generation <= current {
             return;
         }
         let tables = match doc.tables() {
             Ok(tables) => Arc::new(tables),
             Err(e) => {
-                error!(self.ports.log, "config: generation {} is invalid: {}", doc.generation, e);
+                error!(
+                    self.ports.log,
+                    "config: generation {} is invalid: {}", doc.generation, e
+                );
                 return;
             }
         };
-        info!(self.ports.log, "config: generation {} is in force", doc.generation);
+        info!(
+            self.ports.log,
+            "config: generation {} is in force", doc.generation
+        );
         self.doc = Some(doc.clone());
+        self.tables = Some(Arc::clone(&tables));
         self.publish(cx, &tables, doc);
     }
 
@@ -85,4 +111,8 @@
     pub(crate) fn tables(&mut self, _cx: CX![], reply: Reply<Option<TablesDoc>>) {
         reply.send(self.doc.clone());
     }
+
+    pub(crate) fn parsed(&mut self, _cx: CX![], reply: Reply<Option<Arc<Tables>>>) {
+        reply.send(self.tables.clone());
+    }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use platform::store::StoreReply;
 use route::{AttemptEnd, RequestMeta, RequestStep};
-use tables::TablesDoc;
+use tables::{Tables, TablesDoc};
 use wire::{
     AnnounceReply, Announcement, Answer, CallToken, Claim, ClaimReply, DoneAck, DoneReport, Gossip,
     JobRef, JobSpec, JobStatus, Part, Poll, PollReply, Reply, SubmitReply,
@@ -69,6 +69,8 @@
     Cancel(PoolName, Vec<JobRef>, Reply<Vec<JobStatus>>),
     /// Asks for the tables in force here.
     Tables(Reply<Option<TablesDoc>>),
+    /// Asks for the tables in force here, checked and joined.
+    Parsed(Reply<Option<Arc<Tables>>>),
     /// Asks for everything this entry knows, as JSON.
     Status(Reply<serde_json::Value>),
 }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -42,8 +42,13 @@
 }
 
 impl Purpose {
-    const ALL: [Self; 5] =
-        [Self::Grant, Self::Renew, Self::Announce, Self::ReadEntries, Self::ReadOwners];
+    const ALL: [Self; 5] = [
+        Self::Grant,
+        Self::Renew,
+        Self::Announce,
+        Self::ReadEntries,
+        Self::ReadOwners,
+    ];
 }
 
 /// A companion as last heard.
@@ -127,12 +132,19 @@
     }
 
     fn list(&self, purpose: Purpose, prefix: &str) {
-        let call = StoreCall::List { prefix: prefix.into(), after: None, limit: READ_LIMIT };
+        let call = StoreCall::List {
+            prefix: prefix.into(),
+            after: None,
+            limit: READ_LIMIT,
+        };
         self.call(purpose, call);
     }
 
     fn call(&self, purpose: Purpose, call: StoreCall) {
-        let token = StoreToken { part: Part::Member, id: purpose as u64 };
+        let token = StoreToken {
+            part: Part::Member,
+            id: purpose as u64,
+        };
         self.ports.store.submit(StorePriority::Lease, token, call);
     }
 
@@ -152,7 +164,9 @@
     }
 
     pub(crate) fn store_reply(&mut self, _cx: CX![], id: u64, reply: Result<StoreReply>) {
-        let Some(purpose) = Purpose::ALL.into_iter().find(|p| *p as u64 == id) else { return };
+        let Some(purpose) = Purpose::ALL.into_iter().find(|p| *p as u64 == id) else {
+            return;
+        };
         match (purpose, reply) {
             (Purpose::Grant, Ok(StoreReply::Leased { lease, .. })) => self.announce_self(lease),
             (Purpose::Renew, Ok(StoreReply::LeaseGone)) => self.lease = None,
@@ -202,13 +216,22 @@
             let known = &heard.announcement;
             known.incarnation == msg.incarnation && known.sequence >= msg.sequence
         });
-        let tables = self.doc.clone().filter(|doc| doc.generation > msg.generation);
+        let tables = self
+            .doc
+            .clone()
+            .filter(|doc| doc.generation > msg.generation);
         if !stale {
             if !self.targets.contains_key(&msg.target) {
-                info!(self.ports.log, "member: target {} announced itself", msg.target);
+                info!(
+                    self.ports.log,
+                    "member: target {} announced itself", msg.target
+                );
             }
             call!([self.request, cx], target(msg.clone()));
-            let heard = Heard { announcement: *msg.clone(), at: now };
+            let heard = Heard {
+                announcement: *msg.clone(),
+                at: now,
+            };
             self.targets.insert(msg.target.clone(), heard);
         }
         let mut entries: Vec<EntryInfo> = self.entries.values().cloned().collect();
@@ -216,14 +239,22 @@
             entries.push(self.info());
         }
         let owners = self.owners.values().cloned().collect();
-        reply.send(AnnounceReply { generation: self.generation, tables, entries, owners });
+        reply.send(AnnounceReply {
+            generation: self.generation,
+            tables,
+            entries,
+            owners,
+        });
     }
 
     pub(crate) fn gossip(&mut self, cx: CX![], msg: Box<Gossip>, reply: Reply<Gossip>) {
         if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
             call!([config, cx], offer(doc));
         }
-        let tables = self.doc.clone().filter(|doc| doc.generation > msg.from.generation);
+        let tables = self
+            .doc
+            .clone()
+            .filter(|doc| doc.generation > msg.from.generation);
         reply.send(Gossip {
             from: self.info(),
             entries: self.entries.values().cloned().collect(),
@@ -246,7 +277,11 @@
     pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
 
     pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<serde_json::Value>) {
-        let targets: Vec<_> = self.targets.values().map(|heard| &heard.announcement).collect();
+        let targets: Vec<_> = self
+            .targets
+            .values()
+            .map(|heard| &heard.announcement)
+            .collect();
         reply.send(json!({
             "entry": self.info(),
             "entries": self.entries.values().collect::<Vec<_>>(),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,9 +28,16 @@
     pub fn new(cfg: &Arc<EntryCfg>, ports: &Ports, now: Instant, seed: u64) -> Self {
         let mut stakker = Stakker::new(now);
         let s = &mut stakker;
-        let request =
-            actor!(s, RequestActor::init(Arc::clone(cfg), ports.clone(), seed), ret_nop!());
-        let shard = actor!(s, ShardActor::init(Arc::clone(cfg), ports.clone(), seed), ret_nop!());
+        let request = actor!(
+            s,
+            RequestActor::init(Arc::clone(cfg), ports.clone(), seed),
+            ret_nop!()
+        );
+        let shard = actor!(
+            s,
+            ShardActor::init(Arc::clone(cfg), ports.clone(), seed),
+            ret_nop!()
+        );
         let member = actor!(
             s,
             MemberActor::init(
@@ -55,7 +62,13 @@
             ret_nop!()
         );
         call!([member], set_config(config.clone()));
-        Self { stakker, config, member, request, shard }
+        Self {
+            stakker,
+            config,
+            member,
+            request,
+            shard,
+        }
     }
 
     /// Hands an event to the actor that it concerns.
@@ -101,6 +114,7 @@
                 call!([self.shard], cancel_here(pool, jobs, reply));
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
+            AdminEvent::Parsed(reply) => call!([self.config], parsed(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -20,7 +20,9 @@
 
 impl RequestActor {
     pub(crate) fn init(cx: CX![], cfg: Arc<EntryCfg>, _ports: Ports, seed: u64) -> Option<Self> {
-        let this = Self { router: Router::new(cfg.zone.clone(), seed) };
+        let this = Self {
+            router: Router::new(cfg.zone.clone(), seed),
+        };
         this.sweep_later(cx);
         Some(this)
     }
--- /dev/null
+++ b/crates/entry/src/rpc.rs
@@ -0,0 +1,120 @@
+//! The server of control calls: each becomes an event, its answer comes back.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use crossbeam_channel::Sender;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::sync::oneshot;
+use wire::{
+    AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, EntryApiServer, Gossip,
+    JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply,
+};
+
+use crate::event::Event;
+
+/// The largest control message, in bytes.
+const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+
+/// How many control connections are open at once.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// The code of the error that an answer which never came is told as.
+const DROPPED_CODE: i32 = -32_001;
+
+/// Hands control calls to the actors.
+struct Rpc {
+    events: Sender<Event>,
+}
+
+impl Rpc {
+    /// Sends an event that owes a reply and waits for it.
+    async fn ask<T: Send + 'static>(&self, event: impl FnOnce(Reply<T>) -> Event) -> RpcResult<T> {
+        let (tx, rx) = oneshot::channel();
+        // The receiver may be gone where the caller gave up: then nobody wants the answer.
+        let reply = Reply::new(move |answer| drop(tx.send(answer)));
+        if self.events.send(event(reply)).is_err() {
+            return Err(dropped());
+        }
+        rx.await.map_err(|_closed| dropped())
+    }
+}
+
+fn dropped() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(DROPPED_CODE, "the entry is stopping", None::<()>)
+}
+
+#[async_trait]
+impl EntryApiServer for Rpc {
+    async fn announce(&self, msg: Announcement) -> RpcResult<AnnounceReply> {
+        self.ask(|reply| Event::Announce(Box::new(msg), reply))
+            .await
+    }
+
+    async fn poll(&self, msg: Poll) -> RpcResult<PollReply> {
+        self.ask(|reply| Event::Poll(Box::new(msg), reply)).await
+    }
+
+    async fn done(&self, msg: DoneReport) -> RpcResult<DoneAck> {
+        self.ask(|reply| Event::Done(msg, reply)).await
+    }
+
+    async fn gossip(&self, msg: Gossip) -> RpcResult<Gossip> {
+        self.ask(|reply| Event::Gossip(Box::new(msg), reply)).await
+    }
+
+    async fn submit(&self, shard: ShardId, job: JobSpec) -> RpcResult<SubmitReply> {
+        self.ask(|reply| Event::Submit(shard, Box::new(job), reply))
+            .await
+    }
+
+    async fn job(&self, shard: ShardId, job: JobRef) -> RpcResult<Option<JobStatus>> {
+        self.ask(|reply| Event::Job(shard, job, reply)).await
+    }
+
+    async fn cancel(&self, shard: ShardId, jobs: Vec<JobRef>) -> RpcResult<Vec<JobStatus>> {
+        self.ask(|reply| Event::Cancel(shard, jobs, reply)).await
+    }
+
+    async fn claim(
+        &self,
+        shard: ShardId,
+        claim: Claim,
+        replaces: Option<Claim>,
+    ) -> RpcResult<ClaimReply> {
+        let replaces = replaces.map(Box::new);
+        self.ask(|reply| Event::Claim(shard, Box::new(claim), replaces, reply))
+            .await
+    }
+}
+
+/// Starts the server; returns the address it is bound to.
+pub(crate) async fn serve(
+    addr: SocketAddr,
+    events: Sender<Event>,
+) -> Result<(SocketAddr, ServerHandle)> {
+    let bind_error = |e: std::io::Error| {
+        Error::new(
+            ErrorKind::Invalid,
+            "bind control address",
+            addr.to_string(),
+            e.to_string(),
+        )
+    };
+    let cfg = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .max_connections(MAX_CONNECTIONS)
+        .http_only()
+        .build();
+    let server = Server::builder()
+        .set_config(cfg)
+        .build(addr)
+        .await
+        .map_err(bind_error)?;
+    let bound = server.local_addr().map_err(bind_error)?;
+    let handle = server.start(Rpc { events }.into_rpc());
+    Ok((bound, handle))
+}
--- /dev/null
+++ b/crates/entry/src/shard.rs
@@ -0,0 +1,234 @@
+//! The actor that owns shards: it commits, places and answers polls.
+
+mod forward;
+mod owned;
+
+use base::prelude::*;
+use journal::OwnerCfg;
+use platform::store::StoreReply;
+use slog::info;
+use stakker::{CX, Cx, after};
+use tables::Tables;
+use wire::{
+    Answer, Claim, ClaimReply, DoneAck, DoneReport, JobRef, JobSpec, JobStatus, Poll, PollAnswer,
+    PollReply, Reply, ShardOwner, SubmitReply, shard_of_pool,
+};
+
+use self::forward::Forwarded;
+use self::owned::Shard;
+use crate::EntryCfg;
+use crate::ports::Ports;
+
+/// How often owned shards do what is due.
+const TICK_EVERY: Duration = Duration::from_millis(20);
+
+/// Holds the shards that this entry owns or stands by for.
+pub(crate) struct ShardActor {
+    cfg: Arc<EntryCfg>,
+    ports: Ports,
+    seed: u64,
+    shards: IndexMap<ShardId, Shard>,
+    owners: IndexMap<ShardId, ShardOwner>,
+    /// Store calls on their way: which shard made them under which id of its own.
+    store_calls: IndexMap<u64, StoreCallOf>,
+    forwarded: IndexMap<u64, Forwarded>,
+    next_id: u64,
+    is_stopping: bool,
+}
+
+/// A store call of a shard.
+#[derive(Clone, Copy, Debug)]
+struct StoreCallOf {
+    shard: ShardId,
+    id: u64,
+}
+
+impl ShardActor {
+    pub(crate) fn init(cx: CX![], cfg: Arc<EntryCfg>, ports: Ports, seed: u64) -> Option<Self> {
+        let this = Self {
+            cfg,
+            ports,
+            seed,
+            shards: IndexMap::new(),
+            owners: IndexMap::new(),
+            store_calls: IndexMap::new(),
+            forwarded: IndexMap::new(),
+            next_id: 0,
+            is_stopping: false,
+        };
+        this.tick_later(cx);
+        Some(this)
+    }
+
+    fn tick_later(&self, cx: CX![]) {
+        after!(TICK_EVERY, [cx], |this, cx| {
+            this.tick(cx.now());
+            this.tick_later(cx);
+        });
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if self.is_stopping {
+            return;
+        }
+        for at in 0..self.shards.len() {
+            self.shards[at].tick(now);
+            self.flush(at);
+        }
+    }
+
+    /// Sends the store calls that a shard asked for.
+    fn flush(&mut self, at: usize) {
+        let (&shard, owned) = match self.shards.get_index_mut(at) {
+            Some(found) => found,
+            None => return,
+        };
+        for call in owned.take_store_calls() {
+            let id = self.next_id;
+            self.next_id += 1;
+            self.store_calls
+                .insert(id, StoreCallOf { shard, id: call.id });
+            self.ports
+                .store
+                .submit(call.priority, forward::store_token(id), call.call);
+        }
+    }
+
+    pub(crate) fn set_tables(&mut self, cx: CX![], tables: Arc<Tables>) {
+        let now = cx.now();
+        for pool in tables.pools.values() {
+            let id = shard_of_pool(&pool.name);
+            if !self.shards.contains_key(&id) {
+                let owner_cfg = self.owner_cfg(id, &pool.name);
+                let seed = self.seed ^ u64::from(id.0);
+                let shard = Shard::new(
+                    owner_cfg,
+                    Arc::clone(&self.ports.clock),
+                    &self.ports.log,
+                    now,
+                    seed,
+                );
+                self.shards.insert(id, shard);
+                info!(
+                    self.ports.log,
+                    "shard: stands by for shard {} of pool {}", id, pool.name
+                );
+            }
+            self.shards[&id].set_pool(now, pool);
+        }
+    }
+
+    fn owner_cfg(&self, shard: ShardId, pool: &PoolName) -> OwnerCfg {
+        OwnerCfg {
+            shard,
+            pool: pool.clone(),
+            entry: self.cfg.entry.clone(),
+            rpc_addr: self.cfg.rpc_addr,
+            lease_ttl: OwnerCfg::LEASE_TTL,
+            drift: OwnerCfg::DRIFT,
+            commit_window: OwnerCfg::COMMIT_WINDOW,
+            retry_after: OwnerCfg::RETRY_AFTER,
+        }
+    }
+
+    pub(crate) fn set_owners(&mut self, _cx: CX![], owners: IndexMap<ShardId, ShardOwner>) {
+        self.owners = owners;
+    }
+
+    pub(crate) fn store_reply(&mut self, cx: CX![], id: u64, reply: Result<StoreReply>) {
+        let Some(of) = self.store_calls.swap_remove(&id) else {
+            return;
+        };
+        let Some(at) = self.shards.get_index_of(&of.shard) else {
+            return;
+        };
+        self.shards[at].store_reply(cx.now(), of.id, reply);
+        self.flush(at);
+    }
+
+    pub(crate) fn poll(&mut self, cx: CX![], msg: Box<Poll>, reply: Reply<PollReply>) {
+        let owner = self.owners.get(&msg.shard).map(|owner| owner.rpc_addr);
+        match self.owned(cx.now(), msg.shard) {
+            Some(shard) => shard.poll(cx.now(), msg, reply),
+            None => reply.send(PollReply {
+                nonce: msg.nonce,
+                answer: PollAnswer::NotOwner { owner },
+            }),
+        }
+    }
+
+    pub(crate) fn done(&mut self, cx: CX![], msg: DoneReport, reply: Reply<DoneAck>) {
+        match self.owned(cx.now(), msg.shard) {
+            Some(shard) => shard.done(cx.now(), msg, reply),
+            None => reply.send(DoneAck::default()),
+        }
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        cx: CX![],
+        shard: ShardId,
+        job: Box<JobSpec>,
+        reply: Reply<SubmitReply>,
+    ) {
+        match self.owned(cx.now(), shard) {
+            Some(shard) => shard.submit(cx.now(), job, reply),
+            None => reply.send(SubmitReply::NotOwner),
+        }
+    }
+
+    pub(crate) fn job(
+        &mut self,
+        cx: CX![],
+        shard: ShardId,
+        job: JobRef,
+        reply: Reply<Option<JobStatus>>,
+    ) {
+        let status = self
+            .owned(cx.now(), shard)
+            .and_then(|shard| shard.status(&job));
+        reply.send(status);
+    }
+
+    pub(crate) fn cancel(
+        &mut self,
+        cx: CX![],
+        shard: ShardId,
+        jobs: Vec<JobRef>,
+        reply: Reply<Vec<JobStatus>>,
+    ) {
+        match self.owned(cx.now(), shard) {
+            Some(shard) => shard.cancel(cx.now(), &jobs, reply),
+            None => reply.send(Vec::new()),
+        }
+    }
+
+    pub(crate) fn claim(
+        &mut self,
+        cx: CX![],
+        shard: ShardId,
+        claim: Box<Claim>,
+        replaces: Option<Box<Claim>>,
+        reply: Reply<ClaimReply>,
+    ) {
+        match self.owned(cx.now(), shard) {
+            Some(shard) => shard.claim(cx.now(), claim, replaces, reply),
+            None => reply.send(ClaimReply::NotOwner),
+        }
+    }
+
+    /// Returns a shard that this entry owns and may act for.
+    fn owned(&mut self, now: Instant, shard: ShardId) -> Option<&mut Shard> {
+        self.shards
+            .get_mut(&shard)
+            .filter(|shard| shard.may_act(now))
+    }
+
+    pub(crate) fn answer(&mut self, cx: CX![], id: u64, answer: Result<Answer>) {
+        self.forward_answered(cx.now(), id, answer);
+    }
+
+    pub(crate) fn stop(&mut self, _cx: CX![]) {
+        self.is_stopping = true;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shard/forward.rs
@@ -0,0 +1,130 @@
+//! Calls for shards that another entry owns.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use stakker::CX;
+use wire::{
+    Answer, Call, CallToken, JobRef, JobSpec, JobStatus, Part, Reply, SubmitReply, shard_of_pool,
+};
+
+use super::ShardActor;
+use crate::event::StoreToken;
+
+/// How long a forwarded call may take.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The reply that a forwarded call owes.
+#[derive(Debug)]
+pub(super) enum Forwarded {
+    Submit(Reply<SubmitReply>),
+    Job(Reply<Option<JobStatus>>),
+    Cancel(Reply<Vec<JobStatus>>),
+}
+
+/// Returns the token of a shard's store call.
+pub(super) fn store_token(id: u64) -> StoreToken {
+    StoreToken {
+        part: Part::Batch,
+        id,
+    }
+}
+
+impl ShardActor {
+    pub(crate) fn submit_here(&mut self, cx: CX![], job: Box<JobSpec>, reply: Reply<SubmitReply>) {
+        let shard = shard_of_pool(&job.pool);
+        if self.owned(cx.now(), shard).is_some() {
+            return self.submit(cx, shard, job, reply);
+        }
+        match self.owner_addr(shard) {
+            Some(to) => self.forward(to, Call::Submit(shard, job), Forwarded::Submit(reply)),
+            None => reply.send(SubmitReply::Refused {
+                reason: "no-owner".into(),
+            }),
+        }
+    }
+
+    pub(crate) fn job_here(
+        &mut self,
+        cx: CX![],
+        pool: PoolName,
+        job: JobRef,
+        reply: Reply<Option<JobStatus>>,
+    ) {
+        let shard = shard_of_pool(&pool);
+        if self.owned(cx.now(), shard).is_some() {
+            return self.job(cx, shard, job, reply);
+        }
+        match self.owner_addr(shard) {
+            Some(to) => self.forward(to, Call::Job(shard, job), Forwarded::Job(reply)),
+            None => reply.send(None),
+        }
+    }
+
+    pub(crate) fn cancel_here(
+        &mut self,
+        cx: CX![],
+        pool: PoolName,
+        jobs: Vec<JobRef>,
+        reply: Reply<Vec<JobStatus>>,
+    ) {
+        let shard = shard_of_pool(&pool);
+        if self.owned(cx.now(), shard).is_some() {
+            return self.cancel(cx, shard, jobs, reply);
+        }
+        match self.owner_addr(shard) {
+            Some(to) => self.forward(to, Call::Cancel(shard, jobs), Forwarded::Cancel(reply)),
+            None => reply.send(Vec::new()),
+        }
+    }
+
+    /// Returns where the shard's owner takes calls, if it is another entry.
+    fn owner_addr(&self, shard: ShardId) -> Option<SocketAddr> {
+        let owner = self.owners.get(&shard)?;
+        (owner.entry != self.cfg.entry).then_some(owner.rpc_addr)
+    }
+
+    fn forward(&mut self, to: SocketAddr, call: Call, owed: Forwarded) {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.forwarded.insert(id, owed);
+        let token = CallToken {
+            part: Part::Batch,
+            id,
+        };
+        self.ports.calls.submit(to, token, FORWARD_TIMEOUT, call);
+    }
+
+    /// Passes the answer of a forwarded call on.
+    pub(super) fn forward_answered(&mut self, _now: Instant, id: u64, answer: Result<Answer>) {
+        let Some(owed) = self.forwarded.swap_remove(&id) else {
+            return;
+        };
+        match owed {
+            Forwarded::Submit(reply) => reply.send(submit_reply(answer)),
+            Forwarded::Job(reply) => reply.send(match answer {
+                Ok(Answer::Job(status)) => status,
+                _ => None,
+            }),
+            Forwarded::Cancel(reply) => reply.send(match answer {
+                Ok(Answer::Cancel(jobs)) => jobs,
+                _ => Vec::new(),
+            }),
+        }
+    }
+}
+
+/// Returns what a submission's caller is told, given the owner's answer.
+fn submit_reply(answer: Result<Answer>) -> SubmitReply {
+    match answer {
+        Ok(Answer::Submit(SubmitReply::NotOwner)) => SubmitReply::Refused {
+            reason: "no-owner".into(),
+        },
+        Ok(Answer::Submit(reply)) => reply,
+        Ok(_) => SubmitReply::Unknown,
+        Err(e) if e.kind().is_outcome_unknown() => SubmitReply::Unknown,
+        Err(_) => SubmitReply::Refused {
+            reason: "owner-unreachable".into(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shard/owned/calls.rs
@@ -0,0 +1,261 @@
+//! Submissions, ends of tasks, cancellations and claims, each answered once committed.
+
+use base::prelude::*;
+use journal::{Change, Ticket};
+use place::{JobAsk, Verdict};
+use wire::{
+    Claim, ClaimReply, DoneAck, DoneReport, JobRef, JobSpec, JobStatus, Reply, SubmitReply,
+};
+
+use super::{Group, Shard, Waiter};
+
+impl Shard {
+    pub(in crate::shard) fn submit(
+        &mut self,
+        now: Instant,
+        spec: Box<JobSpec>,
+        reply: Reply<SubmitReply>,
+    ) {
+        let known = self
+            .owner
+            .state()
+            .find(&JobRef::Key(spec.pool.clone(), spec.key.clone()));
+        if let Some(job) = known {
+            reply.send(SubmitReply::Accepted {
+                job: job.id.clone(),
+                known: true,
+            });
+            return;
+        }
+        if let Some(&ticket) = self.submitting.get(&spec.key) {
+            return self.join_submission(ticket, reply);
+        }
+        let job = self.draw_job_id();
+        if let Verdict::Never { reason } = self.placer.check(&ask_for(&job, &spec)) {
+            reply.send(SubmitReply::Refused { reason });
+            return;
+        }
+        let key = spec.key.clone();
+        let change = Change::Submitted {
+            job: job.clone(),
+            spec,
+            at_ms: self.wall_ms(),
+        };
+        let ticket = self.owner.propose(now, change);
+        self.submitting.insert(key, ticket);
+        self.wait_for(
+            ticket,
+            Waiter::Submit {
+                job,
+                known: false,
+                reply,
+            },
+        );
+    }
+
+    /// Lets a second submission of a key wait for the first one's commit.
+    fn join_submission(&mut self, ticket: Ticket, reply: Reply<SubmitReply>) {
+        let waiters = self.waiters.get(&ticket).into_iter().flatten();
+        let first = waiters.into_iter().find_map(|waiter| match waiter {
+            Waiter::Submit { job, .. } => Some(job.clone()),
+            _ => None,
+        });
+        match first {
+            Some(job) => self.wait_for(
+                ticket,
+                Waiter::Submit {
+                    job,
+                    known: true,
+                    reply,
+                },
+            ),
+            None => reply.send(SubmitReply::Unknown),
+        }
+    }
+
+    /// Draws an id that no other owner of the shard can draw.
+    fn draw_job_id(&mut self) -> JobId {
+        let epoch = self.owner.epoch().unwrap_or_default();
+        self.next_job += 1;
+        JobId::new(format!("{:x}-{epoch}-{}", self.shard.0, self.next_job))
+    }
+
+    pub(in crate::shard) fn done(
+        &mut self,
+        now: Instant,
+        report: DoneReport,
+        reply: Reply<DoneAck>,
+    ) {
+        let mut open = Vec::new();
+        let mut acked = Vec::new();
+        for (key, end) in report.ends {
+            if !self.owner.state().is_current(&key) {
+                acked.push(key);
+            } else if self.ending.insert(key.clone()) {
+                open.push(self.owner.propose(
+                    now,
+                    Change::Ended {
+                        key: key.clone(),
+                        end,
+                    },
+                ));
+                acked.push(key);
+            }
+            // An end that is being committed already is acknowledged when it is repeated.
+        }
+        if open.is_empty() {
+            reply.send(DoneAck { keys: acked });
+            return;
+        }
+        let id = self.draw_group();
+        self.done_groups.insert(
+            id,
+            Group {
+                open: open.len(),
+                keys: acked,
+                reply,
+            },
+        );
+        for ticket in open {
+            self.wait_for(ticket, Waiter::Done(id));
+        }
+    }
+
+    pub(in crate::shard) fn cancel(
+        &mut self,
+        now: Instant,
+        jobs: &[JobRef],
+        reply: Reply<Vec<JobStatus>>,
+    ) {
+        let found: Vec<_> = jobs
+            .iter()
+            .filter_map(|job| self.owner.state().find(job))
+            .collect();
+        let keys: Vec<JobId> = found.iter().map(|job| job.id.clone()).collect();
+        let open: Vec<JobId> = found
+            .iter()
+            .filter(|job| !job.is_ended())
+            .map(|job| job.id.clone())
+            .collect();
+        if open.is_empty() {
+            reply.send(self.statuses(&keys));
+            return;
+        }
+        let id = self.draw_group();
+        self.cancel_groups.insert(
+            id,
+            Group {
+                open: open.len(),
+                keys,
+                reply,
+            },
+        );
+        for job in open {
+            let ticket = self.owner.propose(now, Change::Cancelled { job });
+            self.wait_for(ticket, Waiter::Cancel(id));
+        }
+    }
+
+    pub(in crate::shard) fn claim(
+        &mut self,
+        now: Instant,
+        claim: Box<Claim>,
+        replaces: Option<Box<Claim>>,
+        reply: Reply<ClaimReply>,
+    ) {
+        let at = (claim.route.clone(), Arc::clone(&claim.key));
+        let held = self.owner.state().claim(&claim.route, &claim.key);
+        if let Some(held) = held.filter(|held| replaces.as_deref() != Some(*held)) {
+            reply.send(ClaimReply::Held(held.clone()));
+            return;
+        }
+        if self.claiming.contains_key(&at) {
+            reply.send(ClaimReply::Refused {
+                reason: "claim-in-progress".into(),
+            });
+            return;
+        }
+        let ticket = self.owner.propose(
+            now,
+            Change::Claimed {
+                claim,
+                at_ms: self.wall_ms(),
+            },
+        );
+        self.claiming.insert(at, ticket);
+        self.wait_for(ticket, Waiter::Claim(reply));
+    }
+
+    fn draw_group(&mut self) -> u64 {
+        self.next_group += 1;
+        self.next_group
+    }
+
+    fn wait_for(&mut self, ticket: Ticket, waiter: Waiter) {
+        self.waiters.entry(ticket).or_default().push(waiter);
+    }
+
+    /// Answers those who waited for a commit.
+    pub(super) fn tell_waiters(&mut self, ticket: Ticket) {
+        for waiter in self.waiters.swap_remove(&ticket).unwrap_or_default() {
+            match waiter {
+                Waiter::Submit { job, known, reply } => {
+                    reply.send(SubmitReply::Accepted { job, known });
+                }
+                Waiter::Claim(reply) => reply.send(ClaimReply::Granted),
+                Waiter::Done(id) => self.done_committed(id),
+                Waiter::Cancel(id) => self.cancel_committed(id),
+            }
+        }
+    }
+
+    fn done_committed(&mut self, id: u64) {
+        let Some(group) = self.done_groups.get_mut(&id) else {
+            return;
+        };
+        group.open -= 1;
+        if group.open > 0 {
+            return;
+        }
+        if let Some(group) = self.done_groups.swap_remove(&id) {
+            group.reply.send(DoneAck { keys: group.keys });
+        }
+    }
+
+    fn cancel_committed(&mut self, id: u64) {
+        let Some(group) = self.cancel_groups.get_mut(&id) else {
+            return;
+        };
+        group.open -= 1;
+        if group.open > 0 {
+            return;
+        }
+        if let Some(group) = self.cancel_groups.swap_remove(&id) {
+            let statuses = self.statuses(&group.keys);
+            group.reply.send(statuses);
+        }
+    }
+
+    fn statuses(&self, jobs: &[JobId]) -> Vec<JobStatus> {
+        let state = self.owner.state();
+        jobs.iter()
+            .filter_map(|id| state.job(id))
+            .map(|job| self.status_of(job))
+            .collect()
+    }
+}
+
+/// Returns what the placer needs to check a job before it is kept.
+fn ask_for(job: &JobId, spec: &JobSpec) -> JobAsk {
+    JobAsk {
+        job: job.clone(),
+        team: spec.team.clone(),
+        class: spec.class.clone(),
+        priority: spec.priority,
+        resources: spec.resources,
+        run_time: spec.run_time,
+        finish_by: None,
+        work_done: Duration::ZERO,
+        failures: 0,
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -72,7 +72,14 @@
             Some(target) => target.announcement = announcement,
             None => {
                 let name = announcement.target.clone();
-                self.targets.insert(name, Target { announcement, in_flight: 0, latency: 0.01 });
+                self.targets.insert(
+                    name,
+                    Target {
+                        announcement,
+                        in_flight: 0,
+                        latency: 0.01,
+                    },
+                );
             }
         }
     }
@@ -85,16 +92,23 @@
     /// Forgets requests whose serving thread is gone.
     pub fn sweep(&mut self, now: Instant) {
         const GRACE: Duration = Duration::from_secs(30);
-        self.active.retain(|_, active| now < active.meta.deadline + GRACE);
+        self.active
+            .retain(|_, active| now < active.meta.deadline + GRACE);
     }
 
     /// Admits a request or refuses it.
     pub fn admit(&mut self, now: Instant, meta: RequestMeta) -> RequestStep {
         let Some(route) = self.tables.routes.get(&meta.route).map(Arc::clone) else {
-            return RequestStep::Refuse { reason: "no-route", retry_after: None };
+            return RequestStep::Refuse {
+                reason: "no-route",
+                retry_after: None,
+            };
         };
         if now + MIN_ATTEMPT > meta.deadline {
-            return RequestStep::Refuse { reason: "expired", retry_after: None };
+            return RequestStep::Refuse {
+                reason: "expired",
+                retry_after: None,
+            };
         }
         let Some(target) = self.choose(&route, None) else {
             return RequestStep::Refuse {
@@ -103,7 +117,14 @@
             };
         };
         let id = meta.id.clone();
-        let active = Active { meta, route, target, attempt: 1, resends: 0, may_have_run: false };
+        let active = Active {
+            meta,
+            route,
+            target,
+            attempt: 1,
+            resends: 0,
+            may_have_run: false,
+        };
         self.active.insert(id.clone(), active);
         self.send(now, &id, false)
     }
@@ -111,7 +132,9 @@
     /// Decides what follows the end of an attempt.
     pub fn ended(&mut self, now: Instant, id: &RequestId, end: &AttemptEnd) -> RequestStep {
         let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown { reason: "forgotten" };
+            return RequestStep::Unknown {
+                reason: "forgotten",
+            };
         };
         let was_sent = !matches!(end, AttemptEnd::NotRun { .. } | AttemptEnd::NotSent);
         active.may_have_run |= was_sent;
@@ -137,7 +160,9 @@
     /// Sends the same request to the same target again, over a new connection.
     fn resend(&mut self, now: Instant, id: &RequestId) -> RequestStep {
         let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown { reason: "forgotten" };
+            return RequestStep::Unknown {
+                reason: "forgotten",
+            };
         };
         let may_resend = active.resends < MAX_RESENDS && now + MIN_ATTEMPT < active.meta.deadline;
         if may_resend {
@@ -153,14 +178,18 @@
     /// Moves a request to another target.
     fn move_on(&mut self, now: Instant, id: &RequestId) -> RequestStep {
         let Some(active) = self.active.get(id) else {
-            return RequestStep::Unknown { reason: "forgotten" };
+            return RequestStep::Unknown {
+                reason: "forgotten",
+            };
         };
         let route = Arc::clone(&active.route);
         let left = active.target.clone();
         let in_time = now + MIN_ATTEMPT < active.meta.deadline;
         let next = self.choose(&route, Some(&left));
         let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown { reason: "forgotten" };
+            return RequestStep::Unknown {
+                reason: "forgotten",
+            };
         };
         match next {
             Some(target) if in_time && active.attempt < MAX_ATTEMPTS => {
@@ -171,7 +200,10 @@
             }
             _ if !active.may_have_run => {
                 self.active.swap_remove(id);
-                RequestStep::Refuse { reason: "no-target", retry_after: Some(NO_TARGET_RETRY) }
+                RequestStep::Refuse {
+                    reason: "no-target",
+                    retry_after: Some(NO_TARGET_RETRY),
+                }
             }
             _ => self.give_up(id, "attempts-spent"),
         }
@@ -184,7 +216,9 @@
 
     fn send(&mut self, now: Instant, id: &RequestId, fresh: bool) -> RequestStep {
         let Some(active) = self.active.get(id) else {
-            return RequestStep::Unknown { reason: "forgotten" };
+            return RequestStep::Unknown {
+                reason: "forgotten",
+            };
         };
         let Some(target) = self.targets.get_mut(&active.target) else {
             return self.give_up(id, "target-gone");
@@ -219,20 +253,30 @@
         }
         let first = candidates[self.rng.random_range(0..candidates.len())];
         let second = candidates[self.rng.random_range(0..candidates.len())];
-        let best = if self.cost(second) < self.cost(first) { second } else { first };
+        let best = if self.cost(second) < self.cost(first) {
+            second
+        } else {
+            first
+        };
         Some(best.announcement.target.clone())
     }
 
     fn cost(&self, target: &Target) -> f64 {
         const OTHER_ZONE_PENALTY: f64 = 1.5;
         let load = f64::from(target.in_flight.max(target.announcement.in_flight) + 1);
-        let zone = if target.announcement.zone == self.zone { 1.0 } else { OTHER_ZONE_PENALTY };
+        let zone = if target.announcement.zone == self.zone {
+            1.0
+        } else {
+            OTHER_ZONE_PENALTY
+        };
         load * target.latency * zone
     }
 }
 
 impl std::fmt::Debug for Router {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Router").field("targets", &self.targets.len()).finish_non_exhaustive()
+        f.debug_struct("Router")
+            .field("targets", &self.targets.len())
+            .finish_non_exhaustive()
     }
 }
--- a/crates/route/src/step.rs
+++ b/crates/route/src/step.rs
@@ -85,4 +85,3 @@
     /// The answer was shorter than announced.
     Short,
 }
-
