Add stand-ins for store, worker and target, and the HTTP adapters

The other areas need the platform at their ports, in memory for randomised runs and over HTTP for the binaries. MemStore and MemWorker hold the semantics with time passed in; StoreServer, WorkerServer and TargetServer put them on loopback behind a relay that refuses, hangs, delays and swallows. HttpStore and HttpWorker tell refused connections (no effect) from lost answers (outcome unknown), and drop all pooled connections after a lost answer, since connections go silent together.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,7 @@
 //! Stand-ins for the platform and the targets, and load tools. Not shipped.
+
+mod http;
+pub mod relay;
+pub mod store;
+pub mod target;
+pub mod worker;
--- /dev/null
+++ b/crates/fakes/src/relay.rs
@@ -0,0 +1,287 @@
+//! A TCP relay that loses, delays and refuses.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::{Condvar, Mutex};
+
+use crate::http::listen;
+
+/// How long to wait before the port of a refusing relay is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// The size of the buffer of one direction, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// A direction through a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the client to the server.
+    ToServer,
+    /// From the server to the client.
+    ToClient,
+    /// Both.
+    Both,
+}
+
+/// A relay to one server, with switches.
+#[derive(Debug)]
+pub struct Relay {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    server: SocketAddr,
+    listening: Mutex<Listening>,
+    changed: Condvar,
+    links: Mutex<IndexMap<u64, Arc<Link>>>,
+    next_link: AtomicU64,
+    delay_micros: AtomicU64,
+    hang: AtomicBool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listening {
+    Open,
+    Refusing,
+    Stopped,
+}
+
+/// One connection through the relay.
+#[derive(Debug)]
+struct Link {
+    client: TcpStream,
+    server: TcpStream,
+    swallow_to_server: AtomicBool,
+    swallow_to_client: AtomicBool,
+}
+
+impl Relay {
+    /// Starts a relay to `server` on a free loopback port.
+    pub fn start(server: SocketAddr) -> Self {
+        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("bind a relay");
+        let addr = listener.local_addr().expect("a bound address");
+        let shared = Arc::new(Shared {
+            server,
+            listening: Mutex::new(Listening::Open),
+            changed: Condvar::new(),
+            links: Mutex::default(),
+            next_link: AtomicU64::new(0),
+            delay_micros: AtomicU64::new(0),
+            hang: AtomicBool::new(false),
+        });
+        let acceptor = Arc::clone(&shared);
+        thread::spawn(move || acceptor.accept_all(listener, addr));
+        Self { addr, shared }
+    }
+
+    /// Returns the address that clients connect to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Swallows all later bytes on the connections that are open now, for good; new ones work.
+    pub fn swallow_open(&self, direction: Direction) {
+        for link in self.shared.links.lock().values() {
+            if direction != Direction::ToClient {
+                link.swallow_to_server.store(true, Ordering::SeqCst);
+            }
+            if direction != Direction::ToServer {
+                link.swallow_to_client.store(true, Ordering::SeqCst);
+            }
+        }
+    }
+
+    /// Sets the delay of each direction.
+    pub fn set_delay(&self, one_way: Duration) {
+        let micros = u64::try_from(one_way.as_micros()).unwrap_or(u64::MAX);
+        self.shared.delay_micros.store(micros, Ordering::SeqCst);
+    }
+
+    /// Refuses new connections and breaks the open ones, or listens again.
+    pub fn set_refusing(&self, refusing: bool) {
+        let state = if refusing {
+            Listening::Refusing
+        } else {
+            Listening::Open
+        };
+        self.set_listening(state);
+        if refusing {
+            self.break_open();
+        }
+    }
+
+    /// Holds back all bytes of old and new connections, or passes them on again.
+    pub fn set_hanging(&self, hanging: bool) {
+        self.shared.hang.store(hanging, Ordering::SeqCst);
+    }
+
+    /// Breaks all connections that are open now.
+    pub fn break_open(&self) {
+        for link in self.shared.links.lock().values() {
+            link.shutdown();
+        }
+    }
+
+    /// Breaks the connection that reaches the server from `from`.
+    pub fn break_from(&self, from: SocketAddr) {
+        for link in self.shared.links.lock().values() {
+            if link.server.local_addr().is_ok_and(|addr| addr == from) {
+                link.shutdown();
+            }
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_links(&self) -> usize {
+        self.shared.links.lock().len()
+    }
+
+    /// Stops listening and breaks all connections.
+    pub fn stop(&self) {
+        self.set_listening(Listening::Stopped);
+        self.break_open();
+    }
+
+    fn set_listening(&self, state: Listening) {
+        {
+            let mut listening = self.shared.listening.lock();
+            if *listening == state || *listening == Listening::Stopped {
+                return;
+            }
+            let was_open = *listening == Listening::Open;
+            *listening = state;
+            self.shared.changed.notify_all();
+            if !was_open && state == Listening::Stopped {
+                return;
+            }
+        }
+        // Wakes the acceptor, or waits until it listens again.
+        while TcpStream::connect(self.addr).is_ok() != (state == Listening::Open) {
+            thread::sleep(REBIND_PAUSE);
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Shared {
+    fn accept_all(self: &Arc<Self>, first: TcpListener, addr: SocketAddr) {
+        let mut listener = first;
+        loop {
+            self.accept_while_open(&listener);
+            drop(listener);
+            if !self.wait_until_open() {
+                return;
+            }
+            listener = rebind(addr);
+        }
+    }
+
+    fn accept_while_open(self: &Arc<Self>, listener: &TcpListener) {
+        while let Ok((client, _)) = listener.accept() {
+            if *self.listening.lock() != Listening::Open {
+                return;
+            }
+            let shared = Arc::clone(self);
+            thread::spawn(move || shared.open_link(client));
+        }
+    }
+
+    fn wait_until_open(&self) -> bool {
+        let mut listening = self.listening.lock();
+        while *listening == Listening::Refusing {
+            self.changed.wait(&mut listening);
+        }
+        *listening == Listening::Open
+    }
+
+    fn open_link(self: &Arc<Self>, client: TcpStream) {
+        let Ok(server) = TcpStream::connect(self.server) else {
+            return;
+        };
+        if server.set_nodelay(true).is_err() {
+            return;
+        }
+        let link = Arc::new(Link {
+            client,
+            server,
+            swallow_to_server: AtomicBool::new(false),
+            swallow_to_client: AtomicBool::new(false),
+        });
+        let id = self.next_link.fetch_add(1, Ordering::Relaxed);
+        self.links.lock().insert(id, Arc::clone(&link));
+
+        let (shared, back) = (Arc::clone(self), Arc::clone(&link));
+        let backward = thread::spawn(move || {
+            shared.pass(&back.server, &back.client, &back.swallow_to_client);
+        });
+        self.pass(&link.client, &link.server, &link.swallow_to_server);
+        if backward.join().is_err() {
+            link.shutdown();
+        }
+        self.links.lock().swap_remove(&id);
+    }
+
+    /// Passes bytes on until either side closes.
+    fn pass(&self, mut from: &TcpStream, mut to: &TcpStream, swallow: &AtomicBool) {
+        let mut buf = vec![0; BUFFER_BYTES];
+        while let Ok(n) = from.read(&mut buf)
+            && n > 0
+        {
+            self.hold_back();
+            if swallow.load(Ordering::SeqCst) {
+                continue;
+            }
+            if to.write_all(&buf[..n]).is_err() {
+                break;
+            }
+        }
+        // A silent loss hides the end of a connection as well.
+        if !swallow.load(Ordering::SeqCst) {
+            shut(to, Shutdown::Write);
+        }
+    }
+
+    fn hold_back(&self) {
+        let delay = Duration::from_micros(self.delay_micros.load(Ordering::SeqCst));
+        if !delay.is_zero() {
+            thread::sleep(delay);
+        }
+        while self.hang.load(Ordering::SeqCst) && *self.listening.lock() == Listening::Open {
+            thread::sleep(REBIND_PAUSE);
+        }
+    }
+}
+
+impl Link {
+    fn shutdown(&self) {
+        shut(&self.client, Shutdown::Both);
+        shut(&self.server, Shutdown::Both);
+    }
+}
+
+/// Shuts a connection down; one that is down already stays so.
+fn shut(stream: &TcpStream, how: Shutdown) {
+    stream.shutdown(how).unwrap_or_default();
+}
+
+fn rebind(addr: SocketAddr) -> TcpListener {
+    loop {
+        match listen(addr) {
+            Ok(listener) => return listener,
+            Err(_) => thread::sleep(REBIND_PAUSE),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/store.rs
@@ -0,0 +1,10 @@
+//! A stand-in for the platform's key-value service.
+
+mod mem;
+mod rate;
+mod rest;
+mod server;
+
+pub use mem::MemStore;
+pub use rate::RateLimit;
+pub use server::{Outage, StoreCounts, StoreServer, StoreSwitches};
--- /dev/null
+++ b/crates/fakes/src/store/mem.rs
@@ -0,0 +1,314 @@
+//! The semantics of the store, in memory and with time passed in.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
+
+use base::prelude::*;
+use platform::store::{
+    Expect, KeyValue, LeaseId, MAX_VALUE_BYTES, Revision, StoreCall, StoreReply, WatchEvent,
+};
+
+/// How many changes are kept for watches unless set otherwise.
+const DEFAULT_HISTORY: usize = 10_000;
+
+/// A key-value store with compare-and-swap, leases and watches.
+#[derive(Clone, Debug)]
+pub struct MemStore {
+    revision: Revision,
+    // Keys are listed in their order, which an index map does not keep.
+    keys: BTreeMap<Name, Entry>,
+    leases: IndexMap<LeaseId, Lease>,
+    next_lease: LeaseId,
+    history: VecDeque<WatchEvent>,
+    history_limit: usize,
+    compacted: Revision,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    value: Arc<[u8]>,
+    revision: Revision,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+impl MemStore {
+    /// Creates an empty store.
+    pub fn new() -> Self {
+        Self {
+            revision: 0,
+            keys: BTreeMap::new(),
+            leases: IndexMap::new(),
+            next_lease: 1,
+            history: VecDeque::new(),
+            history_limit: DEFAULT_HISTORY,
+            compacted: 0,
+        }
+    }
+
+    /// Sets how many changes are kept for watches.
+    pub fn set_history_limit(&mut self, limit: usize) {
+        self.history_limit = limit;
+        self.compact();
+    }
+
+    /// Makes one call at `now`; a watch answers at once with what there is.
+    ///
+    /// # Errors
+    ///
+    /// Refuses values over [`MAX_VALUE_BYTES`].
+    pub fn call(&mut self, now: Instant, call: &StoreCall) -> Result<StoreReply> {
+        self.expire(now);
+        match call {
+            StoreCall::Get { key } => Ok(StoreReply::Got(self.get(key))),
+            StoreCall::List {
+                prefix,
+                after,
+                limit,
+            } => Ok(StoreReply::Listed(self.list(
+                prefix,
+                after.as_ref(),
+                *limit,
+            ))),
+            StoreCall::Put {
+                key,
+                value,
+                expect,
+                lease,
+            } => self.put(key, value, *expect, *lease),
+            StoreCall::Delete { key, expect } => Ok(self.delete(key, *expect)),
+            StoreCall::DeleteRange { from, to } => Ok(self.delete_range(from, to)),
+            StoreCall::LeaseGrant { ttl } => Ok(self.grant(now, *ttl)),
+            StoreCall::LeaseRenew { lease } => Ok(self.renew(now, *lease)),
+            StoreCall::LeaseRevoke { lease } => Ok(self.revoke(*lease)),
+            StoreCall::Watch { prefix, after, .. } => Ok(self.changes(prefix, *after)),
+        }
+    }
+
+    /// Ends the leases that lapsed by `now` and deletes their keys.
+    pub fn expire(&mut self, now: Instant) {
+        let lapsed: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lapsed {
+            self.end_lease(id);
+        }
+    }
+
+    /// Returns when the next lease lapses.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.ends).min()
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Tells whether a watch would be answered with changes.
+    pub fn has_changes(&self, prefix: &str, after: Revision) -> bool {
+        after < self.compacted
+            || self
+                .history
+                .iter()
+                .rev()
+                .take_while(|event| event.revision > after)
+                .any(|event| event.key.starts_with(prefix))
+    }
+
+    fn get(&self, key: &Name) -> Option<KeyValue> {
+        self.keys.get(key).map(|entry| entry.key_value(key))
+    }
+
+    fn list(&self, prefix: &str, after: Option<&Name>, limit: usize) -> Vec<KeyValue> {
+        let start = match after {
+            Some(after) if &**after >= prefix => Bound::Excluded(&**after),
+            _ => Bound::Included(prefix),
+        };
+        self.keys
+            .range::<str, _>((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .take(limit)
+            .map(|(key, entry)| entry.key_value(key))
+            .collect()
+    }
+
+    fn put(
+        &mut self,
+        key: &Name,
+        value: &Arc<[u8]>,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<StoreReply> {
+        if value.len() > MAX_VALUE_BYTES {
+            let message = format!("a value of {} bytes is too large", value.len());
+            return Err(Error::new(ErrorKind::Refused, "put", "store", message));
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Ok(StoreReply::LeaseGone);
+        }
+        if !self.is_expected(key, expect) {
+            return Ok(self.conflict(key));
+        }
+        let revision = self.record(key, Some(value));
+        let entry = Entry {
+            value: Arc::clone(value),
+            revision,
+            lease,
+        };
+        self.keys.insert(Arc::clone(key), entry);
+        Ok(StoreReply::Done { revision })
+    }
+
+    fn delete(&mut self, key: &Name, expect: Expect) -> StoreReply {
+        if !self.is_expected(key, expect) {
+            return self.conflict(key);
+        }
+        self.remove(key);
+        self.done()
+    }
+
+    fn delete_range(&mut self, from: &Name, to: &Name) -> StoreReply {
+        if from < to {
+            let keys: Vec<Name> = self
+                .keys
+                .range(Arc::clone(from)..Arc::clone(to))
+                .map(|(key, _)| Arc::clone(key))
+                .collect();
+            for key in keys {
+                self.remove(&key);
+            }
+        }
+        self.done()
+    }
+
+    fn grant(&mut self, now: Instant, ttl: Duration) -> StoreReply {
+        let lease = self.next_lease;
+        self.next_lease += 1;
+        let ends = now + ttl;
+        self.leases.insert(lease, Lease { ttl, ends });
+        StoreReply::Leased { lease, ttl }
+    }
+
+    fn renew(&mut self, now: Instant, id: LeaseId) -> StoreReply {
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return StoreReply::LeaseGone;
+        };
+        lease.ends = now + lease.ttl;
+        StoreReply::Leased {
+            lease: id,
+            ttl: lease.ttl,
+        }
+    }
+
+    fn revoke(&mut self, id: LeaseId) -> StoreReply {
+        if !self.leases.contains_key(&id) {
+            return StoreReply::LeaseGone;
+        }
+        self.end_lease(id);
+        self.done()
+    }
+
+    fn changes(&self, prefix: &str, after: Revision) -> StoreReply {
+        let compacted = after < self.compacted;
+        let events = if compacted {
+            Vec::new()
+        } else {
+            self.history
+                .iter()
+                .filter(|event| event.revision > after && event.key.starts_with(prefix))
+                .cloned()
+                .collect()
+        };
+        StoreReply::Watched {
+            events,
+            revision: self.revision,
+            compacted,
+        }
+    }
+
+    fn is_expected(&self, key: &Name, expect: Expect) -> bool {
+        match expect {
+            Expect::Any => true,
+            Expect::Absent => !self.keys.contains_key(key),
+            Expect::Revision(revision) => self
+                .keys
+                .get(key)
+                .is_some_and(|entry| entry.revision == revision),
+        }
+    }
+
+    fn conflict(&self, key: &Name) -> StoreReply {
+        StoreReply::Conflict {
+            current: self.get(key),
+        }
+    }
+
+    fn done(&self) -> StoreReply {
+        StoreReply::Done {
+            revision: self.revision,
+        }
+    }
+
+    fn end_lease(&mut self, id: LeaseId) {
+        self.leases.shift_remove(&id);
+        let keys: Vec<Name> = self
+            .keys
+            .iter()
+            .filter(|(_, entry)| entry.lease == Some(id))
+            .map(|(key, _)| Arc::clone(key))
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &Name) {
+        if self.keys.remove(key).is_some() {
+            self.record(key, None);
+        }
+    }
+
+    fn record(&mut self, key: &Name, value: Option<&Arc<[u8]>>) -> Revision {
+        self.revision += 1;
+        self.history.push_back(WatchEvent {
+            key: Arc::clone(key),
+            value: value.cloned(),
+            revision: self.revision,
+        });
+        self.compact();
+        self.revision
+    }
+
+    fn compact(&mut self) {
+        while self.history.len() > self.history_limit {
+            if let Some(event) = self.history.pop_front() {
+                self.compacted = event.revision;
+            }
+        }
+    }
+}
+
+impl Default for MemStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Entry {
+    fn key_value(&self, key: &Name) -> KeyValue {
+        KeyValue {
+            key: Arc::clone(key),
+            value: Arc::clone(&self.value),
+            revision: self.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/store/rate.rs
@@ -0,0 +1,34 @@
+//! A token bucket.
+
+use std::time::Instant;
+
+/// A limit of calls a second that allows one second's worth at once.
+#[derive(Clone, Copy, Debug)]
+pub struct RateLimit {
+    per_second: f64,
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl RateLimit {
+    /// Creates a full bucket.
+    pub fn new(per_second: f64, now: Instant) -> Self {
+        Self {
+            per_second,
+            tokens: per_second,
+            filled_at: now,
+        }
+    }
+
+    /// Takes one token; `false` if there is none.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.per_second).min(self.per_second);
+        self.filled_at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/target.rs
@@ -0,0 +1,368 @@
+//! A stand-in for a target that answers requests.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fmt;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::thread;
+
+use base::prelude::*;
+use parking_lot::{Condvar, Mutex};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tiny_http::{Request, Response, Server};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http::{header, read_body, serve};
+
+/// The header in which a target finds the id of a request, and echoes it.
+pub const REQUEST_ID: &str = "Monsoontrestle-Request-Id";
+
+/// The header in which a target tells the checksum of the body that it read.
+pub const BODY_CHECKSUM: &str = "X-Body-Checksum";
+
+/// How many threads take requests; requests in service hold none.
+const SERVING_THREADS: usize = 2;
+
+/// How many times slower a slow target is.
+const SLOW_FACTOR: u32 = 10;
+
+/// The size and habits of a target.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// How many requests it means to run at once.
+    pub slots: usize,
+    /// How many connections it means to hold.
+    pub connections: usize,
+    /// How long a request takes.
+    pub service_time: ServiceTime,
+    /// The size of answers, in bytes.
+    pub answer_bytes: usize,
+    /// The seed of the service times.
+    pub seed: u64,
+}
+
+/// A distribution of service times.
+#[derive(Clone, Copy, Debug)]
+pub enum ServiceTime {
+    /// Every request takes the same.
+    Fixed(Duration),
+    /// Exponential with a mean.
+    Exponential(Duration),
+}
+
+/// How a target misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// It is ten times slower.
+    Slow,
+    /// It runs requests and sends only half of each answer.
+    ShortAnswers,
+    /// It runs requests and never answers.
+    NeverAnswers,
+    /// It takes requests, neither runs nor answers them.
+    Hangs,
+}
+
+/// What a target did.
+#[derive(Clone, Debug, Default)]
+pub struct TargetCounts {
+    /// Runs by request id; above 1 where a request ran more than once.
+    pub runs: IndexMap<Name, u32>,
+    /// Requests that carried no id.
+    pub without_id: u64,
+    /// How many requests run now.
+    pub running: usize,
+    /// The largest number of requests that ran at once.
+    pub most_running: usize,
+    /// How often a request started while all slots were taken.
+    pub over_slots: u64,
+    /// How often a request arrived while as many connections as meant held one.
+    pub over_connections: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+}
+
+/// A target on a loopback port.
+pub struct TargetServer {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    server: Server,
+    settings: TargetSettings,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+struct State {
+    rng: ChaCha8Rng,
+    fault: TargetFault,
+    counts: TargetCounts,
+    in_service: BinaryHeap<Reverse<InService>>,
+    held: Vec<Request>,
+    next_seq: u64,
+    stopped: bool,
+}
+
+/// A request in service, ordered by when it is done.
+struct InService {
+    done_at: Instant,
+    seq: u64,
+    answer: Answer,
+}
+
+struct Answer {
+    req: Request,
+    id: Option<Name>,
+    checksum: u64,
+}
+
+impl TargetServer {
+    /// Starts a target.
+    pub fn start(settings: TargetSettings) -> Self {
+        let (server, addr) = serve();
+        let shared = Arc::new(Shared {
+            server,
+            state: Mutex::new(State::new(settings.seed)),
+            settings,
+            changed: Condvar::new(),
+        });
+        for _ in 0..SERVING_THREADS {
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || shared.serve());
+        }
+        let finisher = Arc::clone(&shared);
+        thread::spawn(move || finisher.finish_all());
+        Self { addr, shared }
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Switches a fault on, or all off.
+    pub fn set_fault(&self, fault: TargetFault) {
+        self.shared.state.lock().fault = fault;
+    }
+
+    /// Returns what the target did so far.
+    pub fn counts(&self) -> TargetCounts {
+        self.shared.state.lock().counts.clone()
+    }
+
+    /// Stops the target for good, without answers to what it runs; called on drop as well.
+    pub fn stop(&self) {
+        self.shared.state.lock().stopped = true;
+        self.shared.changed.notify_all();
+        for _ in 0..SERVING_THREADS {
+            self.shared.server.unblock();
+        }
+    }
+}
+
+impl fmt::Debug for TargetServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TargetServer")
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for TargetServer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            connections: 64,
+            service_time: ServiceTime::Fixed(Duration::ZERO),
+            answer_bytes: 64,
+            seed: 0,
+        }
+    }
+}
+
+impl Shared {
+    fn serve(&self) {
+        while let Ok(req) = self.server.recv() {
+            if self.state.lock().stopped {
+                return;
+            }
+            self.take(req);
+        }
+    }
+
+    fn take(&self, mut req: Request) {
+        let Ok(body) = read_body(&mut req) else {
+            return;
+        };
+        let answer = Answer {
+            id: request_id(&req),
+            checksum: xxh3_64(&body),
+            req,
+        };
+        let mut state = self.state.lock();
+        if state.fault == TargetFault::Hangs {
+            state.held.push(answer.req);
+            return;
+        }
+        state.count_start(answer.id.as_ref(), &self.settings);
+        let time = state.draw_time(self.settings.service_time);
+        if time.is_zero() {
+            self.finish(state, answer);
+            return;
+        }
+        let seq = state.next_seq;
+        state.next_seq += 1;
+        state.in_service.push(Reverse(InService {
+            done_at: Instant::now() + time,
+            seq,
+            answer,
+        }));
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    fn finish_all(&self) {
+        loop {
+            let mut state = self.state.lock();
+            if state.stopped {
+                return;
+            }
+            let next = state.in_service.peek().map(|next| next.0.done_at);
+            match next {
+                None => self.changed.wait(&mut state),
+                Some(at) if at > Instant::now() => {
+                    self.changed.wait_until(&mut state, at);
+                }
+                Some(_) => {
+                    if let Some(Reverse(next)) = state.in_service.pop() {
+                        self.finish(state, next.answer);
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&self, mut state: parking_lot::MutexGuard<'_, State>, answer: Answer) {
+        state.counts.running -= 1;
+        match state.fault {
+            TargetFault::NeverAnswers | TargetFault::Hangs => state.held.push(answer.req),
+            TargetFault::ShortAnswers => {
+                drop(state);
+                self.send_half(answer);
+            }
+            TargetFault::None | TargetFault::Slow => {
+                state.counts.answered += 1;
+                drop(state);
+                self.send_whole(answer);
+            }
+        }
+    }
+
+    fn send_whole(&self, answer: Answer) {
+        let mut resp = Response::from_data(vec![b'.'; self.settings.answer_bytes]).with_header(
+            header(BODY_CHECKSUM, format_args!("{:016x}", answer.checksum)),
+        );
+        if let Some(id) = &answer.id {
+            resp.add_header(header(REQUEST_ID, id));
+        }
+        // A caller that has gone does not matter.
+        answer.req.respond(resp).unwrap_or_default();
+    }
+
+    /// Sends the head and half of the body, and holds the rest back.
+    fn send_half(&self, answer: Answer) {
+        let id = answer.id.as_deref().unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{REQUEST_ID}: {id}\r\n\r\n",
+            self.settings.answer_bytes
+        );
+        let half = vec![b'.'; self.settings.answer_bytes / 2];
+        let mut writer = answer.req.into_writer();
+        // A caller that has gone does not matter.
+        writer
+            .write_all(head.as_bytes())
+            .and_then(|()| writer.write_all(&half))
+            .and_then(|()| writer.flush())
+            .unwrap_or_default();
+    }
+}
+
+impl State {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fault: TargetFault::None,
+            counts: TargetCounts::default(),
+            in_service: BinaryHeap::new(),
+            held: Vec::new(),
+            next_seq: 0,
+            stopped: false,
+        }
+    }
+
+    fn count_start(&mut self, id: Option<&Name>, settings: &TargetSettings) {
+        let counts = &mut self.counts;
+        match id {
+            Some(id) => *counts.runs.entry(Arc::clone(id)).or_default() += 1,
+            None => counts.without_id += 1,
+        }
+        counts.over_slots += u64::from(counts.running >= settings.slots);
+        counts.over_connections += u64::from(counts.running >= settings.connections);
+        counts.running += 1;
+        counts.most_running = counts.most_running.max(counts.running);
+    }
+
+    fn draw_time(&mut self, service_time: ServiceTime) -> Duration {
+        let time = match service_time {
+            ServiceTime::Fixed(time) => time,
+            ServiceTime::Exponential(mean) => {
+                let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
+                mean.mul_f64(-draw.ln())
+            }
+        };
+        match self.fault {
+            TargetFault::Slow => time * SLOW_FACTOR,
+            _ => time,
+        }
+    }
+}
+
+impl PartialEq for InService {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for InService {}
+
+impl PartialOrd for InService {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for InService {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.done_at, self.seq).cmp(&(other.done_at, other.seq))
+    }
+}
+
+fn request_id(req: &Request) -> Option<Name> {
+    req.headers()
+        .iter()
+        .find(|header| header.field.equiv(REQUEST_ID))
+        .map(|header| header.value.as_str().into())
+}
--- /dev/null
+++ b/crates/fakes/tests/target.rs
@@ -0,0 +1,124 @@
+//! The target and the relay, with their faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fakes::relay::{Direction, Relay};
+use fakes::target::{REQUEST_ID, ServiceTime, TargetFault, TargetServer, TargetSettings};
+use ureq::{Agent, Error};
+
+const PATIENT: Duration = Duration::from_secs(60);
+const SHORT: Duration = Duration::from_millis(300);
+
+fn send(agent: &Agent, addr: SocketAddr, id: &str, timeout: Duration) -> Result<String, Error> {
+    agent
+        .post(format!("http://{addr}/"))
+        .config()
+        .timeout_global(Some(timeout))
+        .build()
+        .header(REQUEST_ID, id)
+        .send("body")
+        .and_then(|mut resp| {
+            resp.body_mut().read_to_vec()?;
+            Ok(resp.headers()[REQUEST_ID].to_str().unwrap().to_owned())
+        })
+}
+
+fn wait_for_run(target: &TargetServer, id: &str) {
+    while !target.counts().runs.contains_key(id) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn echoes_the_id_and_counts_runs() {
+    let target = TargetServer::start(TargetSettings::default());
+
+    let echoed = send(&Agent::new_with_defaults(), target.addr(), "r-1", PATIENT).unwrap();
+    send(&Agent::new_with_defaults(), target.addr(), "r-1", PATIENT).unwrap();
+
+    assert_eq!(echoed, "r-1");
+    assert_eq!(target.counts().runs["r-1"], 2);
+}
+
+#[test]
+fn counts_what_runs_beyond_its_slots() {
+    let settings = TargetSettings {
+        slots: 1,
+        service_time: ServiceTime::Fixed(Duration::from_millis(300)),
+        ..TargetSettings::default()
+    };
+    let target = TargetServer::start(settings);
+
+    let addr = target.addr();
+    let sent: Vec<_> = ["a", "b", "c"]
+        .into_iter()
+        .map(|id| {
+            std::thread::spawn(move || {
+                send(&Agent::new_with_defaults(), addr, id, PATIENT).unwrap()
+            })
+        })
+        .collect();
+    for thread in sent {
+        thread.join().unwrap();
+    }
+
+    let counts = target.counts();
+    assert_eq!(counts.answered, 3);
+    assert_eq!(counts.running, 0);
+    assert_eq!(counts.over_slots > 0, counts.most_running > 1);
+}
+
+#[test]
+fn a_short_answer_is_never_whole() {
+    let target = TargetServer::start(TargetSettings::default());
+    target.set_fault(TargetFault::ShortAnswers);
+
+    let cut = send(&Agent::new_with_defaults(), target.addr(), "r-1", SHORT);
+
+    cut.unwrap_err();
+    wait_for_run(&target, "r-1");
+    assert_eq!(target.counts().runs["r-1"], 1);
+}
+
+#[test]
+fn a_target_that_hangs_runs_nothing() {
+    let target = TargetServer::start(TargetSettings::default());
+    target.set_fault(TargetFault::Hangs);
+
+    let hung = send(&Agent::new_with_defaults(), target.addr(), "r-1", SHORT);
+
+    hung.unwrap_err();
+    assert_eq!(target.counts().runs.len(), 0);
+}
+
+#[test]
+fn a_silent_connection_stays_silent_while_new_ones_work() {
+    let target = TargetServer::start(TargetSettings::default());
+    let relay = Relay::start(target.addr());
+    let old = Agent::new_with_defaults();
+    send(&old, relay.addr(), "r-1", PATIENT).unwrap();
+
+    relay.swallow_open(Direction::Both);
+    let lost = send(&old, relay.addr(), "r-2", SHORT);
+    let fresh = send(&Agent::new_with_defaults(), relay.addr(), "r-3", PATIENT);
+
+    lost.unwrap_err();
+    assert_eq!(fresh.unwrap(), "r-3");
+    assert!(!target.counts().runs.contains_key("r-2"));
+}
+
+#[test]
+fn swallowing_answers_lets_requests_through() {
+    let target = TargetServer::start(TargetSettings::default());
+    let relay = Relay::start(target.addr());
+    let old = Agent::new_with_defaults();
+    send(&old, relay.addr(), "r-1", PATIENT).unwrap();
+
+    relay.swallow_open(Direction::ToClient);
+    let lost = send(&old, relay.addr(), "r-2", SHORT);
+
+    lost.unwrap_err();
+    wait_for_run(&target, "r-2");
+    assert_eq!(target.counts().runs["r-2"], 1);
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,144 @@
+//! An HTTP client with pooled connections and errors that are honest about effects.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use parking_lot::Mutex;
+use ureq::http::{Request, Response};
+use ureq::{Agent, Body};
+
+/// How many idle connections are kept.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+/// The largest body that is read, in bytes.
+const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
+
+/// A client of one server.
+pub struct Client {
+    peer: Name,
+    base: String,
+    timeout: Duration,
+    agent: Mutex<Agent>,
+}
+
+impl Client {
+    /// Creates a client whose calls last at most `timeout`.
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            peer: addr.to_string().into(),
+            base: format!("http://{addr}"),
+            timeout,
+            agent: Mutex::new(new_agent(timeout)),
+        }
+    }
+
+    /// Returns the URI of `path`, which may hold a query.
+    pub fn uri(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+
+    /// Returns an error of `step` with this client's server.
+    pub fn error(&self, kind: ErrorKind, step: &'static str, message: impl Into<String>) -> Error {
+        Error::new(kind, step, Arc::clone(&self.peer), message)
+    }
+
+    /// Sends a request and reads its whole answer, allowing the server `wait` more than the timeout.
+    ///
+    /// # Errors
+    ///
+    /// Answers that tell of a shed or wrong call are errors; other statuses are left to the caller.
+    pub fn send(
+        &self,
+        step: &'static str,
+        req: Request<Vec<u8>>,
+        wait: Duration,
+    ) -> Result<Response<Vec<u8>>> {
+        let agent = self.agent.lock().clone();
+        let req = agent
+            .configure_request(req)
+            .timeout_global(Some(self.timeout + wait))
+            .build();
+        let resp = agent
+            .run(req)
+            .and_then(read_whole)
+            .map_err(|e| self.transport_error(step, &e))?;
+        self.check_status(step, resp)
+    }
+
+    fn check_status(
+        &self,
+        step: &'static str,
+        resp: Response<Vec<u8>>,
+    ) -> Result<Response<Vec<u8>>> {
+        let kind = match resp.status().as_u16() {
+            200 | 404 | 409 | 410 => return Ok(resp),
+            429 | 503 => ErrorKind::Overloaded,
+            400 | 413 => ErrorKind::Refused,
+            _ => ErrorKind::Interrupted,
+        };
+        let text = String::from_utf8_lossy(resp.body()).into_owned();
+        Err(self.error(kind, step, format!("status {}: {text}", resp.status())))
+    }
+
+    fn transport_error(&self, step: &'static str, e: &ureq::Error) -> Error {
+        let kind = transport_kind(e);
+        if kind.is_outcome_unknown() {
+            // Connections that went silent do so together: none of the old ones is used again.
+            *self.agent.lock() = new_agent(self.timeout);
+        }
+        self.error(kind, step, e.to_string())
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("peer", &self.peer)
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
+}
+
+fn new_agent(timeout: Duration) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .max_idle_connections(MAX_IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS)
+        // Shorter than the whole, so that a connect that fails is told from a lost answer.
+        .timeout_connect(Some(timeout / 2))
+        .build()
+        .new_agent()
+}
+
+fn read_whole(resp: Response<Body>) -> Result<Response<Vec<u8>>, ureq::Error> {
+    let (parts, mut body) = resp.into_parts();
+    let body = body.with_config().limit(MAX_BODY_BYTES).read_to_vec()?;
+    Ok(Response::from_parts(parts, body))
+}
+
+fn transport_kind(e: &ureq::Error) -> ErrorKind {
+    match e {
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve)
+        | ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound => ErrorKind::Unreachable,
+        ureq::Error::Timeout(_) => ErrorKind::Timeout,
+        ureq::Error::Http(_) | ureq::Error::BadUri(_) => ErrorKind::Invalid,
+        ureq::Error::Io(e) => io_kind(e.kind()),
+        _ => ErrorKind::Interrupted,
+    }
+}
+
+fn io_kind(kind: io::ErrorKind) -> ErrorKind {
+    match kind {
+        io::ErrorKind::ConnectionRefused
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable
+        | io::ErrorKind::AddrNotAvailable => ErrorKind::Unreachable,
+        io::ErrorKind::TimedOut => ErrorKind::Timeout,
+        _ => ErrorKind::Interrupted,
+    }
+}
