Run the whole path: requests, jobs and standing work through real processes

Cause: nothing ran end to end. Change: the actors of entry and companion, their threads and adapters, and an example that runs a whole desk on loopback. Before: nothing. Conclusion: the path is whole and thin; areas are deepened from here.

--- /dev/null
+++ b/crates/companion/src/announce.rs
@@ -0,0 +1,210 @@
+//! The actor that announces this companion to the entries.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use slog::{error, info};
+use stakker::{Actor, CX, after, call};
+use tables::{Tables, TablesDoc};
+use wire::timing::ANNOUNCE_EVERY;
+use wire::{
+    AnnounceReply, Announcement, Answer, Call, CallToken, Part, ShardOwner, TargetState,
+    shard_of_pool,
+};
+
+use crate::CompanionCfg;
+use crate::ports::Ports;
+use crate::tasks::TaskActor;
+
+/// How long an announcement may take.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How many announcements in a row may fail before an entry is no longer tried.
+const MAX_FAILURES: u32 = 10;
+
+/// An entry that this companion talks to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    failures: u32,
+    is_waiting: bool,
+    /// Whether the settings name it, so that it is never given up.
+    is_seed: bool,
+}
+
+/// Announces the target and learns of entries, owners and tables in return.
+pub(crate) struct AnnounceActor {
+    cfg: Arc<CompanionCfg>,
+    ports: Ports,
+    tasks: Actor<TaskActor>,
+    peers: IndexMap<SocketAddr, Peer>,
+    /// Which peer a call on its way went to.
+    calls: IndexMap<u64, SocketAddr>,
+    sequence: u64,
+    state: TargetState,
+    doc: Option<TablesDoc>,
+    tables: Arc<Tables>,
+    owners: IndexMap<ShardId, ShardOwner>,
+}
+
+impl AnnounceActor {
+    pub(crate) fn init(
+        cx: CX![],
+        cfg: Arc<CompanionCfg>,
+        ports: Ports,
+        tasks: Actor<TaskActor>,
+    ) -> Option<Self> {
+        let seed = Peer {
+            is_seed: true,
+            ..Peer::default()
+        };
+        let peers = cfg.entries.iter().map(|addr| (*addr, seed)).collect();
+        let mut this = Self {
+            cfg,
+            ports,
+            tasks,
+            peers,
+            calls: IndexMap::new(),
+            sequence: 0,
+            state: TargetState::Serving,
+            doc: None,
+            tables: Arc::default(),
+            owners: IndexMap::new(),
+        };
+        this.announce_later(cx);
+        this.announce();
+        Some(this)
+    }
+
+    fn announce_later(&self, cx: CX![]) {
+        after!(ANNOUNCE_EVERY, [cx], |this, cx| {
+            this.announce();
+            this.announce_later(cx);
+        });
+    }
+
+    fn announce(&mut self) {
+        self.sequence += 1;
+        let announcement = self.announcement();
+        let idle: Vec<SocketAddr> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_waiting)
+            .map(|(at, _)| *at)
+            .collect();
+        for to in idle {
+            let id = self.sequence << 16 | self.calls.len() as u64;
+            self.calls.insert(id, to);
+            if let Some(peer) = self.peers.get_mut(&to) {
+                peer.is_waiting = true;
+            }
+            let token = CallToken {
+                part: Part::Member,
+                id,
+            };
+            let call = Call::Announce(Box::new(announcement.clone()));
+            self.ports.calls.submit(to, token, ANNOUNCE_TIMEOUT, call);
+        }
+    }
+
+    fn announcement(&self) -> Announcement {
+        let cfg = &self.cfg;
+        Announcement {
+            target: cfg.target.clone(),
+            worker: cfg.worker.clone(),
+            incarnation: cfg.incarnation,
+            sequence: self.sequence,
+            zone: cfg.zone.clone(),
+            rack: cfg.rack.clone(),
+            http_addr: cfg.announce_http.unwrap_or(cfg.http_addr),
+            rpc_addr: cfg.rpc_addr,
+            slots: cfg.slots,
+            connections: cfg.connections,
+            capacity: cfg.capacity,
+            state: self.state,
+            in_flight: 0,
+            generation: self.tables.generation,
+        }
+    }
+
+    pub(crate) fn answer(&mut self, cx: CX![], id: u64, answer: Result<Answer>) {
+        let Some(from) = self.calls.swap_remove(&id) else {
+            return;
+        };
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        peer.is_waiting = false;
+        match answer {
+            Ok(Answer::Announce(reply)) => {
+                peer.failures = 0;
+                self.learn(cx, *reply);
+            }
+            _ => {
+                peer.failures += 1;
+                let given_up = !peer.is_seed && peer.failures > MAX_FAILURES;
+                if given_up {
+                    self.peers.swap_remove(&from);
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, cx: CX![], reply: AnnounceReply) {
+        for entry in &reply.entries {
+            self.peers.entry(entry.rpc_addr).or_default();
+        }
+        for owner in reply.owners {
+            let is_newer = self
+                .owners
+                .get(&owner.shard)
+                .is_none_or(|known| owner.epoch >= known.epoch);
+            if is_newer {
+                self.owners.insert(owner.shard, owner);
+            }
+        }
+        if let Some(doc) = reply.tables {
+            self.offer(doc);
+        }
+        self.tell_shard(cx);
+    }
+
+    /// Puts tables in force where their generation is higher than what is.
+    fn offer(&mut self, doc: TablesDoc) {
+        if doc.generation <= self.tables.generation {
+            return;
+        }
+        match doc.tables() {
+            Ok(tables) => {
+                info!(
+                    self.ports.log,
+                    "config: generation {} is in force", doc.generation
+                );
+                self.tables = Arc::new(tables);
+                self.doc = Some(doc);
+            }
+            Err(e) => {
+                error!(
+                    self.ports.log,
+                    "config: generation {} is invalid: {}", doc.generation, e
+                );
+            }
+        }
+    }
+
+    /// Tells the tasks which shard the worker is in, and who owns it.
+    fn tell_shard(&mut self, cx: CX![]) {
+        let pool = self
+            .tables
+            .pools_of_worker(&self.cfg.worker, &self.cfg.zone)
+            .next();
+        let Some(pool) = pool else { return };
+        let shard = shard_of_pool(&pool.name);
+        let owner = self.owners.get(&shard).map(|owner| owner.rpc_addr);
+        call!([self.tasks, cx], set_shard(shard, owner));
+    }
+
+    pub(crate) fn leave(&mut self, _cx: CX![]) {
+        self.state = TargetState::Leaving;
+        self.announce();
+    }
+}
--- /dev/null
+++ b/crates/companion/src/app.rs
@@ -0,0 +1,227 @@
+//! The companion as a running process: threads around the actors.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread::JoinHandle;
+
+use base::SystemClock;
+use base::prelude::*;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use jsonrpsee::server::ServerHandle;
+use platform::HttpWorker;
+use slog::{Logger, info};
+use tokio::runtime::Runtime;
+use wire::{Client, ClientCfg, HttpPool};
+
+use crate::http::Door;
+use crate::worker_io::WorkerIo;
+use crate::{CompanionCfg, Event, Node, Ports, rpc};
+
+/// How long the loop sleeps when no timer is set.
+const MAX_SLEEP: Duration = Duration::from_millis(500);
+
+/// How many events the loop takes before it runs timers.
+const EVENTS_PER_RUN: usize = 256;
+
+/// How long a worker call may take.
+const WORKER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How many threads carry control calls.
+const RPC_THREADS: usize = 1;
+
+/// How long a planned stop waits for requests in progress.
+const STOP_GRACE: Duration = Duration::from_secs(30);
+
+/// How long a leaving target keeps refusing before the process ends, so that entries learn of it.
+const STOP_LINGER: Duration = Duration::from_secs(1);
+
+/// A running companion.
+#[derive(Debug)]
+pub struct App {
+    cfg: Arc<CompanionCfg>,
+    events: Sender<Event>,
+    stopping: Arc<AtomicBool>,
+    in_flight: Arc<AtomicU32>,
+    http: HttpPool,
+    rpc: ServerHandle,
+    worker_io: Arc<WorkerIo>,
+    actors: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl App {
+    /// Binds the addresses and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
+    pub fn start(cfg: CompanionCfg, log: &Logger) -> Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RPC_THREADS)
+            .enable_all()
+            .build()
+            .map_err(|e| {
+                Error::new(
+                    ErrorKind::Internal,
+                    "start runtime",
+                    "companion",
+                    e.to_string(),
+                )
+            })?;
+        let (events, rx) = unbounded();
+        let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
+        let door = Door::new(events.clone(), cfg.target_addr, cfg.connections);
+        let threads = cfg.connections as usize;
+        let http = HttpPool::start(cfg.http_addr, threads, move |req| door.serve(req))?;
+        let cfg = Arc::new(CompanionCfg {
+            http_addr: http.addr(),
+            rpc_addr,
+            ..cfg
+        });
+        info!(log, "companion: serves {} on {}", cfg.target, http.addr());
+
+        let worker = Arc::new(HttpWorker::new(cfg.worker_addr, WORKER_TIMEOUT));
+        let worker_events = events.clone();
+        let worker_io = Arc::new(WorkerIo::start(worker, move |id, reply| {
+            // The actors may have ended first; then nobody wants the reply.
+            drop(worker_events.send(Event::Worker(id, reply)));
+        }));
+        let call_events = events.clone();
+        let client_cfg = ClientCfg {
+            runtime: runtime.handle().clone(),
+        };
+        let calls = Client::new(client_cfg, move |token, answer| {
+            drop(call_events.send(Event::Call(token, answer)));
+        });
+        let ports = Ports {
+            clock: Arc::new(SystemClock),
+            worker: Arc::clone(&worker_io) as Arc<dyn crate::WorkerPort>,
+            calls: Arc::new(calls),
+            log: log.clone(),
+        };
+        let stopping = Arc::new(AtomicBool::new(false));
+        let in_flight = Arc::new(AtomicU32::new(0));
+        let actors = std::thread::spawn({
+            let cfg = Arc::clone(&cfg);
+            let stopping = Arc::clone(&stopping);
+            let in_flight = Arc::clone(&in_flight);
+            move || run_actors(&cfg, &ports, &rx, &stopping, &in_flight)
+        });
+        Ok(Self {
+            cfg,
+            events,
+            stopping,
+            in_flight,
+            http,
+            rpc,
+            worker_io,
+            actors,
+            runtime,
+        })
+    }
+
+    /// Returns the settings, with the addresses that were bound.
+    pub fn cfg(&self) -> &CompanionCfg {
+        &self.cfg
+    }
+
+    /// Returns where requests are taken.
+    pub fn http_addr(&self) -> SocketAddr {
+        self.cfg.http_addr
+    }
+
+    /// Begins a planned stop: no new work, what is in progress goes on.
+    pub fn drain(&self) {
+        // An error means that the actors have ended already.
+        drop(self.events.send(Event::Drain));
+    }
+
+    /// Stops as planned: finishes what is in progress, within a grace period.
+    pub fn stop(self) {
+        self.drain();
+        let began = Instant::now();
+        std::thread::sleep(STOP_LINGER);
+        while self.in_flight.load(Ordering::Acquire) > 0 && began.elapsed() < STOP_GRACE {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let Self {
+            stopping,
+            http,
+            rpc,
+            worker_io,
+            actors,
+            runtime,
+            ..
+        } = self;
+        http.stop();
+        stopping.store(true, Ordering::Release);
+        // An error means that the server has stopped already.
+        let _ = rpc.stop();
+        drop(actors.join());
+        worker_io.stop();
+        runtime.shutdown_background();
+    }
+
+    /// Stops at once, as a crash would: nothing is finished or reported.
+    pub fn kill(self) {
+        self.stopping.store(true, Ordering::Release);
+        // An error means that the server has stopped already.
+        let _ = self.rpc.stop();
+        self.http.abandon();
+        drop(self.actors.join());
+        self.worker_io.stop();
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Runs the actors until the process stops.
+fn run_actors(
+    cfg: &Arc<CompanionCfg>,
+    ports: &Ports,
+    rx: &Receiver<Event>,
+    stopping: &AtomicBool,
+    in_flight: &AtomicU32,
+) {
+    let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.run(ports.clock.now());
+    while !stopping.load(Ordering::Acquire) {
+        let now = ports.clock.now();
+        let sleep = node.next_due().map_or(MAX_SLEEP, |due| {
+            due.saturating_duration_since(now).min(MAX_SLEEP)
+        });
+        match rx.recv_timeout(sleep) {
+            Ok(event) => {
+                node.deliver(event);
+                rx.try_iter()
+                    .take(EVENTS_PER_RUN)
+                    .for_each(|event| node.deliver(event));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        node.run(ports.clock.now());
+        in_flight.store(node.in_flight(), Ordering::Release);
+    }
+}
+
+/// Runs a companion until it is told to stop by a signal.
+///
+/// # Errors
+///
+/// Returns what kept the companion from starting.
+pub fn run(cfg: CompanionCfg, log: &Logger) -> Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let app = App::start(cfg, log)?;
+    let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM]).map_err(|e| {
+        Error::new(
+            ErrorKind::Internal,
+            "watch signals",
+            "operating system",
+            e.to_string(),
+        )
+    })?;
+    signals.forever().next();
+    info!(log, "companion: stops as planned");
+    app.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/companion/src/cfg.rs
@@ -0,0 +1,217 @@
+//! The settings of a companion: raw flags, resolved once to checked ones.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bpaf::{OptionParser, Parser, construct, long};
+
+/// Flags and environment variables as given.
+#[derive(Clone, Debug)]
+pub struct CompanionFlags {
+    /// The target's name.
+    pub target: String,
+    /// The worker's name; the target's by default.
+    pub worker: Option<String>,
+    /// The availability zone.
+    pub zone: String,
+    /// The rack.
+    pub rack: String,
+    /// Where requests are taken.
+    pub http: SocketAddr,
+    /// Where entries reach [`Self::http`], where that differs.
+    pub announce_http: Option<SocketAddr>,
+    /// Where control calls are taken.
+    pub rpc: SocketAddr,
+    /// Where the target listens.
+    pub target_addr: SocketAddr,
+    /// Where the worker's port listens.
+    pub worker_addr: SocketAddr,
+    /// Control addresses of entries.
+    pub entries: Vec<SocketAddr>,
+    /// The target's slots.
+    pub slots: u32,
+    /// The target's connections.
+    pub connections: u32,
+    /// The worker's cores.
+    pub cores: u64,
+    /// The worker's memory.
+    pub memory_mib: u64,
+    /// The worker's accelerators.
+    pub accelerators: u32,
+}
+
+/// The checked settings of a companion.
+#[derive(Clone, Debug)]
+pub struct CompanionCfg {
+    /// The target.
+    pub target: TargetId,
+    /// The worker.
+    pub worker: WorkerId,
+    /// The life of this companion, new at every start.
+    pub incarnation: Incarnation,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The rack.
+    pub rack: RackName,
+    /// Where requests are taken; port 0 draws a free one.
+    pub http_addr: SocketAddr,
+    /// Where entries reach [`Self::http_addr`], where that differs.
+    pub announce_http: Option<SocketAddr>,
+    /// Where control calls are taken; port 0 draws a free one.
+    pub rpc_addr: SocketAddr,
+    /// Where the target listens.
+    pub target_addr: SocketAddr,
+    /// Where the worker's port listens.
+    pub worker_addr: SocketAddr,
+    /// Control addresses of entries, to begin with.
+    pub entries: Vec<SocketAddr>,
+    /// How many requests the target runs at once.
+    pub slots: u32,
+    /// How many connections the target takes.
+    pub connections: u32,
+    /// What the worker has.
+    pub capacity: Resources,
+}
+
+/// The slots of a target by default.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// The connections of a target by default.
+const DEFAULT_CONNECTIONS: u32 = 64;
+
+/// The cores of a worker by default.
+const DEFAULT_CORES: u64 = 64;
+
+/// The memory of a worker by default, in mebibytes.
+const DEFAULT_MEMORY_MIB: u64 = 250 * 1024;
+
+/// Parses the command line of the companion.
+pub fn companion_flags() -> OptionParser<CompanionFlags> {
+    let target = long("target")
+        .env("MONSOONTRESTLE_TARGET")
+        .help("Name of the target beside this process")
+        .argument::<String>("NAME");
+    let worker = long("worker")
+        .env("MONSOONTRESTLE_WORKER")
+        .help("Name of the worker VM; the target's name by default")
+        .argument::<String>("NAME")
+        .optional();
+    let zone = long("zone")
+        .env("MONSOONTRESTLE_ZONE")
+        .help("Availability zone that this VM is in")
+        .argument::<String>("ZONE");
+    let rack = long("rack")
+        .env("MONSOONTRESTLE_RACK")
+        .help("Rack that this VM sits in")
+        .argument::<String>("RACK");
+    let http = long("http")
+        .env("MONSOONTRESTLE_HTTP")
+        .help("IP address and port for requests from entries")
+        .argument::<SocketAddr>("ADDR");
+    let announce_http = long("announce-http")
+        .env("MONSOONTRESTLE_ANNOUNCE_HTTP")
+        .help("IP address and port at which entries reach --http, where that differs")
+        .argument::<SocketAddr>("ADDR")
+        .optional();
+    let rpc = long("rpc")
+        .env("MONSOONTRESTLE_RPC")
+        .help("IP address and port for control calls")
+        .argument::<SocketAddr>("ADDR");
+    let target_addr = long("target-addr")
+        .env("MONSOONTRESTLE_TARGET_ADDR")
+        .help("IP address and port of the target")
+        .argument::<SocketAddr>("ADDR");
+    let worker_addr = long("worker-addr")
+        .env("MONSOONTRESTLE_WORKER_ADDR")
+        .help("IP address and port of the platform's worker interface")
+        .argument::<SocketAddr>("ADDR");
+    let entries = long("entry")
+        .help("Control address of an entry; may be given more than once")
+        .argument::<SocketAddr>("ADDR")
+        .some("expected at least one --entry ADDR");
+    let slots = long("slots")
+        .env("MONSOONTRESTLE_SLOTS")
+        .help("Requests that the target runs at once")
+        .argument::<u32>("COUNT")
+        .fallback(DEFAULT_SLOTS)
+        .display_fallback();
+    let connections = long("connections")
+        .env("MONSOONTRESTLE_CONNECTIONS")
+        .help("Connections that the target takes")
+        .argument::<u32>("COUNT")
+        .fallback(DEFAULT_CONNECTIONS)
+        .display_fallback();
+    let cores = long("cores")
+        .env("MONSOONTRESTLE_CORES")
+        .help("Cores of the worker")
+        .argument::<u64>("COUNT")
+        .fallback(DEFAULT_CORES)
+        .display_fallback();
+    let memory_mib = long("memory-mib")
+        .env("MONSOONTRESTLE_MEMORY_MIB")
+        .help("Memory of the worker in mebibytes")
+        .argument::<u64>("MIB")
+        .fallback(DEFAULT_MEMORY_MIB)
+        .display_fallback();
+    let accelerators = long("accelerators")
+        .env("MONSOONTRESTLE_ACCELERATORS")
+        .help("Accelerators of the worker")
+        .argument::<u32>("COUNT")
+        .fallback(0)
+        .display_fallback();
+    construct!(CompanionFlags {
+        target,
+        worker,
+        zone,
+        rack,
+        http,
+        announce_http,
+        rpc,
+        target_addr,
+        worker_addr,
+        entries,
+        slots,
+        connections,
+        cores,
+        memory_mib,
+        accelerators
+    })
+    .to_options()
+    .descr("Runs beside one target and its worker VM, and is the only door to both.")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+impl CompanionFlags {
+    /// Checks the flags and fills in what was left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] naming the flag that is wrong.
+    pub fn resolve(self) -> Result<CompanionCfg> {
+        let invalid =
+            |message| Error::new(ErrorKind::Invalid, "read settings", "companion", message);
+        if self.target.is_empty() {
+            return Err(invalid("--target: expected a name"));
+        }
+        if self.slots == 0 {
+            return Err(invalid("--slots: expected at least 1"));
+        }
+        let worker = self.worker.unwrap_or_else(|| self.target.clone());
+        Ok(CompanionCfg {
+            target: TargetId::from(self.target),
+            worker: WorkerId::from(worker),
+            incarnation: Incarnation(rand::random()),
+            zone: ZoneName::from(self.zone),
+            rack: RackName::from(self.rack),
+            http_addr: self.http,
+            announce_http: self.announce_http,
+            rpc_addr: self.rpc,
+            target_addr: self.target_addr,
+            worker_addr: self.worker_addr,
+            entries: self.entries,
+            slots: self.slots,
+            connections: self.connections,
+            capacity: Resources::new(self.cores, self.memory_mib, self.accelerators),
+        })
+    }
+}
--- /dev/null
+++ b/crates/companion/src/event.rs
@@ -0,0 +1,42 @@
+//! What reaches the actors of a companion from outside.
+
+use base::prelude::*;
+use platform::worker::WorkerReply;
+use wire::{Answer, CallToken, Reply, RevokeReply};
+
+use crate::admit::{AdmitStep, StoredAnswer};
+
+/// Something that happened outside the actors.
+#[derive(Debug)]
+pub enum Event {
+    /// A request makes progress.
+    Admit(AdmitEvent),
+    /// An entry revokes a request.
+    Revoke(RequestId, Incarnation, Reply<RevokeReply>),
+    /// The worker replied.
+    Worker(u64, Result<WorkerReply>),
+    /// An entry answered.
+    Call(CallToken, Result<Answer>),
+    /// A planned stop of the target begins.
+    Drain,
+}
+
+/// What a request needs to be admitted at the target.
+#[derive(Clone, Debug)]
+pub struct AdmitMeta {
+    /// The id that the entry drew.
+    pub id: RequestId,
+    /// The life of the companion that the request is meant for.
+    pub incarnation: Incarnation,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Progress of a request at the companion.
+#[derive(Debug)]
+pub enum AdmitEvent {
+    /// A request came in.
+    Begin(AdmitMeta, Reply<AdmitStep>),
+    /// The target's call for a request ended.
+    Finished(RequestId, Option<Arc<StoredAnswer>>),
+}
--- /dev/null
+++ b/crates/companion/src/node.rs
@@ -0,0 +1,89 @@
+//! The actors of a companion in one deterministic runtime, whose time is passed in.
+
+use base::prelude::*;
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
+use wire::Part;
+
+use crate::CompanionCfg;
+use crate::admit::AdmitActor;
+use crate::announce::AnnounceActor;
+use crate::event::Event;
+use crate::ports::Ports;
+use crate::tasks::TaskActor;
+
+/// The actors of one companion.
+pub struct Node {
+    stakker: Stakker,
+    admit: ActorOwn<AdmitActor>,
+    announce: ActorOwn<AnnounceActor>,
+    tasks: ActorOwn<TaskActor>,
+}
+
+impl Node {
+    /// Creates the actors; they start to act at the first [`Node::run`].
+    ///
+    /// The same `seed` and the same events at the same times make the same decisions.
+    pub fn new(cfg: &Arc<CompanionCfg>, ports: &Ports, now: Instant, seed: u64) -> Self {
+        let mut stakker = Stakker::new(now);
+        let s = &mut stakker;
+        let admit = actor!(s, AdmitActor::init(Arc::clone(cfg)), ret_nop!());
+        let tasks = actor!(
+            s,
+            TaskActor::init(Arc::clone(cfg), ports.clone(), seed),
+            ret_nop!()
+        );
+        let announce = actor!(
+            s,
+            AnnounceActor::init(Arc::clone(cfg), ports.clone(), tasks.clone()),
+            ret_nop!()
+        );
+        Self {
+            stakker,
+            admit,
+            announce,
+            tasks,
+        }
+    }
+
+    /// Hands an event to the actor that it concerns.
+    pub fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Admit(event) => call!([self.admit], event(event)),
+            Event::Revoke(id, incarnation, reply) => {
+                call!([self.admit], revoke(id, incarnation, reply));
+            }
+            Event::Worker(id, reply) => call!([self.tasks], worker_reply(id, reply)),
+            Event::Call(token, answer) => match token.part {
+                Part::Member => call!([self.announce], answer(token.id, answer)),
+                Part::Batch => call!([self.tasks], answer(token.id, answer)),
+                Part::Request | Part::Config => {}
+            },
+            Event::Drain => {
+                call!([self.admit], leave());
+                call!([self.announce], leave());
+                call!([self.tasks], leave());
+            }
+        }
+    }
+
+    /// Runs all that is due at `now`.
+    pub fn run(&mut self, now: Instant) {
+        self.stakker.run(now, false);
+    }
+
+    /// Returns when the next timer is due, if any is set.
+    pub fn next_due(&mut self) -> Option<Instant> {
+        self.stakker.next_expiry()
+    }
+
+    /// Returns how many requests run at the target.
+    pub fn in_flight(&mut self) -> u32 {
+        stakker::query!([self.admit, &mut self.stakker], in_flight()).unwrap_or(0)
+    }
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Node")
+    }
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -53,7 +53,7 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start(cfg: EntryCfg, log: &Logger) -> Result<Self> {
-        let store: Arc<dyn Store> = Arc::new(HttpStore::new(Arc::clone(&cfg.store), STORE_TIMEOUT));
+        let store: Arc<dyn Store> = Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
             .enable_all()
@@ -139,7 +139,8 @@
         } = self;
         http.stop();
         stopping.store(true, Ordering::Release);
-        drop(rpc.stop());
+        // An error means that the server has stopped already.
+        let _ = rpc.stop();
         drop(actors.join());
         store_io.stop();
         runtime.shutdown_background();
@@ -148,8 +149,9 @@
     /// Stops at once, as a crash would: nothing is finished or given up.
     pub fn kill(self) {
         self.stopping.store(true, Ordering::Release);
-        drop(self.rpc.stop());
-        drop(self.http);
+        // An error means that the server has stopped already.
+        let _ = self.rpc.stop();
+        self.http.abandon();
         self.store_io.stop();
         drop(self.actors.join());
         self.runtime.shutdown_background();
--- a/crates/entry/src/cfg.rs
+++ b/crates/entry/src/cfg.rs
@@ -17,7 +17,7 @@
     /// Where control calls are taken.
     pub rpc: SocketAddr,
     /// The store's address.
-    pub store: String,
+    pub store: SocketAddr,
     /// Control addresses of other entries, to begin with.
     pub peers: Vec<SocketAddr>,
     /// How many threads serve requests.
@@ -36,7 +36,7 @@
     /// Where control calls are taken; port 0 draws a free one.
     pub rpc_addr: SocketAddr,
     /// The store's address.
-    pub store: Name,
+    pub store: SocketAddr,
     /// Control addresses of other entries, to begin with.
     pub peers: Vec<SocketAddr>,
     /// How many threads serve requests.
@@ -68,7 +68,7 @@
     let store = long("store")
         .env("MONSOONTRESTLE_STORE")
         .help("IP address and port of the platform's key-value service")
-        .argument::<String>("ADDR");
+        .argument::<SocketAddr>("ADDR");
     let peers = long("peer")
         .help("Control address of another entry; may be given more than once")
         .argument::<SocketAddr>("ADDR")
@@ -111,7 +111,7 @@
             zone: ZoneName::from(self.zone),
             http_addr: self.http,
             rpc_addr: self.rpc,
-            store: self.store.into(),
+            store: self.store,
             peers: self.peers,
             threads: self.threads,
         })
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use platform::store::{StoreCall, StoreReply};
 use slog::{error, info};
-use stakker::{Actor, CX, Cx, after, call};
+use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
 use wire::{Part, Reply};
 
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -5,7 +5,7 @@
 use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
 use serde_json::json;
 use slog::info;
-use stakker::{Actor, CX, Cx, after, call};
+use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
 use wire::timing::ANNOUNCE_TTL;
 use wire::{
@@ -205,12 +205,7 @@
         call!([self.shard, cx], set_owners(self.owners.clone()));
     }
 
-    pub(crate) fn announce(
-        &mut self,
-        cx: CX![],
-        msg: Box<Announcement>,
-        reply: Reply<AnnounceReply>,
-    ) {
+    pub(crate) fn announce(&mut self, cx: CX![], msg: Announcement, reply: Reply<AnnounceReply>) {
         let now = cx.now();
         let stale = self.targets.get(&msg.target).is_some_and(|heard| {
             let known = &heard.announcement;
@@ -227,12 +222,15 @@
                     "member: target {} announced itself", msg.target
                 );
             }
-            call!([self.request, cx], target(msg.clone()));
-            let heard = Heard {
-                announcement: *msg.clone(),
-                at: now,
-            };
-            self.targets.insert(msg.target.clone(), heard);
+            let announcement = msg;
+            call!([self.request, cx], target(announcement.clone()));
+            self.targets.insert(
+                announcement.target.clone(),
+                Heard {
+                    announcement,
+                    at: now,
+                },
+            );
         }
         let mut entries: Vec<EntryInfo> = self.entries.values().cloned().collect();
         if !self.entries.contains_key(&self.cfg.entry) && !self.is_stopping {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -74,7 +74,7 @@
     /// Hands an event to the actor that it concerns.
     pub fn deliver(&mut self, event: Event) {
         match event {
-            Event::Announce(msg, reply) => call!([self.member], announce(msg, reply)),
+            Event::Announce(msg, reply) => call!([self.member], announce(*msg, reply)),
             Event::Gossip(msg, reply) => call!([self.member], gossip(msg, reply)),
             Event::Poll(msg, reply) => call!([self.shard], poll(msg, reply)),
             Event::Done(msg, reply) => call!([self.shard], done(msg, reply)),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use route::{RequestMeta, RequestStep, Router};
-use stakker::{CX, Cx, after};
+use stakker::{CX, after};
 use tables::Tables;
 use wire::{Announcement, Answer};
 
@@ -38,8 +38,8 @@
         self.router.set_tables(tables);
     }
 
-    pub(crate) fn target(&mut self, _cx: CX![], msg: Box<Announcement>) {
-        self.router.target(*msg);
+    pub(crate) fn target(&mut self, _cx: CX![], msg: Announcement) {
+        self.router.target(msg);
     }
 
     pub(crate) fn target_gone(&mut self, _cx: CX![], target: TargetId) {
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -7,7 +7,7 @@
 use journal::OwnerCfg;
 use platform::store::StoreReply;
 use slog::info;
-use stakker::{CX, Cx, after};
+use stakker::{CX, after};
 use tables::Tables;
 use wire::{
     Answer, Claim, ClaimReply, DoneAck, DoneReport, JobRef, JobSpec, JobStatus, Poll, PollAnswer,
--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -38,7 +38,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    server: SocketAddr,
+    server: Mutex<SocketAddr>,
     listening: Mutex<Listening>,
     changed: Condvar,
     links: Mutex<IndexMap<u64, Arc<Link>>>,
@@ -69,7 +69,7 @@
         let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("bind a relay");
         let addr = listener.local_addr().expect("a bound address");
         let shared = Arc::new(Shared {
-            server,
+            server: Mutex::new(server),
             listening: Mutex::new(Listening::Open),
             changed: Condvar::new(),
             links: Mutex::default(),
@@ -87,6 +87,11 @@
         self.addr
     }
 
+    /// Sends new connections to another server.
+    pub fn set_server(&self, server: SocketAddr) {
+        *self.shared.server.lock() = server;
+    }
+
     /// Swallows all later bytes on the connections that are open now, for good; new ones work.
     pub fn swallow_open(&self, direction: Direction) {
         for link in self.shared.links.lock().values() {
@@ -208,7 +213,7 @@
     }
 
     fn open_link(self: &Arc<Self>, client: TcpStream) {
-        let Ok(server) = TcpStream::connect(self.server) else {
+        let Ok(server) = TcpStream::connect(*self.server.lock()) else {
             return;
         };
         if server.set_nodelay(true).is_err() {
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -1,11 +1,12 @@
 //! A pool of threads that serve HTTP requests.
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
 use base::prelude::*;
+use socket2::SockRef;
 use tiny_http::{Request, Server};
 
 /// Serves HTTP requests on a fixed number of threads, each with one request at a time.
@@ -35,7 +36,9 @@
                 message,
             )
         };
-        let server = Server::http(addr).map_err(|e| bind_error(e.to_string()))?;
+        let listener = listen(addr).map_err(|e| bind_error(e.to_string()))?;
+        let server =
+            Server::from_listener(listener, None).map_err(|e| bind_error(e.to_string()))?;
         let Some(addr) = server.server_addr().to_ip() else {
             return Err(bind_error("not an IP address".to_owned()));
         };
@@ -63,12 +66,21 @@
         self.addr
     }
 
-    /// Stops taking requests and waits for those in progress.
-    pub fn stop(self) {
+    /// Stops taking requests without waiting for those in progress, as a crash would.
+    pub fn abandon(self) {
+        self.close();
+    }
+
+    fn close(&self) {
         self.stopping.store(true, Ordering::Release);
         for _ in &self.threads {
             self.server.unblock();
         }
+    }
+
+    /// Stops taking requests and waits for those in progress.
+    pub fn stop(self) {
+        self.close();
         for thread in self.threads {
             // A handler that panicked has already been reported.
             drop(thread.join());
@@ -84,6 +96,16 @@
     }
 }
 
+/// Binds a listener whose connections send small writes at once.
+///
+/// The server writes head and body apart; without this option the second write
+/// would wait for the peer's delayed acknowledgement. Connections inherit it.
+fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(addr)?;
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
+    Ok(listener)
+}
+
 /// Takes requests until the pool stops.
 fn serve(server: &Server, stopping: &AtomicBool, handler: &(impl Fn(Request) + ?Sized)) {
     while !stopping.load(Ordering::Acquire) {
--- /dev/null
+++ b/examples/desk/faults.rs
@@ -0,0 +1,61 @@
+//! What goes wrong in a run, at fixed shares of its length.
+
+use std::time::{Duration, Instant};
+
+use fakes::relay::Direction;
+use fakes::store::Outage;
+
+use crate::flags::{Fault, Flags};
+use crate::fleet::Fleet;
+
+/// How long the store is out.
+const STORE_OUTAGE: Duration = Duration::from_secs(2);
+
+/// Brings on the fault asked for.
+pub(crate) fn bring_on(flags: &Flags, fleet: &Fleet, began: Instant) {
+    match flags.fault {
+        Fault::None => {}
+        Fault::All => {
+            at(flags, began, 0.2, || lose_vm(fleet));
+            at(flags, began, 0.3, || go_silent(fleet));
+            at(flags, began, 0.4, || stop_store(fleet));
+            at(flags, began, 0.7, || kill_entry(fleet));
+        }
+        Fault::Vm => at(flags, began, 0.3, || lose_vm(fleet)),
+        Fault::Entry => at(flags, began, 0.3, || kill_entry(fleet)),
+        Fault::Store => at(flags, began, 0.3, || stop_store(fleet)),
+        Fault::Silent => at(flags, began, 0.3, || go_silent(fleet)),
+    }
+}
+
+/// Waits for a share of the run's length, then does `f`.
+fn at(flags: &Flags, began: Instant, share: f64, f: impl FnOnce()) {
+    let due = began + Duration::from_secs(flags.seconds).mul_f64(share);
+    std::thread::sleep(due.saturating_duration_since(Instant::now()));
+    f();
+}
+
+fn lose_vm(fleet: &Fleet) {
+    eprintln!("desk: losing the VM runner-0");
+    fleet.vms[0].lose();
+}
+
+fn kill_entry(fleet: &Fleet) {
+    eprintln!("desk: killing the entry that owns the work");
+    fleet.replace_owner();
+}
+
+fn stop_store(fleet: &Fleet) {
+    eprintln!("desk: the store is out");
+    fleet.store.switches().set_outage(Some(Outage::Refused));
+    std::thread::sleep(STORE_OUTAGE);
+    fleet.store.switches().set_outage(None);
+    eprintln!("desk: the store is back");
+}
+
+fn go_silent(fleet: &Fleet) {
+    eprintln!("desk: open connections go silent");
+    for vm in &fleet.vms {
+        vm.relay.swallow_open(Direction::Both);
+    }
+}
