--- /dev/null
+++ b/crates/place/src/choose.rs
@@ -0,0 +1,240 @@
+//! The choice of a worker for one job.
+
+use base::prelude::*;
+use rand::Rng;
+use tables::Priority;
+
+use crate::cfg::Choice;
+use crate::harm::ClassId;
+use crate::health::Access;
+use crate::ledger::WorkerRow;
+use crate::placer::Placer;
+use crate::queue::Waiting;
+
+/// Why a job has no place now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Blocked {
+    /// No worker has room.
+    NoRoom,
+    /// It would slow services on every worker with room.
+    Harm,
+    /// Its team is at its quota.
+    Quota,
+}
+
+/// A job as the choice sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) job: JobId,
+    pub(crate) class: ClassId,
+    pub(crate) granted: Resources,
+    pub(crate) urgent: bool,
+    pub(crate) standing: bool,
+    pub(crate) large: bool,
+    /// Whether it may be held back for the sake of services.
+    patient: bool,
+    /// Whether it may serve as a probe of a quarantined worker.
+    probe: bool,
+    /// How long it is expected to run; `None` for standing work.
+    pub(crate) run_time: Option<Duration>,
+    /// How many workers it has failed on.
+    failed_on: usize,
+}
+
+/// The weight of the free room left over, which settles near ties.
+const PACKING: f64 = 0.01;
+/// The weight of the random tie-breaker.
+const TIE: f64 = 1e-6;
+/// The score in favour of probing a quarantined worker.
+const PROBE_BONUS: f64 = 0.5;
+/// The share of the accepted extra time that a task may add to an already harmed service.
+const HARMLESS_SHARE: f64 = 0.1;
+
+impl Placer {
+    /// Describes a waiting job to the choice.
+    pub(crate) fn candidate(&self, now: Instant, waiting: &Waiting) -> Candidate {
+        let ask = &waiting.ask;
+        let granted = self.grant(waiting);
+        let waited = now.saturating_duration_since(waiting.since);
+        let hold_back = self.cfg.queue.hold_back.mul_f64(self.weights.tail);
+        let urgent = waiting.priority == Priority::Urgent;
+        let standing = ask.run_time.is_none();
+        Candidate {
+            job: ask.job.clone(),
+            class: waiting.class,
+            granted,
+            urgent,
+            standing,
+            large: self.is_large(&granted),
+            patient: !urgent && !standing && waited < hold_back,
+            probe: !urgent && !standing && ask.failures == 0,
+            run_time: self.rest_of(waiting.class, ask.run_time, ask.work_done),
+            failed_on: self.health.failed_on_count(&ask.job),
+        }
+    }
+
+    /// Returns what to grant a job: its declared size, corrected by what its like use.
+    fn grant(&self, waiting: &Waiting) -> Resources {
+        let declared = waiting.ask.resources;
+        let (floor, ceiling) = (self.cfg.grant_floor, self.cfg.grant_ceiling);
+        let mut granted = self.usage.grant(waiting.class, declared, floor, ceiling);
+        if let Some(&memory) = self.grown.get(&waiting.ask.job) {
+            granted.memory_mib = granted.memory_mib.max(memory);
+        }
+        // A correction never makes a job too large for every worker.
+        let largest = self.ledger.largest;
+        granted.cpu_milli = granted
+            .cpu_milli
+            .min(largest.cpu_milli.max(declared.cpu_milli));
+        granted.memory_mib = granted
+            .memory_mib
+            .min(largest.memory_mib.max(declared.memory_mib));
+        granted
+    }
+
+    fn is_large(&self, granted: &Resources) -> bool {
+        let share = self.cfg.large_share;
+        let largest = self.ledger.largest;
+        granted.cpu_milli as f64 >= largest.cpu_milli as f64 * share
+            || granted.memory_mib as f64 >= largest.memory_mib as f64 * share
+    }
+
+    /// Chooses a worker with room for a job.
+    pub(crate) fn choose(&mut self, now: Instant, job: &Candidate) -> Result<WorkerId, Blocked> {
+        let drawn = self
+            .ledger
+            .rooms
+            .draw(&job.granted, self.cfg.candidates, &mut self.rng);
+        let mut best: Option<(f64, WorkerId)> = None;
+        let mut harmful = false;
+        for worker in drawn {
+            let Some(row) = self.ledger.workers.get(&worker) else {
+                continue;
+            };
+            if !self.has_room(now, row, job) || !self.may_run(now, &worker, row, job) {
+                continue;
+            }
+            if self.would_harm(now, row, job) {
+                harmful = true;
+                continue;
+            }
+            let tie = self.rng.random::<f64>() * TIE;
+            let score = self.score(now, row, job, tie);
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                best = Some((score, worker));
+            }
+        }
+        match best {
+            Some((_, worker)) => Ok(worker),
+            None if harmful => Err(Blocked::Harm),
+            None => Err(Blocked::NoRoom),
+        }
+    }
+
+    fn has_room(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let free = self.ledger.free_for_any(row);
+        job.granted.fits(&free) && self.keeps.allows(now, row, &free, job)
+    }
+
+    /// Tells whether a worker's health lets it have the job.
+    fn may_run(&self, now: Instant, worker: &WorkerId, row: &WorkerRow, job: &Candidate) -> bool {
+        let few_left = job.failed_on * 2 >= self.ledger.workers.len();
+        if job.failed_on > 0 && !few_left && self.health.has_failed_on(&job.job, worker) {
+            return false;
+        }
+        match self.health.access(now, worker) {
+            Access::Open => true,
+            Access::Probe => job.probe && row.pending.is_empty(),
+            Access::Shut => false,
+        }
+    }
+
+    /// Tells whether a job should rather wait than go to a worker.
+    fn would_harm(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let aware = self.cfg.choice == Choice::HarmAware;
+        if !aware || !self.cfg.parts.hold_back || !job.patient {
+            return false;
+        }
+        let limit = self.extra_limit();
+        let load = load_of(row, job);
+        let halted = self.cfg.parts.ladder && self.ladder.is_halted(&row.view.worker);
+        row.services.keys().any(|&victim| {
+            let added = self.harm.estimate(victim, job.class, now).mean * load;
+            if added <= limit * HARMLESS_SHARE {
+                return false;
+            }
+            let before = self.harm.predict_safely(victim, &row.mix, now);
+            halted || before + added > limit
+        })
+    }
+
+    /// Returns how bad a worker is for a job; lower is better.
+    fn score(&self, now: Instant, row: &WorkerRow, job: &Candidate, tie: f64) -> f64 {
+        let offer = self.ledger.offer(row).cpu_milli.max(1) as f64;
+        let free = self.ledger.free(row).cpu_milli as f64 / offer;
+        let probe = if self.health.is_quarantined(&row.view.worker) {
+            PROBE_BONUS
+        } else {
+            0.0
+        };
+        let base = match self.cfg.choice {
+            Choice::LeastLoaded => -free,
+            Choice::BestFit => free,
+            Choice::Random => tie / TIE,
+            Choice::HarmAware => self.harm_score(now, row, job) + PACKING * free,
+        };
+        base + self.spread_score(row, job) + tie - probe
+    }
+
+    /// Returns the harm that a job would do and suffer, as the pool weighs it.
+    fn harm_score(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> f64 {
+        let load = load_of(row, job);
+        let accepted = self.extra_limit() * self.cfg.ladder.rise;
+        let mut tail = 0.0;
+        let mut evictions = 0.0;
+        for &victim in row.services.keys() {
+            let before = self.harm.predict_safely(victim, &row.mix, now);
+            let after = before + self.harm.estimate(victim, job.class, now).mean * load;
+            tail += tail_cost(after) - tail_cost(before);
+            evictions += (after - accepted).max(0.0);
+        }
+        let mut throughput = 0.0;
+        if self.cfg.parts.batch_victims {
+            throughput += load * self.harm.predict(job.class, &row.mix, now);
+            for &(other, other_load) in &row.mix {
+                throughput += other_load * self.harm.estimate(other, job.class, now).mean * load;
+            }
+        }
+        // Per unit of load, so that small jobs are not indifferent to where they go.
+        let cost = self.weights.tail * tail
+            + self.weights.throughput * throughput
+            + self.weights.evictions * evictions;
+        cost / load.max(f64::EPSILON)
+    }
+
+    /// Returns what speaks for another rack or availability zone.
+    fn spread_score(&self, row: &WorkerRow, job: &Candidate) -> f64 {
+        if !job.standing && !job.large {
+            return 0.0;
+        }
+        let (rack, zone) = self.ledger.neighbours(row, job.class);
+        f64::from(rack) * self.cfg.spread_rack + f64::from(zone) * self.cfg.spread_zone
+    }
+
+    /// Returns the extra time of services that the pool accepts.
+    pub(crate) fn extra_limit(&self) -> f64 {
+        self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT)
+    }
+}
+
+/// The weight of the tail below which it makes no difference.
+const LEAST_TAIL_WEIGHT: f64 = 0.05;
+
+/// Weighs extra time: the tail grows faster than the mean.
+fn tail_cost(extra: f64) -> f64 {
+    extra + extra * extra
+}
+
+fn load_of(row: &WorkerRow, job: &Candidate) -> f64 {
+    job.granted.cpu_milli as f64 / row.view.capacity.cpu_milli.max(1) as f64
+}
--- /dev/null
+++ b/crates/place/src/common.rs
@@ -0,0 +1,72 @@
+//! Slowdowns that all workers share, which no neighbour causes.
+
+use base::prelude::*;
+
+use crate::cfg::HarmCfg;
+use crate::ledger::Ledger;
+
+/// The common slowdown of the services of a shard.
+#[derive(Debug)]
+pub(crate) struct Common {
+    floor: f64,
+    extra: f64,
+    since: Option<Instant>,
+    samples: u64,
+}
+
+/// How many services a common slowdown must be seen on.
+const LEAST_SERVICES: usize = 4;
+/// How many samples the estimates need before their surprise means anything.
+const LEARNED: u64 = 500;
+/// The share of a common slowdown that is kept from the estimates.
+const KEPT_SHARE: f64 = 0.9;
+/// How long a slowdown may last and still count as common; then the estimates take it up.
+const LONGEST: Duration = Duration::from_secs(900);
+
+impl Common {
+    pub(crate) fn new(cfg: &HarmCfg) -> Self {
+        Self {
+            floor: cfg.common_floor,
+            extra: 0.0,
+            since: None,
+            samples: 0,
+        }
+    }
+
+    pub(crate) fn note_sample(&mut self) {
+        self.samples += 1;
+    }
+
+    /// Returns the extra time of services that no neighbour is to blame for.
+    pub(crate) fn extra(&self, now: Instant) -> f64 {
+        match self.since {
+            Some(since) if now.saturating_duration_since(since) < LONGEST => {
+                self.extra * KEPT_SHARE
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Works out the common slowdown anew from what the estimates leave unexplained.
+    pub(crate) fn update(&mut self, now: Instant, ledger: &Ledger, fresh_for: Duration) {
+        if self.samples < LEARNED {
+            return;
+        }
+        let mut residuals: Vec<f64> = ledger
+            .workers
+            .values()
+            .flat_map(|row| row.services.values())
+            .filter(|service| now.saturating_duration_since(service.sampled) < fresh_for)
+            .map(|service| service.residual)
+            .collect();
+        residuals.sort_by(f64::total_cmp);
+        // Two thirds must see it: a harmful pair on half of the workers is not common.
+        let seen = residuals.get(residuals.len() / 3).copied();
+        let enough = residuals.len() >= LEAST_SERVICES;
+        let extra = seen
+            .filter(|_| enough)
+            .map_or(0.0, |seen| seen - self.floor);
+        self.extra = extra.max(0.0);
+        self.since = (self.extra > 0.0).then(|| self.since.unwrap_or(now));
+    }
+}
--- /dev/null
+++ b/crates/place/src/harm.rs
@@ -0,0 +1,228 @@
+//! How much tasks of one class slow tasks or services of another.
+//!
+//! Each pair has a mean and a variance. A measurement of a victim is explained by
+//! all neighbours that ran when it was taken, each in proportion to its load and its
+//! uncertainty (a Kalman filter with a diagonal covariance). Without measurements a
+//! pair returns to what is known of the aggressor's class, and with it its doubt.
+
+use std::fmt;
+
+use base::prelude::*;
+
+use crate::cfg::HarmCfg;
+
+/// A class by its number, given in order of appearance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct ClassId(pub(crate) u32);
+
+/// The load of each class on a worker, as a share of the worker's processors.
+pub(crate) type Mix = Vec<(ClassId, f64)>;
+
+/// Knows the true harm of pairs, in experiments alone.
+pub trait HarmOracle: fmt::Debug {
+    /// Returns the extra time of `victim` on a worker full of `aggressor`.
+    fn harm(&self, victim: &ClassName, aggressor: &ClassName, now: Instant) -> f64;
+}
+
+/// The expected harm of a pair with its uncertainty.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HarmEstimate {
+    /// The extra time, as a multiple of undisturbed time, on a worker full of the aggressor.
+    pub mean: f64,
+    /// The variance of that expectation.
+    pub variance: f64,
+}
+
+/// The estimate of one pair as of its last measurement.
+#[derive(Clone, Debug)]
+struct Pair {
+    mean: f64,
+    variance: f64,
+    at: Instant,
+    surprise: f64,
+}
+
+/// The estimates of all pairs.
+#[derive(Debug)]
+pub(crate) struct Harm {
+    cfg: HarmCfg,
+    forget: bool,
+    classes: IndexSet<ClassName>,
+    pairs: IndexMap<(ClassId, ClassId), Pair>,
+    /// What an aggressor does to its victims on average.
+    levels: IndexMap<ClassId, f64>,
+    /// The variance of a victim's measurements.
+    noise: IndexMap<ClassId, f64>,
+    oracle: Option<Box<dyn HarmOracle>>,
+}
+
+/// The share by which one measurement moves the class-level estimate.
+const LEVEL_GAIN: f64 = 0.02;
+/// The share by which one measurement moves the noise and the surprise.
+const NOISE_GAIN: f64 = 0.02;
+/// The share by which a fully responsible pair's surprise is moved by one measurement.
+const SURPRISE_GAIN: f64 = 0.2;
+/// Residuals beyond this many standard deviations count as that many.
+const RESIDUAL_CLIP: f64 = 4.0;
+
+impl Harm {
+    pub(crate) fn new(cfg: HarmCfg, forget: bool) -> Self {
+        Self {
+            cfg,
+            forget,
+            classes: IndexSet::new(),
+            pairs: IndexMap::new(),
+            levels: IndexMap::new(),
+            noise: IndexMap::new(),
+            oracle: None,
+        }
+    }
+
+    pub(crate) fn set_oracle(&mut self, oracle: Box<dyn HarmOracle>) {
+        self.oracle = Some(oracle);
+    }
+
+    /// Returns the number of a class.
+    pub(crate) fn class(&mut self, name: &ClassName) -> ClassId {
+        let at = match self.classes.get_index_of(name) {
+            Some(at) => at,
+            None => self.classes.insert_full(name.clone()).0,
+        };
+        ClassId(u32::try_from(at).unwrap_or(u32::MAX))
+    }
+
+    /// Returns what is known of a pair by now.
+    pub(crate) fn estimate(
+        &self,
+        victim: ClassId,
+        aggressor: ClassId,
+        now: Instant,
+    ) -> HarmEstimate {
+        if let Some(oracle) = &self.oracle {
+            let name = |id: ClassId| &self.classes[id.0 as usize];
+            let mean = oracle.harm(name(victim), name(aggressor), now);
+            return HarmEstimate {
+                mean,
+                variance: 0.0,
+            };
+        }
+        let prior = self.cfg.prior_deviation.powi(2);
+        let level = self.level(aggressor);
+        let Some(pair) = self.pairs.get(&(victim, aggressor)) else {
+            return HarmEstimate {
+                mean: level,
+                variance: prior,
+            };
+        };
+        let age = now.saturating_duration_since(pair.at);
+        let kept = (-age.as_secs_f64() / self.cfg.decay.as_secs_f64()).exp();
+        HarmEstimate {
+            mean: level + (pair.mean - level) * kept,
+            variance: prior - (prior - pair.variance) * kept * kept,
+        }
+    }
+
+    /// Returns the expected extra time of a victim among `mix`.
+    pub(crate) fn predict(&self, victim: ClassId, mix: &[(ClassId, f64)], now: Instant) -> f64 {
+        mix.iter()
+            .map(|&(class, load)| self.estimate(victim, class, now).mean * load)
+            .sum()
+    }
+
+    /// Returns the extra time of a victim among `mix`, on the safe side of the uncertainty.
+    pub(crate) fn predict_safely(
+        &self,
+        victim: ClassId,
+        mix: &[(ClassId, f64)],
+        now: Instant,
+    ) -> f64 {
+        let mut mean = 0.0;
+        let mut variance = 0.0;
+        for &(class, load) in mix {
+            let estimate = self.estimate(victim, class, now);
+            mean += estimate.mean * load;
+            variance += estimate.variance * load * load;
+        }
+        mean + self.cfg.caution * variance.sqrt()
+    }
+
+    /// Learns from the extra time of a victim that was measured among `mix`.
+    pub(crate) fn learn(
+        &mut self,
+        victim: ClassId,
+        mix: &[(ClassId, f64)],
+        extra: f64,
+        now: Instant,
+    ) {
+        if mix.is_empty() || self.oracle.is_some() {
+            return;
+        }
+        let least_noise = self.cfg.noise_deviation.powi(2);
+        let noise = self
+            .noise
+            .get(&victim)
+            .copied()
+            .unwrap_or(least_noise * 4.0);
+        let before: Vec<_> = mix
+            .iter()
+            .map(|&(class, _)| self.estimate(victim, class, now))
+            .collect();
+        let weighed = || mix.iter().zip(&before);
+        let expected: f64 = weighed().map(|((_, x), e)| e.mean * x).sum();
+        let doubt: f64 = weighed().map(|((_, x), e)| e.variance * x * x).sum();
+        let spread = (noise + doubt).sqrt();
+        let residual = (extra - expected).clamp(-RESIDUAL_CLIP * spread, RESIDUAL_CLIP * spread);
+
+        let unexplained = (residual * residual - doubt).max(least_noise);
+        let moved = noise + (unexplained - noise) * NOISE_GAIN;
+        self.noise.insert(victim, moved.max(least_noise));
+
+        let load: f64 = mix.iter().map(|&(_, x)| x).sum();
+        for (&(class, x), estimate) in mix.iter().zip(&before) {
+            let share = if load > 0.0 { x / load } else { 0.0 };
+            let gain = estimate.variance * x / (noise + doubt);
+            let mean = (estimate.mean + gain * residual).max(0.0);
+            let variance = estimate.variance * (1.0 - gain * x);
+            let surprise = residual / spread;
+            self.store(victim, class, mean, variance, surprise, share, now);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one update")]
+    fn store(
+        &mut self,
+        victim: ClassId,
+        class: ClassId,
+        mean: f64,
+        variance: f64,
+        surprise: f64,
+        share: f64,
+        now: Instant,
+    ) {
+        let prior = self.cfg.prior_deviation.powi(2);
+        let pair = self.pairs.entry((victim, class)).or_insert(Pair {
+            mean,
+            variance,
+            at: now,
+            surprise: 0.0,
+        });
+        pair.mean = mean;
+        pair.variance = variance;
+        pair.at = now;
+        pair.surprise += (surprise - pair.surprise) * SURPRISE_GAIN * share;
+        if self.forget && pair.surprise.abs() > self.cfg.surprise {
+            pair.variance = prior;
+            pair.surprise = 0.0;
+        }
+        let prior_mean = self.cfg.prior_mean;
+        let level = self.levels.entry(class).or_insert(prior_mean);
+        *level += (mean - *level) * LEVEL_GAIN;
+    }
+
+    fn level(&self, aggressor: ClassId) -> f64 {
+        self.levels
+            .get(&aggressor)
+            .copied()
+            .unwrap_or(self.cfg.prior_mean)
+    }
+}
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -1,17 +1,74 @@
-//! What each worker holds and what was given away.
+//! What each worker holds, what was given away, and what ran there when.
+
+use std::collections::VecDeque;
 
 use base::prelude::*;
+use tables::Priority;
 
+use crate::harm::{ClassId, Mix};
+use crate::room::Rooms;
 use crate::types::{PlacedTask, WorkerView};
 
+/// A task that holds room.
+#[derive(Clone, Debug)]
+pub(crate) struct TaskRow {
+    pub(crate) task: PlacedTask,
+    pub(crate) class: ClassId,
+    /// What its job declared.
+    pub(crate) declared: Resources,
+    /// What counts against the worker: the grant, or the use where it is more.
+    pub(crate) counted: Resources,
+    pub(crate) placed_at: Instant,
+    /// The share of its processor grant that it may use.
+    pub(crate) throttle: f64,
+    /// When its eviction was last asked for.
+    pub(crate) evicting: Option<Instant>,
+    /// The share of the work done, and when that was measured.
+    pub(crate) progress: Option<(f64, Instant)>,
+    /// When its latest sample was taken.
+    pub(crate) sampled: Option<Instant>,
+    /// Its smoothed speed, where 1 is an undisturbed run.
+    pub(crate) speed: f64,
+}
+
+impl TaskRow {
+    pub(crate) fn is_standing(&self) -> bool {
+        self.task.run_time.is_none()
+    }
+
+    /// Tells whether the task may be slowed or moved for the sake of others.
+    pub(crate) fn is_movable(&self) -> bool {
+        self.task.priority != Priority::Urgent && self.evicting.is_none()
+    }
+}
+
+/// A service on a worker, as its samples show it.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceRow {
+    /// When its latest sample was taken.
+    pub(crate) sampled: Instant,
+    /// Its smoothed extra time that the estimates do not explain.
+    pub(crate) residual: f64,
+}
+
 /// A worker with its tasks.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerRow {
     pub(crate) view: WorkerView,
     pub(crate) present: bool,
+    /// What counts against it, placements under way included.
     pub(crate) held: Resources,
+    /// Room kept for the jobs it was freed for.
+    pub(crate) kept: Resources,
     pub(crate) tasks: IndexSet<TaskKey>,
     pub(crate) pending: IndexSet<JobId>,
+    pub(crate) services: IndexMap<ClassId, ServiceRow>,
+    /// The load of each class now.
+    pub(crate) mix: Mix,
+    /// The load of each class from each instant on.
+    history: VecDeque<(Instant, Mix)>,
+    /// The smoothed age of its samples.
+    pub(crate) lag: Duration,
 }
 
 /// A placement that was decided but not yet committed.
@@ -19,28 +76,68 @@
 pub(crate) struct Pending {
     pub(crate) worker: WorkerId,
     pub(crate) granted: Resources,
+    pub(crate) declared: Resources,
+    pub(crate) class: ClassId,
+    pub(crate) team: TeamName,
+    pub(crate) spread: bool,
 }
 
 /// The ledger of a shard's workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Ledger {
     reserved: Resources,
-    workers: IndexMap<WorkerId, WorkerRow>,
-    tasks: IndexMap<TaskKey, PlacedTask>,
-    pending: IndexMap<JobId, Pending>,
+    history: Duration,
+    pub(crate) workers: IndexMap<WorkerId, WorkerRow>,
+    pub(crate) tasks: IndexMap<TaskKey, TaskRow>,
+    pub(crate) pending: IndexMap<JobId, Pending>,
+    pub(crate) rooms: Rooms,
+    /// What present workers offer in all.
+    pub(crate) capacity: Resources,
+    /// What each team holds.
+    pub(crate) teams: IndexMap<TeamName, Resources>,
+    /// The largest amount of each resource that a worker was ever seen to offer.
+    pub(crate) largest: Resources,
+    /// Spread tasks of a class, by rack and by availability zone.
+    racks: IndexMap<(RackName, ClassId), u32>,
+    zones: IndexMap<(ZoneName, ClassId), u32>,
+    pub(crate) throttled: usize,
 }
 
-impl Ledger {
-    pub(crate) fn set_reserved(&mut self, reserved: Resources) {
-        self.reserved = reserved;
-    }
+/// The share by which one sample moves a worker's lag.
+const LAG_GAIN: f64 = 0.2;
+/// How many states of one worker are remembered.
+const HISTORY_LEN: usize = 512;
 
-    pub(crate) fn workers(&self) -> impl Iterator<Item = &WorkerRow> {
-        self.workers.values()
+impl Ledger {
+    pub(crate) fn new(history: Duration) -> Self {
+        Self {
+            reserved: Resources::ZERO,
+            history,
+            workers: IndexMap::new(),
+            tasks: IndexMap::new(),
+            pending: IndexMap::new(),
+            rooms: Rooms::default(),
+            capacity: Resources::ZERO,
+            teams: IndexMap::new(),
+            largest: Resources::ZERO,
+            racks: IndexMap::new(),
+            zones: IndexMap::new(),
+            throttled: 0,
+        }
     }
 
-    pub(crate) fn placed(&self) -> usize {
-        self.tasks.len() + self.pending.len()
+    pub(crate) fn set_reserved(&mut self, reserved: Resources) {
+        if self.reserved == reserved {
+            return;
+        }
+        self.reserved = reserved;
+        self.capacity = Resources::ZERO;
+        self.largest = Resources::ZERO;
+        for row in self.workers.values().filter(|row| row.present) {
+            let offer = row.view.capacity.saturating_sub(reserved);
+            self.capacity += offer;
+            self.largest = largest_of(self.largest, offer);
+        }
     }
 
     /// Returns what a worker may give to tasks in all.
@@ -48,90 +145,295 @@
         row.view.capacity.saturating_sub(self.reserved)
     }
 
-    /// Returns what a worker can still give.
+    /// Returns what a worker can still give, the room kept for certain jobs included.
     pub(crate) fn free(&self, row: &WorkerRow) -> Resources {
         self.offer(row).saturating_sub(row.held)
     }
 
-    pub(crate) fn worker_seen(&mut self, view: WorkerView) {
-        if let Some(row) = self.workers.get_mut(&view.worker) {
-            row.view = view;
-            row.present = true;
-            return;
+    /// Returns what a worker can still give to any job.
+    pub(crate) fn free_for_any(&self, row: &WorkerRow) -> Resources {
+        self.free(row).saturating_sub(row.kept)
+    }
+
+    /// Notes a worker; returns whether anything changed.
+    pub(crate) fn worker_seen(&mut self, view: WorkerView) -> bool {
+        if let Some(row) = self.workers.get(&view.worker)
+            && row.present
+            && row.view == view
+        {
+            return false;
         }
-        let row = WorkerRow {
-            present: true,
-            held: Resources::ZERO,
-            tasks: IndexSet::new(),
-            pending: IndexSet::new(),
-            view: view.clone(),
-        };
-        self.workers.insert(view.worker, row);
+        let worker = view.worker.clone();
+        let offer = view.capacity.saturating_sub(self.reserved);
+        self.leave(&worker);
+        let row = self
+            .workers
+            .entry(worker.clone())
+            .or_insert_with(|| empty_worker(&worker));
+        row.view = view;
+        row.present = true;
+        self.capacity += offer;
+        self.largest = largest_of(self.largest, offer);
+        self.count_spread(&worker, true);
+        true
+    }
+
+    /// Notes a silent worker; returns whether it was present.
+    pub(crate) fn worker_gone(&mut self, worker: &WorkerId) -> bool {
+        self.leave(worker)
     }
 
-    pub(crate) fn worker_gone(&mut self, worker: &WorkerId) {
+    /// Takes a present worker out of the sums.
+    fn leave(&mut self, worker: &WorkerId) -> bool {
+        let Some(row) = self.workers.get(worker).filter(|row| row.present) else {
+            return false;
+        };
+        let offer = self.offer(row);
+        self.capacity = self.capacity.saturating_sub(offer);
+        self.count_spread(worker, false);
         if let Some(row) = self.workers.get_mut(worker) {
             row.present = false;
+            row.services.clear();
         }
+        self.rooms.remove(worker);
+        true
     }
 
-    /// Holds room for a placement that is not yet committed.
-    pub(crate) fn hold(&mut self, job: &JobId, worker: &WorkerId, granted: Resources) {
-        let Some(row) = self.workers.get_mut(worker) else {
+    /// Forgets a worker that is gone and holds nothing.
+    pub(crate) fn forget_if_empty(&mut self, worker: &WorkerId) -> bool {
+        let empty = self
+            .workers
+            .get(worker)
+            .is_some_and(|row| !row.present && row.tasks.is_empty() && row.pending.is_empty());
+        if empty {
+            self.workers.swap_remove(worker);
+        }
+        empty
+    }
+
+    /// Adds or takes the spread tasks of a worker to or from its rack and availability zone.
+    fn count_spread(&mut self, worker: &WorkerId, add: bool) {
+        let Some(row) = self.workers.get(worker) else {
             return;
         };
-        row.held += granted;
-        row.pending.insert(job.clone());
-        let offer = row.view.capacity.saturating_sub(self.reserved);
-        let held = row.held;
-        Promise::Capacity.check(held.fits(&offer), || {
-            format!("worker {worker} was given {held} of {offer}")
-        });
-        let pending = Pending {
-            worker: worker.clone(),
-            granted,
+        let classes: Vec<_> = row
+            .tasks
+            .iter()
+            .filter_map(|key| self.tasks.get(key))
+            .filter(|row| row.is_standing())
+            .map(|row| row.class)
+            .collect();
+        let (rack, zone) = (row.view.rack.clone(), row.view.zone.clone());
+        for class in classes {
+            count(&mut self.racks, (rack.clone(), class), add);
+            count(&mut self.zones, (zone.clone(), class), add);
+        }
+    }
+
+    /// Counts one spread task on a worker's rack and availability zone.
+    fn count_one(&mut self, worker: &WorkerId, class: ClassId, add: bool) {
+        let Some(row) = self.workers.get(worker).filter(|row| row.present) else {
+            return;
         };
+        let (rack, zone) = (row.view.rack.clone(), row.view.zone.clone());
+        count(&mut self.racks, (rack, class), add);
+        count(&mut self.zones, (zone, class), add);
+    }
+
+    /// Returns how many spread tasks of a class a worker's rack and availability zone have.
+    pub(crate) fn neighbours(&self, row: &WorkerRow, class: ClassId) -> (u32, u32) {
+        let rack = self.racks.get(&(row.view.rack.clone(), class));
+        let zone = self.zones.get(&(row.view.zone.clone(), class));
+        (
+            rack.copied().unwrap_or_default(),
+            zone.copied().unwrap_or_default(),
+        )
+    }
+
+    /// Holds room for a placement that is not yet committed.
+    pub(crate) fn hold(&mut self, now: Instant, job: &JobId, pending: Pending) {
+        let offer = match self.workers.get(&pending.worker) {
+            Some(row) => self.offer(row),
+            None => return,
+        };
+        let worker = pending.worker.clone();
+        self.team_holds(&pending.team, pending.granted);
+        if pending.spread {
+            self.count_one(&worker, pending.class, true);
+        }
+        if let Some(row) = self.workers.get_mut(&worker) {
+            row.held += pending.granted;
+            row.pending.insert(job.clone());
+            let held = row.held;
+            Promise::Capacity.check(held.fits(&offer), || {
+                format!("worker {worker} was given {held} of {offer}")
+            });
+        }
         self.pending.insert(job.clone(), pending);
+        self.remix(now, &worker);
     }
 
     /// Gives back the room of a placement that was not committed.
-    pub(crate) fn drop_hold(&mut self, job: &JobId) -> bool {
-        let Some(pending) = self.pending.swap_remove(job) else {
-            return false;
-        };
+    pub(crate) fn drop_hold(&mut self, now: Instant, job: &JobId) -> Option<WorkerId> {
+        let pending = self.pending.swap_remove(job)?;
+        self.team_gives(&pending.team, pending.granted);
+        if pending.spread {
+            self.count_one(&pending.worker, pending.class, false);
+        }
         if let Some(row) = self.workers.get_mut(&pending.worker) {
-            row.held -= pending.granted;
+            row.held = row.held.saturating_sub(pending.granted);
             row.pending.swap_remove(job);
         }
-        true
+        self.remix(now, &pending.worker);
+        Some(pending.worker)
     }
 
     /// Counts a committed or adopted task.
-    pub(crate) fn place(&mut self, task: PlacedTask) {
-        self.drop_hold(&task.key.job);
-        self.end(&task.key);
-        let row = self
+    pub(crate) fn place(&mut self, now: Instant, task: PlacedTask, class: ClassId) {
+        let pending = self.pending.get(&task.key.job);
+        let declared = pending.map_or(task.granted, |pending| pending.declared);
+        self.drop_hold(now, &task.key.job);
+        self.end(now, &task.key);
+        let worker = task.worker.clone();
+        self.team_holds(&task.team, task.granted);
+        let row = TaskRow {
+            class,
+            declared,
+            counted: task.granted,
+            placed_at: now,
+            throttle: 1.0,
+            evicting: None,
+            progress: None,
+            sampled: None,
+            speed: 1.0,
+            task,
+        };
+        if row.is_standing() {
+            self.count_one(&worker, class, true);
+        }
+        let on = self
             .workers
-            .entry(task.worker.clone())
-            .or_insert_with(|| unseen_worker(&task.worker));
-        row.held += task.granted;
-        row.tasks.insert(task.key.clone());
-        self.tasks.insert(task.key.clone(), task);
+            .entry(worker.clone())
+            .or_insert_with(|| empty_worker(&worker));
+        on.held += row.counted;
+        on.tasks.insert(row.task.key.clone());
+        self.tasks.insert(row.task.key.clone(), row);
+        self.remix(now, &worker);
     }
 
     /// Gives back the room of an ended task.
-    pub(crate) fn end(&mut self, key: &TaskKey) -> Option<PlacedTask> {
-        let task = self.tasks.swap_remove(key)?;
-        if let Some(row) = self.workers.get_mut(&task.worker) {
-            row.held -= task.granted;
-            row.tasks.swap_remove(key);
+    pub(crate) fn end(&mut self, now: Instant, key: &TaskKey) -> Option<TaskRow> {
+        let row = self.tasks.swap_remove(key)?;
+        let worker = row.task.worker.clone();
+        self.team_gives(&row.task.team, row.counted);
+        if row.is_standing() {
+            self.count_one(&worker, row.class, false);
+        }
+        if row.throttle < 1.0 {
+            self.throttled -= 1;
+        }
+        if let Some(on) = self.workers.get_mut(&worker) {
+            on.held = on.held.saturating_sub(row.counted);
+            on.tasks.swap_remove(key);
+        }
+        self.remix(now, &worker);
+        Some(row)
+    }
+
+    /// Counts a task at what it uses, where that is more than its grant.
+    pub(crate) fn recount(&mut self, key: &TaskKey, memory_mib: u64) {
+        let Some(row) = self.tasks.get_mut(key) else {
+            return;
+        };
+        let before = row.counted;
+        row.counted.memory_mib = row.task.granted.memory_mib.max(memory_mib);
+        let after = row.counted;
+        let team = row.task.team.clone();
+        let worker = row.task.worker.clone();
+        self.team_gives(&team, before);
+        self.team_holds(&team, after);
+        if let Some(on) = self.workers.get_mut(&worker) {
+            on.held = on.held.saturating_sub(before) + after;
+        }
+    }
+
+    /// Limits a task to a share of its processors.
+    pub(crate) fn throttle(&mut self, now: Instant, key: &TaskKey, share: f64) {
+        let Some(row) = self.tasks.get_mut(key) else {
+            return;
+        };
+        let was = row.throttle < 1.0;
+        row.throttle = share;
+        let is = share < 1.0;
+        let worker = row.task.worker.clone();
+        self.throttled += usize::from(is);
+        self.throttled -= usize::from(was);
+        self.remix(now, &worker);
+    }
+
+    fn team_holds(&mut self, team: &TeamName, amount: Resources) {
+        *self.teams.entry(team.clone()).or_default() += amount;
+    }
+
+    fn team_gives(&mut self, team: &TeamName, amount: Resources) {
+        if let Some(held) = self.teams.get_mut(team) {
+            *held = held.saturating_sub(amount);
+        }
+    }
+
+    /// Works out the load of each class on a worker anew, and remembers it.
+    fn remix(&mut self, now: Instant, worker: &WorkerId) {
+        let Some(row) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let capacity = row.view.capacity.cpu_milli.max(1) as f64;
+        let mut mix = Mix::new();
+        for key in &row.tasks {
+            if let Some(task) = self.tasks.get(key) {
+                let load = task.task.granted.cpu_milli as f64 * task.throttle / capacity;
+                add_load(&mut mix, task.class, load);
+            }
+        }
+        for job in &row.pending {
+            if let Some(pending) = self.pending.get(job) {
+                let load = pending.granted.cpu_milli as f64 / capacity;
+                add_load(&mut mix, pending.class, load);
+            }
+        }
+        row.mix.clone_from(&mix);
+        if let Some(last) = row.history.back_mut()
+            && last.0 == now
+        {
+            last.1 = mix;
+            return;
+        }
+        row.history.push_back((now, mix));
+        let oldest = now.checked_sub(self.history).unwrap_or(now);
+        while row.history.len() > HISTORY_LEN
+            || row.history.get(1).is_some_and(|(at, _)| *at <= oldest)
+        {
+            row.history.pop_front();
         }
-        Some(task)
     }
 }
 
-/// Returns the row of a worker that is known by an adopted task alone.
-fn unseen_worker(worker: &WorkerId) -> WorkerRow {
+impl WorkerRow {
+    /// Returns the load of each class at an instant, where it is still known.
+    pub(crate) fn mix_at(&self, at: Instant) -> Option<&Mix> {
+        let next = self.history.partition_point(|(from, _)| *from <= at);
+        next.checked_sub(1).map(|last| &self.history[last].1)
+    }
+
+    /// Notes the age of a sample.
+    pub(crate) fn note_lag(&mut self, age: Duration) {
+        let moved = self.lag.as_secs_f64() * (1.0 - LAG_GAIN) + age.as_secs_f64() * LAG_GAIN;
+        // A lag that grows is believed at once, so that no step outruns its measurement.
+        self.lag = Duration::from_secs_f64(moved).max(age);
+    }
+}
+
+/// Returns the row of a worker of which nothing is known yet.
+fn empty_worker(worker: &WorkerId) -> WorkerRow {
     let view = WorkerView {
         worker: worker.clone(),
         zone: ZoneName::from(""),
@@ -143,7 +445,35 @@
         view,
         present: false,
         held: Resources::ZERO,
+        kept: Resources::ZERO,
         tasks: IndexSet::new(),
         pending: IndexSet::new(),
+        services: IndexMap::new(),
+        mix: Mix::new(),
+        history: VecDeque::new(),
+        lag: Duration::ZERO,
+    }
+}
+
+fn add_load(mix: &mut Mix, class: ClassId, load: f64) {
+    match mix.iter_mut().find(|(other, _)| *other == class) {
+        Some((_, sum)) => *sum += load,
+        None => mix.push((class, load)),
+    }
+}
+
+fn count<K: std::hash::Hash + Eq>(counts: &mut IndexMap<K, u32>, key: K, add: bool) {
+    if add {
+        *counts.entry(key).or_default() += 1;
+    } else if let Some(n) = counts.get_mut(&key) {
+        *n = n.saturating_sub(1);
+    }
+}
+
+fn largest_of(a: Resources, b: Resources) -> Resources {
+    Resources {
+        cpu_milli: a.cpu_milli.max(b.cpu_milli),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,11 +5,26 @@
 //! its seed: the same calls give the same decisions.
 
 mod cfg;
+mod choose;
+mod common;
+mod harm;
+mod health;
+mod keep;
+mod ladder;
 mod ledger;
 mod placer;
+mod preempt;
+mod queue;
+mod quota;
+mod relieve;
+mod room;
+mod rounds;
+mod sample;
 mod types;
+mod usage;
 
-pub use cfg::PlacerCfg;
+pub use cfg::{Choice, HarmCfg, HealthCfg, LadderCfg, Parts, PlacerCfg, QueueCfg};
+pub use harm::{HarmEstimate, HarmOracle};
 pub use placer::Placer;
 pub use types::{
     Decision, Ended, EvictWhy, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,197 +1,393 @@
 //! The placer of one shard.
 
-use std::cmp::Reverse;
-use std::collections::BTreeSet;
-
 use base::prelude::*;
-use platform::worker::UsageSample;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tables::{Pool, Priority};
+use tables::{Pool, Weights};
 
 use crate::cfg::PlacerCfg;
-use crate::ledger::Ledger;
+use crate::common::Common;
+use crate::harm::{Harm, HarmOracle};
+use crate::health::{Access, Health};
+use crate::keep::Keeps;
+use crate::ladder::Ladder;
+use crate::ledger::{Ledger, TaskRow};
+use crate::queue::{Queue, WaitPlace};
+use crate::quota::Quotas;
+use crate::rounds::Cursors;
 use crate::types::{
-    Decision, Ended, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
+    Decision, Ended, EvictWhy, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
 };
-
-/// The order in which waiting jobs are looked at.
-type Rank = (Reverse<Priority>, Option<Instant>, u64);
-
-/// A waiting job.
-#[derive(Debug)]
-struct Waiting {
-    ask: JobAsk,
-    rank: Rank,
-    why: Option<Name>,
-}
+use crate::usage::Usage;
 
 /// Decides what runs where on the workers of one shard.
 #[derive(Debug)]
 pub struct Placer {
-    cfg: PlacerCfg,
-    _rng: ChaCha8Rng,
-    pool: Option<Pool>,
-    ledger: Ledger,
-    waiting: IndexMap<JobId, Waiting>,
-    order: BTreeSet<(Rank, JobId)>,
-    arrivals: u64,
+    pub(crate) cfg: PlacerCfg,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) weights: Weights,
+    pub(crate) evictions_per_hour: u32,
+    /// The pool's workers by name, where it names all without a `*`.
+    listed: Option<Vec<Name>>,
+    pub(crate) ledger: Ledger,
+    pub(crate) queue: Queue,
+    pub(crate) keeps: Keeps,
+    pub(crate) quotas: Quotas,
+    pub(crate) harm: Harm,
+    pub(crate) common: Common,
+    pub(crate) usage: Usage,
+    pub(crate) health: Health,
+    pub(crate) ladder: Ladder,
+    /// Evictions that were asked for and have not yet happened.
+    pub(crate) evicting: IndexMap<TaskKey, (EvictWhy, Instant)>,
+    /// Workers whose memory may be overdrawn.
+    pub(crate) crowded: IndexSet<WorkerId>,
+    /// What jobs that outgrew their memory used, in mebibytes.
+    pub(crate) grown: IndexMap<JobId, u64>,
+    pub(crate) leaving: IndexSet<WorkerId>,
+    /// Workers that went silent, until they hold nothing.
+    away: IndexSet<WorkerId>,
+    /// Whether something changed that may let a waiting job start.
+    pub(crate) dirty: bool,
+    pub(crate) cursors: Cursors,
+    pub(crate) ticked: Option<Instant>,
+    /// Decisions beyond the limit of the last call.
+    pub(crate) backlog: Vec<Decision>,
+    first_seen: Option<Instant>,
+    settled: bool,
 }
 
 impl Placer {
     /// Creates a placer without workers; `seed` settles every tie.
     pub fn new(cfg: PlacerCfg, seed: u64) -> Self {
         Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            weights: Weights {
+                tail: 0.34,
+                throughput: 0.33,
+                evictions: 0.33,
+            },
+            evictions_per_hour: cfg.ladder.evictions_per_hour,
+            listed: None,
+            ledger: Ledger::new(cfg.harm.history),
+            queue: Queue::new(cfg.queue.clone()),
+            keeps: Keeps::default(),
+            quotas: Quotas::new(&IndexMap::new()),
+            harm: Harm::new(cfg.harm.clone(), cfg.parts.forget),
+            common: Common::new(&cfg.harm),
+            usage: Usage::default(),
+            health: Health::new(cfg.health.clone()),
+            ladder: Ladder::new(cfg.ladder.clone()),
+            evicting: IndexMap::new(),
+            crowded: IndexSet::new(),
+            grown: IndexMap::new(),
+            leaving: IndexSet::new(),
+            away: IndexSet::new(),
+            dirty: true,
+            cursors: Cursors::default(),
+            ticked: None,
+            backlog: Vec::new(),
+            first_seen: None,
+            settled: false,
             cfg,
-            _rng: ChaCha8Rng::seed_from_u64(seed),
-            pool: None,
-            ledger: Ledger::default(),
-            waiting: IndexMap::new(),
-            order: BTreeSet::new(),
-            arrivals: 0,
         }
     }
 
+    /// Takes harm from one that knows it, in place of measurements, for experiments.
+    #[must_use]
+    pub fn with_oracle(mut self, oracle: Box<dyn HarmOracle>) -> Self {
+        self.harm.set_oracle(oracle);
+        self
+    }
+
     /// Sets the row of the pools table that the shard belongs to.
-    pub fn set_pool(&mut self, _now: Instant, pool: &Pool) {
+    pub fn set_pool(&mut self, now: Instant, pool: &Pool) {
+        let open = pool.workers.iter().any(|name| name.contains('*'));
+        self.listed = (!open).then(|| pool.workers.clone());
+        self.weights = pool.weights;
+        self.evictions_per_hour = pool.evictions_per_hour;
+        self.quotas = Quotas::new(&pool.teams);
         self.ledger.set_reserved(pool.reserved);
-        self.pool = Some(pool.clone());
+        let workers: Vec<_> = self.ledger.workers.keys().cloned().collect();
+        for worker in workers {
+            self.reindex(now, &worker);
+        }
+        self.unpark();
+        self.dirty = true;
     }
 
     /// Notes a worker; cheap when nothing changed.
-    pub fn worker_seen(&mut self, _now: Instant, worker: WorkerView) {
-        self.ledger.worker_seen(worker);
+    pub fn worker_seen(&mut self, now: Instant, worker: WorkerView) {
+        self.first_seen.get_or_insert(now);
+        let id = worker.worker.clone();
+        let leaving = worker.leaving;
+        if !self.ledger.worker_seen(worker) {
+            return;
+        }
+        self.away.swap_remove(&id);
+        if leaving {
+            self.leaving.insert(id.clone());
+        } else {
+            self.leaving.swap_remove(&id);
+        }
+        self.reindex(now, &id);
+        self.unpark();
+        self.dirty = true;
     }
 
     /// Notes that a worker is silent: it gets nothing, and its tasks count until they end.
-    pub fn worker_gone(&mut self, _now: Instant, worker: &WorkerId) {
-        self.ledger.worker_gone(worker);
+    pub fn worker_gone(&mut self, now: Instant, worker: &WorkerId) {
+        if !self.ledger.worker_gone(worker) {
+            return;
+        }
+        self.leaving.swap_remove(worker);
+        self.away.insert(worker.clone());
+        self.reindex(now, worker);
+        self.forget_if_empty(worker);
+        self.dirty = true;
+    }
+
+    /// Forgets a silent worker once it holds nothing; its evidence goes with it.
+    fn forget_if_empty(&mut self, worker: &WorkerId) {
+        let quarantined = self.health.is_quarantined(worker);
+        if quarantined || !self.away.contains(worker) || !self.ledger.forget_if_empty(worker) {
+            return;
+        }
+        self.away.swap_remove(worker);
+        self.ladder.forget_worker(worker);
+        self.health.forget_worker(worker);
+        self.crowded.swap_remove(worker);
     }
 
     /// Tells whether a job can run at all, for its submission.
     pub fn check(&self, ask: &JobAsk) -> Verdict {
-        let fits = self
-            .ledger
-            .workers()
-            .any(|row| ask.resources.fits(&self.ledger.offer(row)));
-        if fits {
+        if let Some(share) = self.quotas.never(&self.ledger, &ask.team, ask.resources)
+            && self.settled
+        {
+            let (team, need) = (&ask.team, ask.resources);
+            let reason = format!("team {team} may hold {share} of the pool; the job asks {need}");
+            return Verdict::Never {
+                reason: reason.into(),
+            };
+        }
+        if self.fits_some_worker(&ask.resources) {
             return Verdict::Fits;
         }
-        Verdict::MayFitLater {
-            reason: format!("no worker holds {}", ask.resources).into(),
+        let largest = self.ledger.largest;
+        let reason = format!("no worker offers {}; the largest {largest}", ask.resources);
+        let reason = Name::from(reason);
+        if self.settled && self.all_seen() {
+            Verdict::Never { reason }
+        } else {
+            Verdict::MayFitLater { reason }
         }
     }
 
+    fn fits_some_worker(&self, need: &Resources) -> bool {
+        self.ledger
+            .workers
+            .values()
+            .filter(|row| row.present && !row.view.leaving)
+            .any(|row| need.fits(&self.ledger.offer(row)))
+    }
+
+    /// Tells whether every worker that the pool lists by name is present.
+    fn all_seen(&self) -> bool {
+        self.listed.as_ref().is_some_and(|names| {
+            names.iter().all(|name| {
+                let row = self.ledger.workers.get(&WorkerId::new(Name::clone(name)));
+                row.is_some_and(|row| row.present)
+            })
+        })
+    }
+
     /// Queues a job, or replaces what was queued under its name.
-    pub fn job_queued(&mut self, _now: Instant, job: JobAsk) {
-        self.job_removed(&job.job);
-        self.arrivals += 1;
-        let rank = (Reverse(job.priority), job.finish_by, self.arrivals);
-        self.order.insert((rank, job.job.clone()));
-        let waiting = Waiting {
-            rank,
-            why: None,
-            ask: job,
-        };
-        self.waiting.insert(waiting.ask.job.clone(), waiting);
+    pub fn job_queued(&mut self, now: Instant, job: JobAsk) {
+        self.withdraw(&job.job);
+        let class = self.harm.class(&job.class);
+        let verdict = self.check(&job);
+        let id = job.job.clone();
+        self.queue.add(now, job, class, verdict != Verdict::Fits);
+        if let Verdict::MayFitLater { reason } | Verdict::Never { reason } = verdict {
+            self.queue.set_why(&id, reason);
+        }
+        self.dirty = true;
     }
 
     /// Forgets a waiting job, whose placement may be under way.
     pub fn job_removed(&mut self, job: &JobId) {
-        if let Some(old) = self.waiting.swap_remove(job) {
-            self.order.remove(&(old.rank, job.clone()));
-        }
-        self.ledger.drop_hold(job);
+        self.withdraw(job);
+        self.forget_job(job);
+    }
+
+    /// Forgets a job that will not run again.
+    fn forget_job(&mut self, job: &JobId) {
+        self.queue.forget(job);
+        self.grown.swap_remove(job);
+        self.health.forget_job(job);
+    }
+
+    fn withdraw(&mut self, job: &JobId) {
+        self.queue.remove(job);
+        self.release(job);
+        self.drop_placement(job);
     }
 
     /// Counts a task that was committed, or found running at a recovery.
-    pub fn task_placed(&mut self, _now: Instant, task: PlacedTask) {
-        if let Some(old) = self.waiting.swap_remove(&task.key.job) {
-            self.order.remove(&(old.rank, task.key.job.clone()));
-        }
-        self.ledger.place(task);
+    pub fn task_placed(&mut self, now: Instant, task: PlacedTask) {
+        self.queue.remove(&task.key.job);
+        self.release(&task.key.job);
+        let class = self.harm.class(&task.class);
+        let worker = task.worker.clone();
+        self.ledger.place(now, task, class);
+        self.reindex(now, &worker);
     }
 
     /// Takes back a placement that could not be committed; the job waits on.
     pub fn placement_dropped(&mut self, job: &JobId) {
-        if !self.ledger.drop_hold(job) {
-            return;
+        self.drop_placement(job);
+        let pending = self
+            .queue
+            .jobs
+            .get(job)
+            .is_some_and(|waiting| waiting.place == WaitPlace::Pending);
+        if pending {
+            self.queue.make_ready(job);
         }
-        if let Some(waiting) = self.waiting.get(job) {
-            self.order.insert((waiting.rank, job.clone()));
+    }
+
+    fn drop_placement(&mut self, job: &JobId) {
+        let Some(now) = self.ticked else {
+            return;
+        };
+        if let Some(worker) = self.ledger.drop_hold(now, job) {
+            self.health.probe_void(&worker, job);
+            self.reindex(now, &worker);
+            self.dirty = true;
         }
     }
 
     /// Gives back the room of a task that ended.
-    pub fn task_ended(&mut self, _now: Instant, key: &TaskKey, _ended: Ended) {
-        self.ledger.end(key);
-    }
-
-    /// Takes one lagging measurement of a worker.
-    pub fn sample(&mut self, _now: Instant, _worker: &WorkerId, _sample: &UsageSample) {}
-
-    /// Decides what to do now, at most `limit` decisions; placements count as held at once.
-    pub fn decide(&mut self, _now: Instant, limit: usize) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let ranked: Vec<_> = self
-            .order
-            .iter()
-            .take(self.cfg.scan_limit)
-            .cloned()
-            .collect();
-        for (rank, job) in ranked {
-            if decisions.len() >= limit {
-                break;
+    pub fn task_ended(&mut self, now: Instant, key: &TaskKey, ended: Ended) {
+        let asked = self.evicting.swap_remove(key);
+        let Some(row) = self.ledger.end(now, key) else {
+            return;
+        };
+        let worker = row.task.worker.clone();
+        match ended {
+            Ended::Finished => {
+                self.note_run_time(now, &row);
+                self.health.finished(&worker, &key.job, row.class);
             }
-            let Some(worker) = self.first_fit(&job) else {
-                continue;
-            };
-            let granted = self.waiting[&job].ask.resources;
-            self.ledger.hold(&job, &worker, granted);
-            self.order.remove(&(rank, job.clone()));
-            decisions.push(Decision::Place {
-                job,
-                worker,
-                granted,
-            });
-        }
-        decisions
-    }
-
-    /// Returns the first worker with room, or notes why there is none.
-    fn first_fit(&mut self, job: &JobId) -> Option<WorkerId> {
-        let waiting = self.waiting.get_mut(job)?;
-        let need = waiting.ask.resources;
-        let ledger = &self.ledger;
-        let found = ledger
-            .workers()
-            .filter(|row| row.present && !row.view.leaving)
-            .find(|row| need.fits(&ledger.free(row)))
-            .map(|row| row.view.worker.clone());
-        if found.is_none() {
-            waiting.why = Some("no worker has room".into());
+            Ended::Failed => {
+                // A job that may not come back keeps no turn.
+                self.queue.forget(&key.job);
+                let workers = self.ledger.workers.len();
+                self.health
+                    .failed(now, &worker, &key.job, row.class, workers);
+            }
+            Ended::Evicted => {
+                if let Some((_, at)) = asked {
+                    let took = now.saturating_duration_since(at);
+                    self.usage.checkpointed(row.class, took);
+                }
+                self.health.probe_void(&worker, &key.job);
+            }
+            Ended::Lost | Ended::Cancelled => self.health.probe_void(&worker, &key.job),
+        }
+        if matches!(ended, Ended::Finished | Ended::Cancelled) {
+            self.forget_job(&key.job);
+        }
+        self.reindex(now, &worker);
+        self.forget_if_empty(&worker);
+        self.dirty = true;
+    }
+
+    /// Learns the real run time of a finished task.
+    fn note_run_time(&mut self, now: Instant, row: &TaskRow) {
+        let Some(declared) = row.task.run_time else {
+            return;
+        };
+        if row.throttle < 1.0 {
+            return;
+        }
+        let ran = now.saturating_duration_since(row.placed_at);
+        let real = row.task.work_done + ran.mul_f64(row.speed.clamp(0.05, 1.0));
+        self.usage.ran(row.class, declared, real);
+    }
+
+    /// Gives up the room kept for a job.
+    pub(crate) fn release(&mut self, job: &JobId) {
+        if let Some(worker) = self.keeps.remove(job, &mut self.ledger)
+            && let Some(now) = self.ticked
+        {
+            self.reindex(now, &worker);
         }
-        found
+    }
+
+    /// Enters a worker's free room into the index, or takes the worker out of it.
+    pub(crate) fn reindex(&mut self, now: Instant, worker: &WorkerId) {
+        let Some(row) = self.ledger.workers.get(worker) else {
+            self.ledger.rooms.remove(worker);
+            return;
+        };
+        let open = self.health.access(now, worker) != Access::Shut;
+        if row.present && !row.view.leaving && open {
+            let free = self.ledger.free_for_any(row);
+            self.ledger.rooms.set(worker, free);
+        } else {
+            self.ledger.rooms.remove(worker);
+        }
+    }
+
+    /// Lets parked jobs wait in earnest that now fit some worker.
+    pub(crate) fn unpark(&mut self) {
+        let parked: Vec<_> = self.queue.parked().iter().cloned().collect();
+        for job in parked {
+            let verdict = self.queue.jobs.get(&job).map(|w| self.check(&w.ask));
+            if verdict == Some(Verdict::Fits) {
+                self.queue.make_ready(&job);
+            }
+        }
+    }
+
+    /// Notes that the pool's workers have had time to appear.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        if let Some(first) = self.first_seen {
+            self.settled = now.saturating_duration_since(first) >= self.cfg.settle;
+        }
+    }
+
+    /// Tells whether a worker is suspected of failing what others run, so that a job's
+    /// failure there should not count against the job.
+    pub fn is_worker_suspect(&self, worker: &WorkerId) -> bool {
+        self.health.is_quarantined(worker)
     }
 
     /// Returns why a job waits, for a person.
     pub fn why_waiting(&self, job: &JobId) -> Option<Name> {
-        self.waiting.get(job)?.why.clone()
+        self.queue.jobs.get(job)?.why.clone()
     }
 
     /// Returns the workers that get no work because their tasks fail.
     pub fn quarantined(&self) -> Vec<QuarantineView> {
-        Vec::new()
+        self.health.views()
     }
 
     /// Returns the state in numbers.
     pub fn summary(&self) -> Summary {
         let mut summary = Summary {
-            queued: self.waiting.len(),
-            placed: self.ledger.placed(),
+            quarantined: self.health.quarantined().len(),
+            queued: self.queue.jobs.len(),
+            parked: self.queue.parked().len(),
+            placed: self.ledger.tasks.len() + self.ledger.pending.len(),
+            throttled: self.ledger.throttled,
             ..Summary::default()
         };
-        for row in self.ledger.workers() {
+        if let Some(now) = self.ticked {
+            summary.evictions_last_hour = self.ladder.evictions_last_hour(now);
+        }
+        for row in self.ledger.workers.values() {
             summary.held += row.held;
             if row.present && !row.view.leaving {
                 summary.workers += 1;
--- /dev/null
+++ b/crates/place/src/preempt.rs
@@ -0,0 +1,229 @@
+//! Room for urgent work, for teams that are owed their quota, and for large jobs.
+
+use base::prelude::*;
+use tables::Priority;
+
+use crate::choose::Candidate;
+use crate::keep::Keep;
+use crate::ledger::TaskRow;
+use crate::placer::Placer;
+use crate::types::{Decision, EvictWhy};
+
+/// A way to make room on one worker.
+#[derive(Debug)]
+struct Plan {
+    worker: WorkerId,
+    victims: Vec<TaskKey>,
+    cost: f64,
+}
+
+/// What it costs to move a standing task, in seconds.
+const STANDING_COST: f64 = 100.0;
+/// What it costs to move a task of normal priority where one of low would do, in seconds.
+const NORMAL_COST: f64 = 1.0;
+/// What each further victim costs, in seconds.
+const VICTIM_COST: f64 = 0.25;
+
+impl Placer {
+    /// Evicts what must go so that a job finds room, and keeps that room for it.
+    pub(crate) fn make_room(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        team: &TeamName,
+        why: EvictWhy,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let drawn = self
+            .ledger
+            .rooms
+            .draw_any(self.cfg.candidates, &mut self.rng);
+        let plan = drawn
+            .iter()
+            .filter(|worker| !self.health.is_quarantined(worker))
+            .filter(|worker| !self.health.has_failed_on(&job.job, worker))
+            .filter_map(|worker| self.plan(now, worker, job, why))
+            .min_by(|a, b| a.cost.total_cmp(&b.cost));
+        let Some(plan) = plan else {
+            return false;
+        };
+        for key in &plan.victims {
+            self.evict(now, key, why, out);
+        }
+        let keep = Keep {
+            worker: plan.worker.clone(),
+            need: job.granted,
+            strict: true,
+            quota_of: (why == EvictWhy::Quota).then(|| team.clone()),
+            starts: now,
+            until: now + self.cfg.queue.earmark_for,
+        };
+        self.keeps.add(job.job.clone(), keep, &mut self.ledger);
+        self.reindex(now, &plan.worker);
+        true
+    }
+
+    /// Returns the cheapest victims on a worker whose room suffices.
+    fn plan(
+        &self,
+        now: Instant,
+        worker: &WorkerId,
+        job: &Candidate,
+        why: EvictWhy,
+    ) -> Option<Plan> {
+        let row = self.ledger.workers.get(worker)?;
+        let offer = self.ledger.offer(row);
+        if !job.granted.fits(&offer) {
+            return None;
+        }
+        let mut coming = Resources::ZERO;
+        let mut movable = Vec::new();
+        for task in self.tasks_on(worker) {
+            if task.evicting.is_some() {
+                coming += task.counted;
+            } else if self.may_preempt(task, why) {
+                movable.push((self.victim_cost(now, task, row.lag), task));
+            }
+        }
+        movable.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let taken = row.held + row.kept;
+        let mut room = (offer + coming).saturating_sub(taken);
+        let mut plan = Plan {
+            worker: worker.clone(),
+            victims: Vec::new(),
+            cost: 0.0,
+        };
+        let mut freed = Resources::ZERO;
+        let mut chosen: Vec<(f64, &TaskRow)> = Vec::new();
+        for (cost, task) in movable {
+            if job.granted.fits(&room) {
+                break;
+            }
+            freed += task.counted;
+            room = (offer + coming + freed).saturating_sub(taken);
+            chosen.push((cost, task));
+        }
+        if !job.granted.fits(&room) {
+            return None;
+        }
+        self.spare(job, offer + coming, taken, freed, &mut chosen);
+        for (cost, task) in chosen {
+            plan.cost = plan.cost.max(cost) + VICTIM_COST;
+            plan.victims.push(task.task.key.clone());
+        }
+        Some(plan)
+    }
+
+    /// Takes out victims whose room turned out not to be needed, the dearest first.
+    fn spare(
+        &self,
+        job: &Candidate,
+        offer: Resources,
+        taken: Resources,
+        mut freed: Resources,
+        chosen: &mut Vec<(f64, &TaskRow)>,
+    ) {
+        for at in (0..chosen.len()).rev() {
+            let without = freed - chosen[at].1.counted;
+            let room = (offer + without).saturating_sub(taken);
+            if job.granted.fits(&room) {
+                freed = without;
+                chosen.remove(at);
+            }
+        }
+    }
+
+    fn may_preempt(&self, task: &TaskRow, why: EvictWhy) -> bool {
+        if !task.is_movable() {
+            return false;
+        }
+        why != EvictWhy::Quota || self.quotas.borrows(&self.ledger, &task.task.team)
+    }
+
+    fn victim_cost(&self, now: Instant, task: &TaskRow, lag: Duration) -> f64 {
+        let mut cost = self.eviction_cost(task);
+        if task.is_standing() {
+            cost += STANDING_COST;
+        }
+        if task.task.priority == Priority::Normal {
+            cost += NORMAL_COST;
+        }
+        if self.is_ending(now, task, lag) {
+            cost += NORMAL_COST;
+        }
+        cost
+    }
+
+    /// Reserves the worker on which a job can start soonest, if there are not too many already.
+    pub(crate) fn reserve(&mut self, now: Instant, job: &Candidate) {
+        let workers = self.ledger.workers.len() as f64;
+        let most = (workers * self.cfg.queue.most_reserved).max(1.0) as usize;
+        if self.keeps.get(&job.job).is_some() || self.keeps.reserved() >= most {
+            return;
+        }
+        let drawn = self
+            .ledger
+            .rooms
+            .draw_any(self.cfg.candidates, &mut self.rng);
+        let soonest = drawn
+            .into_iter()
+            .filter(|worker| !self.keeps.is_reserved(worker))
+            .filter(|worker| !self.health.is_quarantined(worker))
+            .filter_map(|worker| Some((self.starts_at(now, &worker, job)?, worker)))
+            .min_by_key(|(starts, _)| *starts);
+        let Some((starts, worker)) = soonest else {
+            return;
+        };
+        let keep = Keep {
+            worker,
+            need: job.granted,
+            strict: false,
+            quota_of: None,
+            starts,
+            until: now + self.cfg.queue.reserve_for,
+        };
+        self.keeps.add(job.job.clone(), keep, &mut self.ledger);
+    }
+
+    /// Returns when a worker will have room for a job by the tasks' expected ends.
+    fn starts_at(&self, now: Instant, worker: &WorkerId, job: &Candidate) -> Option<Instant> {
+        let row = self.ledger.workers.get(worker)?;
+        let offer = self.ledger.offer(row);
+        if !job.granted.fits(&offer) {
+            return None;
+        }
+        let mut ends: Vec<_> = self
+            .tasks_on(worker)
+            .filter_map(|task| Some((self.time_left(now, task)?, task.counted)))
+            .collect();
+        ends.sort_by_key(|(left, _)| *left);
+        let taken = row.held + row.kept;
+        let mut freed = Resources::ZERO;
+        let mut starts = now;
+        for (left, counted) in ends {
+            if job.granted.fits(&(offer + freed).saturating_sub(taken)) {
+                break;
+            }
+            freed += counted;
+            starts = now + left;
+        }
+        let fits = job.granted.fits(&(offer + freed).saturating_sub(taken));
+        fits.then_some(starts)
+    }
+
+    /// Marks a task as being evicted and decides it.
+    pub(crate) fn evict(
+        &mut self,
+        now: Instant,
+        key: &TaskKey,
+        why: EvictWhy,
+        out: &mut Vec<Decision>,
+    ) {
+        if let Some(row) = self.ledger.tasks.get_mut(key) {
+            row.evicting = Some(now);
+            self.evicting.insert(key.clone(), (why, now));
+            let key = key.clone();
+            out.push(Decision::Evict { key, why });
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/queue.rs
@@ -0,0 +1,297 @@
+//! Waiting jobs, in groups of like jobs so that one look tells for all of a group.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use base::prelude::*;
+use tables::Priority;
+
+use crate::cfg::QueueCfg;
+use crate::harm::ClassId;
+use crate::types::JobAsk;
+
+/// The order within one team and priority: when a job is due, then arrival.
+pub(crate) type Due = (Instant, u64);
+
+/// What like jobs have in common.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Shape {
+    class: ClassId,
+    resources: Resources,
+    standing: bool,
+    /// A job that has failed waits by itself, since it may go to fewer workers.
+    retry: Option<JobId>,
+}
+
+/// A waiting job.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) ask: JobAsk,
+    pub(crate) class: ClassId,
+    /// The priority it waits at, which rises with time.
+    pub(crate) priority: Priority,
+    pub(crate) due: Due,
+    pub(crate) since: Instant,
+    /// Why it waits, for a person.
+    pub(crate) why: Option<Name>,
+    /// Where it stands.
+    pub(crate) place: WaitPlace,
+}
+
+/// Where a waiting job stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WaitPlace {
+    /// In its lane.
+    Lane,
+    /// Its placement is under way.
+    Pending,
+    /// Until a worker large enough comes.
+    Parked,
+}
+
+/// Jobs of one team and priority, in lanes of like jobs.
+#[derive(Debug, Default)]
+struct Lanes {
+    lanes: IndexMap<Shape, BTreeMap<Due, JobId>>,
+    heads: BTreeMap<Due, Shape>,
+}
+
+/// All waiting jobs.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    cfg: QueueCfg,
+    pub(crate) jobs: IndexMap<JobId, Waiting>,
+    teams: [IndexMap<TeamName, Lanes>; 3],
+    parked: IndexSet<JobId>,
+    aging: BTreeSet<(Instant, JobId)>,
+    /// When each unfinished job was first queued, so that an evicted one keeps its turn.
+    first_queued: IndexMap<JobId, Instant>,
+    arrivals: u64,
+}
+
+impl Lanes {
+    fn insert(&mut self, shape: Shape, due: Due, job: JobId) {
+        let lane = self.lanes.entry(shape.clone()).or_default();
+        if let Some((&head, _)) = lane.first_key_value() {
+            if head < due {
+                lane.insert(due, job);
+                return;
+            }
+            self.heads.remove(&head);
+        }
+        lane.insert(due, job);
+        self.heads.insert(due, shape);
+    }
+
+    fn remove(&mut self, shape: &Shape, due: &Due) {
+        let Some(lane) = self.lanes.get_mut(shape) else {
+            return;
+        };
+        lane.remove(due);
+        if self.heads.remove(due).is_none() {
+            return;
+        }
+        match lane.first_key_value() {
+            Some((&head, _)) => {
+                self.heads.insert(head, shape.clone());
+            }
+            None => {
+                self.lanes.swap_remove(shape);
+            }
+        }
+    }
+
+    fn next_after(&self, after: Option<Due>) -> Option<(Due, &JobId)> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let (due, shape) = self.heads.range((from, Bound::Unbounded)).next()?;
+        Some((*due, self.lanes.get(shape)?.get(due)?))
+    }
+}
+
+impl Queue {
+    pub(crate) fn new(cfg: QueueCfg) -> Self {
+        Self {
+            cfg,
+            jobs: IndexMap::new(),
+            teams: Default::default(),
+            parked: IndexSet::new(),
+            aging: BTreeSet::new(),
+            first_queued: IndexMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    pub(crate) fn add(&mut self, now: Instant, ask: JobAsk, class: ClassId, parked: bool) {
+        self.remove(&ask.job);
+        self.arrivals += 1;
+        let first = *self.first_queued.entry(ask.job.clone()).or_insert(now);
+        // Standing work serves callers at once, and never ends by waiting for others to end.
+        let due = match (ask.finish_by, ask.run_time) {
+            (Some(by), _) => by,
+            (None, None) => first,
+            (None, Some(_)) => first + self.cfg.patience,
+        };
+        let job = ask.job.clone();
+        let waiting = Waiting {
+            class,
+            priority: ask.priority,
+            due: (due, self.arrivals),
+            since: now,
+            why: None,
+            place: WaitPlace::Pending,
+            ask,
+        };
+        if waiting.priority == Priority::Low {
+            self.aging.insert((now + self.cfg.aging, job.clone()));
+        }
+        self.jobs.insert(job.clone(), waiting);
+        if parked {
+            self.park(&job);
+        } else {
+            self.make_ready(&job);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, job: &JobId) -> Option<Waiting> {
+        self.take_out(job);
+        let waiting = self.jobs.swap_remove(job)?;
+        if waiting.priority == Priority::Low {
+            let aged = waiting.since + self.cfg.aging;
+            self.aging.remove(&(aged, job.clone()));
+        }
+        Some(waiting)
+    }
+
+    /// Forgets when a job was first queued.
+    pub(crate) fn forget(&mut self, job: &JobId) {
+        self.first_queued.swap_remove(job);
+    }
+
+    /// Puts a job into its lane.
+    pub(crate) fn make_ready(&mut self, job: &JobId) {
+        self.take_out(job);
+        let Some(waiting) = self.jobs.get_mut(job) else {
+            return;
+        };
+        waiting.place = WaitPlace::Lane;
+        let team = waiting.ask.team.clone();
+        let (shape, due) = (shape_of(waiting), waiting.due);
+        let lanes = self.teams[rank(waiting.priority)].entry(team).or_default();
+        lanes.insert(shape, due, job.clone());
+    }
+
+    /// Sets a job aside until a worker large enough comes.
+    pub(crate) fn park(&mut self, job: &JobId) {
+        self.take_out(job);
+        if let Some(waiting) = self.jobs.get_mut(job) {
+            waiting.place = WaitPlace::Parked;
+            self.parked.insert(job.clone());
+        }
+    }
+
+    /// Takes a job out of its lane while its placement is under way.
+    pub(crate) fn make_pending(&mut self, job: &JobId) {
+        self.take_out(job);
+    }
+
+    fn take_out(&mut self, job: &JobId) {
+        let Some(waiting) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let was = std::mem::replace(&mut waiting.place, WaitPlace::Pending);
+        match was {
+            WaitPlace::Pending => {}
+            WaitPlace::Parked => {
+                self.parked.swap_remove(job);
+            }
+            WaitPlace::Lane => {
+                let shape = shape_of(waiting);
+                let teams = &mut self.teams[rank(waiting.priority)];
+                if let Some(lanes) = teams.get_mut(&waiting.ask.team) {
+                    lanes.remove(&shape, &waiting.due);
+                    if lanes.heads.is_empty() {
+                        teams.swap_remove(&waiting.ask.team);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Raises low-priority jobs that have waited long.
+    pub(crate) fn age(&mut self, now: Instant) {
+        while let Some((at, job)) = self.aging.first().cloned()
+            && at <= now
+        {
+            self.aging.pop_first();
+            let Some(place) = self.jobs.get(&job).map(|waiting| waiting.place) else {
+                continue;
+            };
+            self.take_out(&job);
+            if let Some(waiting) = self.jobs.get_mut(&job) {
+                waiting.priority = Priority::Normal;
+            }
+            match place {
+                WaitPlace::Lane => self.make_ready(&job),
+                WaitPlace::Parked => self.park(&job),
+                WaitPlace::Pending => {}
+            }
+        }
+    }
+
+    /// Returns the teams with jobs in lanes at a priority.
+    pub(crate) fn teams(&self, priority: Priority) -> Vec<TeamName> {
+        self.teams[rank(priority)].keys().cloned().collect()
+    }
+
+    /// Returns the first job of the team's first lane that comes after `after`.
+    pub(crate) fn next(
+        &self,
+        priority: Priority,
+        team: &TeamName,
+        after: Option<Due>,
+    ) -> Option<(Due, JobId)> {
+        let lanes = self.teams[rank(priority)].get(team)?;
+        let (due, job) = lanes.next_after(after)?;
+        Some((due, job.clone()))
+    }
+
+    /// Returns the first jobs of the lane that a job stands in.
+    pub(crate) fn lane_of(&self, job: &JobId, most: usize) -> Vec<JobId> {
+        let Some(waiting) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        let lanes = self.teams[rank(waiting.priority)].get(&waiting.ask.team);
+        lanes
+            .and_then(|lanes| lanes.lanes.get(&shape_of(waiting)))
+            .map(|lane| lane.values().take(most).cloned().collect())
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn parked(&self) -> &IndexSet<JobId> {
+        &self.parked
+    }
+
+    /// Notes why a job waits.
+    pub(crate) fn set_why(&mut self, job: &JobId, why: Name) {
+        if let Some(waiting) = self.jobs.get_mut(job) {
+            waiting.why = Some(why);
+        }
+    }
+}
+
+fn rank(priority: Priority) -> usize {
+    match priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::Urgent => 2,
+    }
+}
+
+fn shape_of(waiting: &Waiting) -> Shape {
+    Shape {
+        class: waiting.class,
+        resources: waiting.ask.resources,
+        standing: waiting.ask.run_time.is_none(),
+        retry: (waiting.ask.failures > 0).then(|| waiting.ask.job.clone()),
+    }
+}
--- /dev/null
+++ b/crates/place/src/relieve.rs
@@ -0,0 +1,286 @@
+//! What the ladder does to the tasks of a worker.
+
+use base::prelude::*;
+
+use crate::cfg::Choice;
+use crate::harm::ClassId;
+use crate::ladder::{Move, Step};
+use crate::ledger::TaskRow;
+use crate::placer::Placer;
+use crate::types::{Decision, EvictWhy};
+
+/// The share of the extra time that tasks must account for before they are acted against.
+const LEAST_BLAME: f64 = 0.3;
+/// The share of the excess that one task must account for to be evicted.
+const LEAST_RELIEF: f64 = 0.1;
+
+/// A task with its part in a service's extra time.
+#[derive(Clone, Debug)]
+struct Suspect {
+    key: TaskKey,
+    extra: f64,
+    /// The time that its eviction would waste, in seconds.
+    cost: f64,
+    standing: bool,
+    ending: bool,
+}
+
+impl Placer {
+    /// Takes the steps that new evidence asks for.
+    pub(crate) fn run_ladders(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        if !self.cfg.parts.ladder {
+            return;
+        }
+        for worker in self.ladder.blind(now) {
+            self.step_down(now, &worker, out);
+        }
+        for worker in self.ladder.take_touched() {
+            self.run_ladder(now, &worker, out);
+        }
+    }
+
+    fn run_ladder(&mut self, now: Instant, worker: &WorkerId, out: &mut Vec<Decision>) {
+        let Some(row) = self.ledger.workers.get(worker) else {
+            return;
+        };
+        let lag = row.lag;
+        let Some((victim, extra)) = self.ladder.worst(worker) else {
+            return;
+        };
+        let limit = self.extra_limit();
+        let due = self.ladder.due_move(now, worker, lag, extra, limit);
+        match (due, self.cfg.choice) {
+            (Move::Stay, _) => {}
+            (Move::Down, _) => self.step_down(now, worker, out),
+            (Move::Up, Choice::HarmAware) => self.step_up(now, worker, victim, extra, out),
+            (Move::Up, _) => self.evict_newest(now, worker, out),
+        }
+    }
+
+    fn step_up(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        victim: ClassId,
+        extra: f64,
+        out: &mut Vec<Decision>,
+    ) {
+        let suspects = self.suspects(now, worker, victim);
+        let blamed: f64 = suspects.iter().map(|suspect| suspect.extra).sum();
+        if blamed < extra * LEAST_BLAME {
+            return;
+        }
+        match self.ladder.step(worker) {
+            Step::Calm => self.ladder.moved(now, worker, Step::Halted),
+            Step::Halted if self.cfg.parts.throttle => {
+                self.throttle_worst(now, worker, &suspects, extra, out);
+                self.ladder.moved(now, worker, Step::Throttled);
+            }
+            Step::Throttled => {
+                self.throttle_worst(now, worker, &suspects, extra, out);
+                self.ladder.moved(now, worker, Step::Squeezed);
+            }
+            Step::Halted | Step::Squeezed => {
+                self.evict_worst(now, worker, &suspects, extra, out);
+            }
+        }
+    }
+
+    /// Throttles the worst suspects, as many as explain the excess.
+    fn throttle_worst(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        suspects: &[Suspect],
+        extra: f64,
+        out: &mut Vec<Decision>,
+    ) {
+        let further = self.ladder.step(worker) == Step::Throttled;
+        let share = self.cfg.ladder.shares[usize::from(further)];
+        let mut excess = extra - self.extra_limit();
+        for suspect in suspects.iter().filter(|suspect| !suspect.standing) {
+            if excess <= 0.0 {
+                break;
+            }
+            excess -= suspect.extra * (1.0 - share);
+            self.throttle(now, worker, &suspect.key, share, out);
+        }
+    }
+
+    fn throttle(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        key: &TaskKey,
+        share: f64,
+        out: &mut Vec<Decision>,
+    ) {
+        self.ledger.throttle(now, key, share);
+        if let Some(row) = self.ladder.row_mut(worker) {
+            if share < 1.0 {
+                row.throttled.insert(key.clone());
+            } else {
+                row.throttled.swap_remove(key);
+            }
+        }
+        let key = key.clone();
+        out.push(Decision::Throttle { key, share });
+    }
+
+    /// Takes one step back, and lifts the throttles that go with it.
+    fn step_down(&mut self, now: Instant, worker: &WorkerId, out: &mut Vec<Decision>) {
+        let step = self.ladder.step(worker).down();
+        let share = match step {
+            Step::Calm | Step::Halted => 1.0,
+            Step::Throttled | Step::Squeezed => self.cfg.ladder.shares[0],
+        };
+        let throttled = self
+            .ladder
+            .row_mut(worker)
+            .map(|row| row.throttled.clone())
+            .unwrap_or_default();
+        for key in throttled {
+            let known = self.ledger.tasks.get(&key).map(|row| row.throttle);
+            match known {
+                Some(now_share) if now_share < share => {
+                    self.throttle(now, worker, &key, share, out);
+                }
+                Some(_) => {}
+                None => {
+                    if let Some(row) = self.ladder.row_mut(worker) {
+                        row.throttled.swap_remove(&key);
+                    }
+                }
+            }
+        }
+        self.ladder.moved(now, worker, step);
+    }
+
+    /// Evicts the suspect that relieves most for the work lost, if the budget allows one.
+    fn evict_worst(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        suspects: &[Suspect],
+        extra: f64,
+        out: &mut Vec<Decision>,
+    ) {
+        let limit = self.extra_limit();
+        let restraint = 1.0 + self.cfg.ladder.eviction_restraint * self.weights.evictions;
+        if extra <= limit * self.cfg.ladder.rise * restraint || !self.may_evict(now) {
+            return;
+        }
+        let least = (extra - limit) * LEAST_RELIEF;
+        let worst = suspects
+            .iter()
+            .filter(|suspect| suspect.extra >= least && !suspect.ending)
+            .max_by(|a, b| {
+                let value = |s: &Suspect| s.extra / s.cost;
+                let last = b.standing.cmp(&a.standing);
+                last.then(value(a).total_cmp(&value(b)))
+            });
+        let Some(worst) = worst else {
+            return;
+        };
+        let key = worst.key.clone();
+        self.ladder.note_eviction(now);
+        let step = self.ladder.step(worker);
+        self.ladder.moved(now, worker, step);
+        self.evict(now, &key, EvictWhy::Harm, out);
+    }
+
+    /// Evicts the newest task, as a scheduler does that knows nothing of pairs.
+    fn evict_newest(&mut self, now: Instant, worker: &WorkerId, out: &mut Vec<Decision>) {
+        if !self.may_evict(now) {
+            return;
+        }
+        let newest = self
+            .tasks_on(worker)
+            .filter(|row| row.is_movable() && !row.is_standing())
+            .max_by_key(|row| row.placed_at)
+            .map(|row| row.task.key.clone());
+        if let Some(key) = newest {
+            self.ladder.note_eviction(now);
+            self.ladder.moved(now, worker, Step::Halted);
+            self.evict(now, &key, EvictWhy::Harm, out);
+        }
+    }
+
+    fn may_evict(&self, now: Instant) -> bool {
+        self.ladder.evictions_last_hour(now) < self.evictions_per_hour
+    }
+
+    /// Returns the tasks that slow a service, the worst first.
+    fn suspects(&self, now: Instant, worker: &WorkerId, victim: ClassId) -> Vec<Suspect> {
+        let Some(row) = self.ledger.workers.get(worker) else {
+            return Vec::new();
+        };
+        let capacity = row.view.capacity.cpu_milli.max(1) as f64;
+        let mut suspects: Vec<_> = self
+            .tasks_on(worker)
+            .filter(|task| task.is_movable())
+            .map(|task| {
+                let load = task.task.granted.cpu_milli as f64 * task.throttle / capacity;
+                Suspect {
+                    key: task.task.key.clone(),
+                    extra: self.harm.estimate(victim, task.class, now).mean * load,
+                    cost: self.eviction_cost(task),
+                    standing: task.is_standing(),
+                    ending: self.is_ending(now, task, row.lag),
+                }
+            })
+            .collect();
+        suspects.sort_by(|a, b| b.extra.total_cmp(&a.extra));
+        suspects
+    }
+
+    pub(crate) fn tasks_on(&self, worker: &WorkerId) -> impl Iterator<Item = &TaskRow> {
+        let keys = self.ledger.workers.get(worker).map(|row| row.tasks.iter());
+        keys.into_iter()
+            .flatten()
+            .filter_map(|key| self.ledger.tasks.get(key))
+    }
+
+    /// Returns the time that an eviction wastes, in seconds.
+    pub(crate) fn eviction_cost(&self, task: &TaskRow) -> f64 {
+        self.usage.checkpoint_secs(task.class).max(0.1)
+    }
+
+    /// Tells whether a task is so near its end that it is let finish.
+    pub(crate) fn is_ending(&self, now: Instant, task: &TaskRow, lag: Duration) -> bool {
+        let Some(left) = self.time_left(now, task) else {
+            return false;
+        };
+        let whole = task.task.run_time.unwrap_or_default();
+        let near = whole.mul_f64(self.cfg.ladder.near_end);
+        left <= near.max(lag + Duration::from_secs_f64(self.eviction_cost(task)))
+    }
+
+    /// Returns how long a task will run on; `None` for standing work.
+    pub(crate) fn time_left(&self, now: Instant, task: &TaskRow) -> Option<Duration> {
+        let declared = task.task.run_time?;
+        let speed = (task.speed * task.throttle).clamp(0.05, 1.0);
+        if let Some((done, at)) = task.progress
+            && done > 0.0
+        {
+            let whole = self.usage.run_time(task.class, declared);
+            let since = now.saturating_duration_since(at);
+            let left = whole.mul_f64((1.0 - done).max(0.0) / speed);
+            return Some(left.saturating_sub(since));
+        }
+        let ran = now.saturating_duration_since(task.placed_at);
+        let rest = self.rest_of(task.class, Some(declared), task.task.work_done)?;
+        Some(rest.div_f64(speed).saturating_sub(ran))
+    }
+
+    /// Returns the work that a job still has to do.
+    pub(crate) fn rest_of(
+        &self,
+        class: ClassId,
+        run_time: Option<Duration>,
+        work_done: Duration,
+    ) -> Option<Duration> {
+        let whole = self.usage.run_time(class, run_time?);
+        Some(whole.saturating_sub(work_done))
+    }
+}
--- /dev/null
+++ b/crates/place/src/rounds.rs
@@ -0,0 +1,331 @@
+//! The rounds of decisions: what is due first, then waiting jobs in their order.
+
+use base::prelude::*;
+use tables::Priority;
+
+use crate::choose::{Blocked, Candidate};
+use crate::ledger::Pending;
+use crate::placer::Placer;
+use crate::queue::{Due, WaitPlace};
+use crate::types::{Decision, EvictWhy};
+
+/// How often the periodic work is done.
+const TICK: Duration = Duration::from_millis(500);
+/// How fresh a service's sample must be to tell of a common slowdown.
+const COMMON_FRESH: Duration = Duration::from_secs(60);
+/// How many urgent jobs of one lane room is made for in one call.
+const URGENT_AT_ONCE: usize = 64;
+
+/// Where the last round stopped in each team's lanes, if it ran out of looks.
+#[derive(Debug, Default)]
+pub(crate) struct Cursors {
+    at: IndexMap<(Priority, TeamName), Due>,
+}
+
+/// A team's turn within one round.
+#[derive(Debug)]
+struct Turn {
+    team: TeamName,
+    ratio: f64,
+    after: Option<Due>,
+}
+
+impl Placer {
+    /// Decides what to do now, at most `limit` decisions; placements count as held at once.
+    pub fn decide(&mut self, now: Instant, limit: usize) -> Vec<Decision> {
+        let mut out = std::mem::take(&mut self.backlog);
+        out.retain(|decision| self.still_holds(decision));
+        let due = self
+            .ticked
+            .is_none_or(|last| now.saturating_duration_since(last) >= TICK);
+        if due {
+            self.tick(now, &mut out);
+        }
+        if self.dirty && out.len() < limit {
+            self.dirty = false;
+            self.place_kept(now, limit, &mut out);
+            self.place_waiting(now, limit, &mut out);
+        }
+        if out.len() > limit {
+            self.backlog = out.split_off(limit);
+        }
+        out
+    }
+
+    fn still_holds(&self, decision: &Decision) -> bool {
+        match decision {
+            Decision::Place { job, .. } => self.ledger.pending.contains_key(job),
+            Decision::Throttle { key, .. } | Decision::Evict { key, .. } => {
+                self.ledger.tasks.contains_key(key)
+            }
+        }
+    }
+
+    /// Does what comes due with time.
+    fn tick(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        self.ticked = Some(now);
+        self.dirty = true;
+        self.settle(now);
+        self.queue.age(now);
+        for job in self.keeps.expired(now) {
+            self.release(&job);
+        }
+        let quarantined: Vec<_> = self.health.quarantined().iter().cloned().collect();
+        for worker in quarantined {
+            self.reindex(now, &worker);
+        }
+        self.common.update(now, &self.ledger, COMMON_FRESH);
+        self.evict_again(now, out);
+        self.relieve_memory(now, out);
+        self.evacuate(now, out);
+        self.run_ladders(now, out);
+    }
+
+    /// Repeats evictions that had no effect.
+    fn evict_again(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        let wait = self.cfg.queue.evict_again;
+        for (key, (why, asked)) in &mut self.evicting {
+            if now.saturating_duration_since(*asked) >= wait {
+                *asked = now;
+                let (key, why) = (key.clone(), *why);
+                out.push(Decision::Evict { key, why });
+            }
+        }
+    }
+
+    /// Moves the tasks of leaving workers, but for those about to end.
+    fn evacuate(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        for worker in self.leaving.clone() {
+            let keys: Vec<_> = self
+                .tasks_on(&worker)
+                .filter(|task| task.evicting.is_none())
+                .filter(|task| !self.is_ending(now, task, Duration::ZERO))
+                .map(|task| task.task.key.clone())
+                .collect();
+            for key in keys {
+                self.evict(now, &key, EvictWhy::Leaving, out);
+            }
+        }
+    }
+
+    /// Places the jobs that room was kept for, where the room has come.
+    fn place_kept(&mut self, now: Instant, limit: usize, out: &mut Vec<Decision>) {
+        for job in self.keeps.jobs() {
+            if out.len() >= limit {
+                self.dirty = true;
+                return;
+            }
+            let Some(keep) = self.keeps.get(&job).cloned() else {
+                continue;
+            };
+            let Some(row) = self.ledger.workers.get(&keep.worker) else {
+                self.release(&job);
+                continue;
+            };
+            let waits = self.queue.jobs.get(&job);
+            let Some(waiting) = waits.filter(|w| w.place == WaitPlace::Lane) else {
+                self.release(&job);
+                continue;
+            };
+            let candidate = self.candidate(now, waiting);
+            let usable = row.present && !row.view.leaving;
+            let room = if keep.strict {
+                self.ledger.free(row)
+            } else {
+                self.ledger.free_for_any(row)
+            };
+            if !usable || self.health.is_quarantined(&keep.worker) {
+                self.release(&job);
+            } else if candidate.granted.fits(&room) {
+                self.release(&job);
+                self.place_on(now, &candidate, keep.worker, out);
+            }
+        }
+    }
+
+    fn place_waiting(&mut self, now: Instant, limit: usize, out: &mut Vec<Decision>) {
+        let mut looks = self.cfg.scan_limit;
+        for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
+            self.place_priority(now, priority, limit, &mut looks, out);
+            if out.len() >= limit {
+                self.dirty = true;
+                return;
+            }
+        }
+    }
+
+    fn place_priority(
+        &mut self,
+        now: Instant,
+        priority: Priority,
+        limit: usize,
+        looks: &mut usize,
+        out: &mut Vec<Decision>,
+    ) {
+        let mut turns = self.turns(priority);
+        while out.len() < limit {
+            // The team that holds the least of its quota goes first.
+            let least = turns.iter_mut().min_by(|a, b| a.ratio.total_cmp(&b.ratio));
+            let Some(turn) = least else {
+                break;
+            };
+            let Some((due, job)) = self.queue.next(priority, &turn.team, turn.after) else {
+                self.cursors.at.swap_remove(&(priority, turn.team.clone()));
+                let done = turn.team.clone();
+                turns.retain(|turn| turn.team != done);
+                continue;
+            };
+            if *looks == 0 {
+                self.remember(priority, &turns);
+                self.dirty = true;
+                return;
+            }
+            turn.after = Some(due);
+            if self.place_job(now, &job, out) {
+                turn.ratio = self.quotas.ratio(&self.ledger, &turn.team, Resources::ZERO);
+            } else {
+                *looks -= 1;
+            }
+        }
+    }
+
+    fn turns(&self, priority: Priority) -> Vec<Turn> {
+        let turn = |team: TeamName| Turn {
+            ratio: self.quotas.ratio(&self.ledger, &team, Resources::ZERO),
+            after: self.cursors.at.get(&(priority, team.clone())).copied(),
+            team,
+        };
+        self.queue.teams(priority).into_iter().map(turn).collect()
+    }
+
+    /// Remembers where to go on, so that jobs far back are looked at as well.
+    fn remember(&mut self, priority: Priority, turns: &[Turn]) {
+        for turn in turns {
+            if let Some(after) = turn.after {
+                self.cursors.at.insert((priority, turn.team.clone()), after);
+            }
+        }
+    }
+
+    /// Places a job, or notes why it waits and makes room where it has the right to.
+    fn place_job(&mut self, now: Instant, job: &JobId, out: &mut Vec<Decision>) -> bool {
+        let Some(waiting) = self.queue.jobs.get(job) else {
+            return false;
+        };
+        let team = waiting.ask.team.clone();
+        let waited = now.saturating_duration_since(waiting.since);
+        let candidate = self.candidate(now, waiting);
+        let chosen = if self.quotas.allows(&self.ledger, &team, candidate.granted) {
+            self.choose(now, &candidate)
+        } else {
+            Err(Blocked::Quota)
+        };
+        match chosen {
+            Ok(worker) => {
+                self.release(job);
+                self.place_on(now, &candidate, worker, out);
+                true
+            }
+            Err(blocked) => {
+                self.queue.set_why(job, reason(blocked, &candidate, &team));
+                if blocked == Blocked::NoRoom {
+                    self.find_room(now, &candidate, &team, waited, out);
+                }
+                false
+            }
+        }
+    }
+
+    /// Does what a job without room has the right to.
+    fn find_room(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        team: &TeamName,
+        waited: Duration,
+        out: &mut Vec<Decision>,
+    ) {
+        if job.urgent {
+            self.make_urgent_room(now, &job.job, team, out);
+            return;
+        }
+        let owed =
+            !self.quotas.is_empty() && self.quotas.ratio(&self.ledger, team, job.granted) <= 1.0;
+        if owed
+            && waited >= self.cfg.queue.give_back_after
+            && !self.keeps.has_quota_keep(team)
+            && self.make_room(now, job, team, EvictWhy::Quota, out)
+        {
+            return;
+        }
+        if self.cfg.parts.reserve && waited >= self.cfg.queue.reserve_after {
+            self.reserve(now, job);
+        }
+    }
+
+    /// Makes room for every urgent job of a lane, not for its first alone.
+    fn make_urgent_room(
+        &mut self,
+        now: Instant,
+        first: &JobId,
+        team: &TeamName,
+        out: &mut Vec<Decision>,
+    ) {
+        let mut asked = Resources::ZERO;
+        for job in self.queue.lane_of(first, URGENT_AT_ONCE) {
+            let Some(waiting) = self.queue.jobs.get(&job) else {
+                continue;
+            };
+            let candidate = self.candidate(now, waiting);
+            asked += candidate.granted;
+            if !self.quotas.allows(&self.ledger, team, asked) {
+                return;
+            }
+            let kept = self.keeps.get(&job).is_some_and(|keep| keep.strict);
+            if !kept && !self.make_room(now, &candidate, team, EvictWhy::Urgent, out) {
+                return;
+            }
+        }
+    }
+
+    /// Holds room on a worker and decides the placement.
+    fn place_on(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        worker: WorkerId,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(waiting) = self.queue.jobs.get(&job.job) else {
+            return;
+        };
+        let pending = Pending {
+            worker: worker.clone(),
+            granted: job.granted,
+            declared: waiting.ask.resources,
+            class: job.class,
+            team: waiting.ask.team.clone(),
+            spread: job.standing,
+        };
+        self.queue.make_pending(&job.job);
+        self.ledger.hold(now, &job.job, pending);
+        if self.health.is_quarantined(&worker) {
+            self.health.probe_started(&worker, &job.job);
+        }
+        self.reindex(now, &worker);
+        out.push(Decision::Place {
+            job: job.job.clone(),
+            worker,
+            granted: job.granted,
+        });
+    }
+}
+
+/// Returns why a job waits, for a person.
+fn reason(blocked: Blocked, job: &Candidate, team: &TeamName) -> Name {
+    match blocked {
+        Blocked::NoRoom => format!("no worker has room for {}", job.granted).into(),
+        Blocked::Harm => "it would slow services on every worker with room".into(),
+        Blocked::Quota => format!("team {team} is at its quota").into(),
+    }
+}
--- /dev/null
+++ b/crates/place/src/sample.rs
@@ -0,0 +1,199 @@
+//! What lagging measurements teach.
+
+use base::prelude::*;
+use platform::worker::UsageSample;
+
+use crate::harm::{ClassId, Mix};
+use crate::ledger::{ServiceRow, WorkerRow};
+use crate::placer::Placer;
+use crate::types::{Decision, EvictWhy};
+
+/// Samples taken this close together are one sample, reported twice.
+const SAME_SAMPLE: Duration = Duration::from_millis(50);
+/// The most extra time that a sample counts for.
+const MOST_EXTRA: f64 = 20.0;
+/// The speed that a sample is taken for where it tells none.
+const LEAST_SPEED: f64 = 0.01;
+/// The share by which one sample moves a service's residual.
+const RESIDUAL_GAIN: f64 = 0.3;
+/// The share by which one sample moves a task's speed.
+const SPEED_GAIN: f64 = 0.3;
+/// How many jobs that outgrew their memory are remembered.
+const MOST_GROWN: usize = 10_000;
+/// The share above its memory grant from which on a task counts as outgrown.
+const OUTGROWN_SHARE: f64 = 1.05;
+
+impl Placer {
+    /// Takes one lagging measurement of a worker.
+    pub fn sample(&mut self, now: Instant, worker: &WorkerId, sample: &UsageSample) {
+        let taken = now.checked_sub(sample.age).unwrap_or(now);
+        let Some(row) = self.ledger.workers.get_mut(worker) else {
+            return;
+        };
+        row.note_lag(sample.age);
+        match &sample.task {
+            Some(key) => self.task_sample(now, worker, key, taken, sample),
+            None => self.service_sample(now, worker, taken, sample),
+        }
+    }
+
+    fn service_sample(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        taken: Instant,
+        sample: &UsageSample,
+    ) {
+        let class = self.harm.class(&sample.class);
+        let Some(row) = self.ledger.workers.get(worker) else {
+            return;
+        };
+        let known = row.services.get(&class);
+        if known.is_some_and(|known| taken <= known.sampled + SAME_SAMPLE) {
+            return;
+        }
+        let mut residual = known.map_or(0.0, |known| known.residual);
+        let extra = extra_of(sample.speed);
+        let common = self.common.extra(now);
+        let common = if self.cfg.parts.common { common } else { 0.0 };
+        if let Some(mix) = self.mix_for(row, taken).cloned() {
+            let expected = self.harm.predict(class, &mix, now);
+            residual += (extra - expected - residual) * RESIDUAL_GAIN;
+            self.harm.learn(class, &mix, (extra - common).max(0.0), now);
+            self.common.note_sample();
+        }
+        let service = ServiceRow {
+            sampled: taken,
+            residual,
+        };
+        if let Some(row) = self.ledger.workers.get_mut(worker) {
+            row.services.insert(class, service);
+        }
+        self.ladder.note(worker, class, extra - common, taken);
+    }
+
+    /// Returns what ran on a worker when a sample was taken.
+    fn mix_for<'a>(&self, row: &'a WorkerRow, taken: Instant) -> Option<&'a Mix> {
+        if self.cfg.parts.match_lag {
+            row.mix_at(taken)
+        } else {
+            Some(&row.mix)
+        }
+    }
+
+    fn task_sample(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        key: &TaskKey,
+        taken: Instant,
+        sample: &UsageSample,
+    ) {
+        let Some(task) = self.ledger.tasks.get_mut(key) else {
+            return;
+        };
+        let repeated = task.sampled.is_some_and(|last| taken <= last + SAME_SAMPLE);
+        if repeated || taken < task.placed_at || task.task.worker != *worker {
+            return;
+        }
+        task.sampled = Some(taken);
+        if let Some(progress) = sample.progress {
+            task.progress = Some((progress, taken));
+        }
+        let (class, declared, free) = (task.class, task.declared, task.throttle >= 1.0);
+        if free && sample.speed > 0.0 {
+            task.speed += (sample.speed.min(1.0) - task.speed) * SPEED_GAIN;
+            self.usage
+                .used(class, declared, sample.cpu_milli, sample.memory_mib);
+            self.learn_batch(now, worker, key, class, taken, sample.speed);
+        }
+        self.note_memory(now, key, sample.memory_mib);
+    }
+
+    /// Learns how a task's neighbours slow it.
+    fn learn_batch(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        key: &TaskKey,
+        class: ClassId,
+        taken: Instant,
+        speed: f64,
+    ) {
+        if !self.cfg.parts.batch_victims {
+            return;
+        }
+        let Some(row) = self.ledger.workers.get(worker) else {
+            return;
+        };
+        let Some(task) = self.ledger.tasks.get(key) else {
+            return;
+        };
+        let capacity = row.view.capacity.cpu_milli.max(1) as f64;
+        let own = task.task.granted.cpu_milli as f64 / capacity;
+        let Some(mix) = self.mix_for(row, taken) else {
+            return;
+        };
+        let mut others = mix.clone();
+        for (other, load) in &mut others {
+            if *other == class {
+                *load = (*load - own).max(0.0);
+            }
+        }
+        others.retain(|(_, load)| *load > 0.0);
+        self.harm.learn(class, &others, extra_of(speed), now);
+    }
+
+    /// Counts a task that has outgrown its memory at what it uses.
+    fn note_memory(&mut self, now: Instant, key: &TaskKey, used: u64) {
+        let Some(task) = self.ledger.tasks.get(key) else {
+            return;
+        };
+        let granted = task.task.granted.memory_mib as f64;
+        let counted = task.counted.memory_mib;
+        let outgrown = used as f64 > granted * OUTGROWN_SHARE;
+        if !outgrown || used <= counted {
+            return;
+        }
+        let worker = task.task.worker.clone();
+        if self.grown.len() >= MOST_GROWN {
+            self.grown.swap_remove_index(0);
+        }
+        self.grown.insert(key.job.clone(), used);
+        self.ledger.recount(key, used);
+        self.reindex(now, &worker);
+        self.crowded.insert(worker);
+    }
+
+    /// Evicts what has outgrown its grant where the worker's memory is overdrawn.
+    pub(crate) fn relieve_memory(&mut self, now: Instant, out: &mut Vec<Decision>) {
+        for worker in std::mem::take(&mut self.crowded) {
+            let Some(row) = self.ledger.workers.get(&worker) else {
+                continue;
+            };
+            let offer = self.ledger.offer(row).memory_mib;
+            let leaving: u64 = self
+                .tasks_on(&worker)
+                .filter(|task| task.evicting.is_some())
+                .map(|task| task.counted.memory_mib)
+                .sum();
+            if row.held.memory_mib.saturating_sub(leaving) <= offer {
+                continue;
+            }
+            let worst = self
+                .tasks_on(&worker)
+                .filter(|task| task.evicting.is_none())
+                .max_by_key(|task| task.counted.memory_mib - task.task.granted.memory_mib)
+                .map(|task| task.task.key.clone());
+            if let Some(key) = worst {
+                self.evict(now, &key, EvictWhy::Outgrown, out);
+                self.crowded.insert(worker);
+            }
+        }
+    }
+}
+
+/// Returns the extra time, as a multiple of undisturbed time, at a speed.
+fn extra_of(speed: f64) -> f64 {
+    (1.0 / speed.max(LEAST_SPEED) - 1.0).clamp(0.0, MOST_EXTRA)
+}
--- /dev/null
+++ b/crates/place/src/usage.rs
@@ -0,0 +1,121 @@
+//! What tasks of a class really use, against what they declare.
+
+use base::prelude::*;
+
+use crate::harm::ClassId;
+
+/// A running mean with its variance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Moments {
+    mean: f64,
+    variance: f64,
+    samples: u32,
+}
+
+/// What is known of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassUse {
+    cpu: Moments,
+    memory: Moments,
+    run_time: Moments,
+    checkpoint: Moments,
+}
+
+/// Corrections of declared sizes and run times, by class.
+#[derive(Debug, Default)]
+pub(crate) struct Usage {
+    classes: IndexMap<ClassId, ClassUse>,
+}
+
+/// The least share by which one sample moves a mean.
+const LEAST_GAIN: f64 = 0.02;
+/// How many samples a correction needs.
+const ENOUGH: u32 = 20;
+/// How many runs a correction of run times needs.
+const ENOUGH_RUNS: u32 = 3;
+/// How many standard deviations above the mean a grant covers.
+const GRANT_MARGIN: f64 = 1.0;
+
+impl Moments {
+    fn add(&mut self, value: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let gain = (1.0 / f64::from(self.samples)).max(LEAST_GAIN);
+        let off = value - self.mean;
+        self.mean += gain * off;
+        self.variance = (1.0 - gain) * (self.variance + gain * off * off);
+    }
+
+    fn upper(&self) -> f64 {
+        self.mean + GRANT_MARGIN * self.variance.sqrt()
+    }
+}
+
+impl Usage {
+    /// Learns what an unthrottled task used of what it declared.
+    pub(crate) fn used(&mut self, class: ClassId, declared: Resources, cpu: u64, memory: u64) {
+        let row = self.classes.entry(class).or_default();
+        if declared.cpu_milli > 0 {
+            row.cpu.add(cpu as f64 / declared.cpu_milli as f64);
+        }
+        if declared.memory_mib > 0 {
+            row.memory.add(memory as f64 / declared.memory_mib as f64);
+        }
+    }
+
+    /// Learns the real work of a job against what it declared.
+    pub(crate) fn ran(&mut self, class: ClassId, declared: Duration, real: Duration) {
+        if declared > Duration::ZERO {
+            let ratio = real.as_secs_f64() / declared.as_secs_f64();
+            self.classes.entry(class).or_default().run_time.add(ratio);
+        }
+    }
+
+    /// Learns how long a checkpoint took.
+    pub(crate) fn checkpointed(&mut self, class: ClassId, took: Duration) {
+        let row = self.classes.entry(class).or_default();
+        row.checkpoint.add(took.as_secs_f64());
+    }
+
+    /// Returns the run time to expect.
+    pub(crate) fn run_time(&self, class: ClassId, declared: Duration) -> Duration {
+        match self.classes.get(&class) {
+            Some(row) if row.run_time.samples >= ENOUGH_RUNS => {
+                declared.mul_f64(row.run_time.mean.clamp(0.1, 10.0))
+            }
+            _ => declared,
+        }
+    }
+
+    /// Returns how long a checkpoint takes, in seconds.
+    pub(crate) fn checkpoint_secs(&self, class: ClassId) -> f64 {
+        match self.classes.get(&class) {
+            Some(row) if row.checkpoint.samples > 0 => row.checkpoint.mean,
+            _ => 1.0,
+        }
+    }
+
+    /// Returns what to grant: the declared size, corrected within `floor` and `ceiling`.
+    pub(crate) fn grant(
+        &self,
+        class: ClassId,
+        declared: Resources,
+        floor: f64,
+        ceiling: f64,
+    ) -> Resources {
+        let Some(row) = self.classes.get(&class) else {
+            return declared;
+        };
+        let scale = |amount: u64, use_: &Moments, floor: f64| {
+            if use_.samples < ENOUGH {
+                return amount;
+            }
+            (amount as f64 * use_.upper().clamp(floor, ceiling)).ceil() as u64
+        };
+        Resources {
+            cpu_milli: scale(declared.cpu_milli, &row.cpu, floor),
+            // Memory that runs out kills, so it is never granted below the declared.
+            memory_mib: scale(declared.memory_mib, &row.memory, 1.0),
+            accelerators: declared.accelerators,
+        }
+    }
+}
