--- /dev/null
+++ b/crates/fakes/src/harm.rs
@@ -0,0 +1,221 @@
+//! A seeded model of how tasks on one worker slow each other and the services beside them.
+//!
+//! Every value follows from the seed and the names, so that all policies of an
+//! experiment meet the same truth. Decisions see only its lagging, noisy samples.
+
+use std::f64::consts::TAU;
+
+use base::prelude::*;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Who suffers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Victim {
+    /// A latency-critical service.
+    Service,
+    /// A task.
+    Batch,
+}
+
+/// The settings of a [`HarmModel`].
+#[derive(Clone, Debug)]
+pub struct HarmModelCfg {
+    /// The length of a day, over which the services' load rises and falls once.
+    pub day: Duration,
+    /// How often some pairs change their harm.
+    pub shift_every: Duration,
+    /// The share of the pairs that change each time, 0 to 1.
+    pub shifted_share: f64,
+    /// How often all workers become noisy at once.
+    pub wave_every: Duration,
+    /// How long that lasts.
+    pub wave_for: Duration,
+    /// The extra time that it adds everywhere.
+    pub wave_extra: f64,
+    /// The age of samples.
+    pub lag: Duration,
+    /// The standard deviation of the logarithm of a measured latency.
+    pub noise: f64,
+    /// The largest factor by which a declared size or run time is off, both ways.
+    pub declared_error: f64,
+    /// The shortest and the longest time of a checkpoint, in seconds.
+    pub checkpoint_secs: (f64, f64),
+}
+
+impl Default for HarmModelCfg {
+    fn default() -> Self {
+        Self {
+            day: Duration::from_secs(4 * 3600),
+            shift_every: Duration::from_secs(2 * 3600),
+            shifted_share: 0.25,
+            wave_every: Duration::from_secs(3600),
+            wave_for: Duration::from_secs(120),
+            wave_extra: 0.4,
+            lag: Duration::from_secs(10),
+            noise: 0.15,
+            declared_error: 4.0,
+            checkpoint_secs: (0.5, 2.5),
+        }
+    }
+}
+
+/// The truth about harm.
+#[derive(Debug)]
+pub struct HarmModel {
+    cfg: HarmModelCfg,
+    seed: u64,
+    drawn: Mutex<IndexMap<PairKey, f64>>,
+}
+
+/// A pair in one phase of the day.
+type PairKey = (Victim, ClassName, ClassName, u64);
+
+/// How likely a pair is to be harmless, and how likely it is to do moderate harm.
+const SERVICE_ODDS: (f64, f64) = (0.55, 0.25);
+/// The same, where a task suffers.
+const BATCH_ODDS: (f64, f64) = (0.65, 0.25);
+/// The services' load at its mean, and how far it swings.
+const LOAD: (f64, f64) = (0.8, 0.4);
+
+impl HarmModel {
+    /// Creates a model; the same seed gives the same truth.
+    pub fn new(cfg: HarmModelCfg, seed: u64) -> Self {
+        Self {
+            cfg,
+            seed,
+            drawn: Mutex::new(IndexMap::new()),
+        }
+    }
+
+    /// Returns the settings.
+    pub fn cfg(&self) -> &HarmModelCfg {
+        &self.cfg
+    }
+
+    /// Returns the extra time, as a multiple of undisturbed time, that a victim
+    /// suffers on a worker full of `aggressor`, at `at` from the start.
+    pub fn harm(
+        &self,
+        kind: Victim,
+        victim: &ClassName,
+        aggressor: &ClassName,
+        at: Duration,
+    ) -> f64 {
+        let base = self.pair(kind, victim, aggressor, self.phase(at));
+        match kind {
+            Victim::Service => base * self.load(at),
+            Victim::Batch => base,
+        }
+    }
+
+    /// Returns the extra time of a victim among neighbours, each with its share of the worker.
+    pub fn extra(
+        &self,
+        kind: Victim,
+        victim: &ClassName,
+        neighbours: &[(ClassName, f64)],
+        at: Duration,
+    ) -> f64 {
+        let harm: f64 = neighbours
+            .iter()
+            .map(|(aggressor, load)| self.harm(kind, victim, aggressor, at) * load)
+            .sum();
+        harm + self.wave(at)
+    }
+
+    /// Returns the services' load, where 1 is a busy hour.
+    pub fn load(&self, at: Duration) -> f64 {
+        let turn = at.as_secs_f64() / self.cfg.day.as_secs_f64();
+        LOAD.0 + LOAD.1 * (turn * TAU).sin()
+    }
+
+    /// Returns the extra time that every worker has at once.
+    pub fn wave(&self, at: Duration) -> f64 {
+        let every = self.cfg.wave_every.as_secs_f64();
+        let into = (at.as_secs_f64() + every / 2.0) % every;
+        if into < self.cfg.wave_for.as_secs_f64() {
+            self.cfg.wave_extra
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns how many times its declared amount a job of a class really needs of `what`.
+    ///
+    /// Half of the error is the class's, half the job's own.
+    pub fn declared_error(&self, what: &str, class: &ClassName, job: &str) -> f64 {
+        let half = self.cfg.declared_error.ln() / 2.0;
+        let of_class = self.rng(&[what, class.as_str()]).random_range(-half..=half);
+        let of_job = self.rng(&[what, "job", job]).random_range(-half..=half);
+        (of_class + of_job).exp()
+    }
+
+    /// Returns how long a task of a class takes to checkpoint.
+    pub fn checkpoint_time(&self, class: &ClassName) -> Duration {
+        let (least, most) = self.cfg.checkpoint_secs;
+        let mut rng = self.rng(&["checkpoint", class.as_str()]);
+        Duration::from_secs_f64(rng.random_range(least..=most))
+    }
+
+    /// Returns a measurement of a time that is `1 + extra` times the undisturbed one, with noise.
+    pub fn measure(&self, extra: f64, rng: &mut ChaCha8Rng) -> f64 {
+        (1.0 + extra) * (self.cfg.noise * normal(rng)).exp()
+    }
+
+    /// Returns how many times pairs have changed by `at`.
+    pub fn phase(&self, at: Duration) -> u64 {
+        at.as_secs() / self.cfg.shift_every.as_secs().max(1)
+    }
+
+    fn pair(&self, kind: Victim, victim: &ClassName, aggressor: &ClassName, phase: u64) -> f64 {
+        let key = (kind, victim.clone(), aggressor.clone(), phase);
+        if let Some(harm) = self.drawn.lock().get(&key) {
+            return *harm;
+        }
+        let names = [victim.as_str(), aggressor.as_str()];
+        let shifted = |phase: u64| {
+            let mut rng = self.rng(&["shift", names[0], names[1], &phase.to_string()]);
+            rng.random::<f64>() < self.cfg.shifted_share
+        };
+        let last = (1..=phase).rev().find(|&phase| shifted(phase));
+        let mut rng = self.rng(&[names[0], names[1], &last.unwrap_or_default().to_string()]);
+        let harm = draw_harm(kind, &mut rng);
+        self.drawn.lock().insert(key, harm);
+        harm
+    }
+
+    fn rng(&self, parts: &[&str]) -> ChaCha8Rng {
+        let seed = xxh3_64_with_seed(parts.join("\0").as_bytes(), self.seed);
+        ChaCha8Rng::seed_from_u64(seed)
+    }
+}
+
+fn draw_harm(kind: Victim, rng: &mut ChaCha8Rng) -> f64 {
+    let (mild, moderate) = match kind {
+        Victim::Service => SERVICE_ODDS,
+        Victim::Batch => BATCH_ODDS,
+    };
+    let at = rng.random::<f64>();
+    let scale = match kind {
+        Victim::Service => 1.0,
+        Victim::Batch => 0.5,
+    };
+    let range = if at < mild {
+        0.0..0.3
+    } else if at < mild + moderate {
+        0.5..1.5
+    } else {
+        2.5..5.0
+    };
+    rng.random_range(range) * scale
+}
+
+/// Returns a draw from the standard normal distribution (Box and Muller).
+pub fn normal(rng: &mut ChaCha8Rng) -> f64 {
+    let u: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    let v: f64 = rng.random();
+    (-2.0 * u.ln()).sqrt() * (TAU * v).cos()
+}
--- a/crates/place/src/sample.rs
+++ b/crates/place/src/sample.rs
@@ -101,10 +101,16 @@
             task.progress = Some((progress, taken));
         }
         let (class, declared, free) = (task.class, task.declared, task.throttle >= 1.0);
+        let granted = task.task.granted;
         if free && sample.speed > 0.0 {
             task.speed += (sample.speed.min(1.0) - task.speed) * SPEED_GAIN;
-            self.usage
-                .used(class, declared, sample.cpu_milli, sample.memory_mib);
+            self.usage.used(
+                class,
+                declared,
+                granted,
+                sample.cpu_milli,
+                sample.memory_mib,
+            );
             self.learn_batch(now, worker, key, class, taken, sample.speed);
         }
         self.note_memory(now, key, sample.memory_mib);
--- a/crates/place/src/usage.rs
+++ b/crates/place/src/usage.rs
@@ -36,6 +36,17 @@
 /// How many standard deviations above the mean a grant covers.
 const GRANT_MARGIN: f64 = 1.0;
 
+/// Learns the share of its declared amount that a task used.
+///
+/// A task that fills a raised grant tells nothing: some use whatever they are
+/// given, and their grants would rise without end.
+fn learn_share(moments: &mut Moments, declared: u64, granted: u64, used: u64) {
+    let raised = granted > declared;
+    if declared > 0 && (!raised || used < granted) {
+        moments.add(used as f64 / declared as f64);
+    }
+}
+
 impl Moments {
     fn add(&mut self, value: f64) {
         self.samples = self.samples.saturating_add(1);
@@ -52,14 +63,22 @@
 
 impl Usage {
     /// Learns what an unthrottled task used of what it declared.
-    pub(crate) fn used(&mut self, class: ClassId, declared: Resources, cpu: u64, memory: u64) {
+    pub(crate) fn used(
+        &mut self,
+        class: ClassId,
+        declared: Resources,
+        granted: Resources,
+        cpu: u64,
+        memory: u64,
+    ) {
         let row = self.classes.entry(class).or_default();
-        if declared.cpu_milli > 0 {
-            row.cpu.add(cpu as f64 / declared.cpu_milli as f64);
-        }
-        if declared.memory_mib > 0 {
-            row.memory.add(memory as f64 / declared.memory_mib as f64);
-        }
+        learn_share(&mut row.cpu, declared.cpu_milli, granted.cpu_milli, cpu);
+        learn_share(
+            &mut row.memory,
+            declared.memory_mib,
+            granted.memory_mib,
+            memory,
+        );
     }
 
     /// Learns the real work of a job against what it declared.
--- /dev/null
+++ b/examples/placement/main.rs
@@ -0,0 +1,195 @@
+//! The placement experiment: harm-aware against baselines and an oracle, on the same load.
+//!
+//! ```text
+//! cargo run --release --example placement -- [policies|parts|urgent] [--seeds N]
+//! ```
+
+mod desk;
+mod stats;
+mod world;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::ClassName;
+use bpaf::Bpaf;
+use fakes::harm::{HarmModel, HarmModelCfg, Victim};
+use place::{Choice, HarmOracle, Parts, Placer, PlacerCfg};
+
+use crate::desk::{Desk, Load, MANUSCRIPT, TRADING};
+use crate::world::{Outcome, World};
+
+/// What is compared.
+#[derive(Clone, Copy, Debug)]
+enum Part {
+    Policies,
+    Parts,
+    Urgent,
+}
+
+/// The command line.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// How many seeds, from 1.
+    #[bpaf(argument("N"), fallback(20))]
+    seeds: u64,
+    /// How many runs at once.
+    #[bpaf(argument("N"), fallback(3))]
+    threads: usize,
+    /// What is compared: policies, parts or urgent.
+    #[bpaf(positional("PART"), fallback("policies".to_owned()))]
+    part: String,
+}
+
+/// A policy by its settings.
+#[derive(Clone, Debug)]
+struct Policy {
+    name: &'static str,
+    cfg: PlacerCfg,
+    oracle: bool,
+}
+
+/// The load of the comparison: somewhat more than the pool can do.
+const LOAD: Load = Load {
+    length: Duration::from_secs(4 * 3600),
+    rate: 1000.0,
+    backlog: 150,
+    urgent: 0.01,
+};
+const STEP: Duration = Duration::from_secs(1);
+/// The load and the step of the measurement of urgent starts.
+const URGENT_LOAD: Load = Load {
+    length: Duration::from_secs(1800),
+    rate: 1000.0,
+    backlog: 300,
+    urgent: 0.05,
+};
+const URGENT_STEP: Duration = Duration::from_millis(50);
+
+/// Tells the placer the truth, as the upper bound of what could be learnt.
+#[derive(Debug)]
+struct Oracle {
+    model: Arc<HarmModel>,
+    services: [&'static str; 3],
+    start: Instant,
+}
+
+impl HarmOracle for Oracle {
+    fn harm(&self, victim: &ClassName, aggressor: &ClassName, now: Instant) -> f64 {
+        let service = self.services.contains(&victim.as_str());
+        let kind = if service {
+            Victim::Service
+        } else {
+            Victim::Batch
+        };
+        let at = now.saturating_duration_since(self.start);
+        self.model.harm(kind, victim, aggressor, at)
+    }
+}
+
+fn main() {
+    let args = args().run();
+    let part = match args.part.as_str() {
+        "parts" => Part::Parts,
+        "urgent" => Part::Urgent,
+        _ => Part::Policies,
+    };
+    for desk in [MANUSCRIPT, TRADING] {
+        let (policies, load, step) = match part {
+            Part::Policies => (policies(), LOAD, STEP),
+            Part::Parts => (parts(), LOAD, STEP),
+            Part::Urgent => (vec![policy("harm-aware", |_| {})], URGENT_LOAD, URGENT_STEP),
+        };
+        println!("\n{} desk, seeds 1-{}", desk.name, args.seeds);
+        let rows: Vec<_> = policies
+            .iter()
+            .map(|policy| (policy.name, run_seeds(policy, &desk, &load, step, &args)))
+            .collect();
+        stats::print(&rows);
+    }
+}
+
+fn run_seeds(
+    policy: &Policy,
+    desk: &Desk,
+    load: &Load,
+    step: Duration,
+    args: &Args,
+) -> Vec<Outcome> {
+    let seeds: Vec<u64> = (1..=args.seeds).collect();
+    let share = seeds.len().div_ceil(args.threads.max(1)).max(1);
+    std::thread::scope(|scope| {
+        let runs: Vec<_> = seeds
+            .chunks(share)
+            .map(|seeds| {
+                scope.spawn(|| -> Vec<Outcome> {
+                    seeds
+                        .iter()
+                        .map(|&seed| run(policy, desk, load, step, seed))
+                        .collect()
+                })
+            })
+            .collect();
+        runs.into_iter()
+            .flat_map(|run| run.join().expect("a run does not panic"))
+            .collect()
+    })
+}
+
+fn run(policy: &Policy, desk: &Desk, load: &Load, step: Duration, seed: u64) -> Outcome {
+    let model = Arc::new(HarmModel::new(HarmModelCfg::default(), seed));
+    let start = Instant::now();
+    let mut placer = Placer::new(policy.cfg.clone(), seed);
+    if policy.oracle {
+        placer = placer.with_oracle(Box::new(Oracle {
+            model: Arc::clone(&model),
+            services: desk.services,
+            start,
+        }));
+    }
+    World::new(desk, load, step, &model, placer, start, seed).run(load)
+}
+
+fn policy(name: &'static str, change: impl FnOnce(&mut PlacerCfg)) -> Policy {
+    let mut cfg = PlacerCfg::default();
+    change(&mut cfg);
+    Policy {
+        name,
+        cfg,
+        oracle: false,
+    }
+}
+
+fn policies() -> Vec<Policy> {
+    let mut oracle = policy("oracle", |_| {});
+    oracle.oracle = true;
+    vec![
+        policy("least-loaded", |cfg| cfg.choice = Choice::LeastLoaded),
+        policy("least-loaded, no evictions", |cfg| {
+            cfg.choice = Choice::LeastLoaded;
+            cfg.parts.ladder = false;
+        }),
+        policy("best-fit", |cfg| cfg.choice = Choice::BestFit),
+        policy("random", |cfg| cfg.choice = Choice::Random),
+        policy("harm-aware", |_| {}),
+        oracle,
+    ]
+}
+
+fn parts() -> Vec<Policy> {
+    let without = |name, change: fn(&mut Parts)| policy(name, |cfg| change(&mut cfg.parts));
+    vec![
+        policy("harm-aware", |_| {}),
+        without("without the ladder", |parts| parts.ladder = false),
+        without("without throttling", |parts| parts.throttle = false),
+        without("without common slowdowns", |parts| parts.common = false),
+        without("without forgetting", |parts| parts.forget = false),
+        without("without batch victims", |parts| parts.batch_victims = false),
+        without("without holding back", |parts| parts.hold_back = false),
+        without("without matching the lag", |parts| parts.match_lag = false),
+        without("without reservations", |parts| parts.reserve = false),
+        policy("without size correction", |cfg| cfg.grant_ceiling = 1.0),
+        policy("with grants down to half", |cfg| cfg.grant_floor = 0.5),
+    ]
+}
--- /dev/null
+++ b/examples/placement/stats.rs
@@ -0,0 +1,77 @@
+//! The table with confidence intervals.
+
+use crate::world::Outcome;
+
+/// Student's t for a 95% interval at 1 to 30 degrees of freedom.
+const T95: [f64; 30] = [
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160,
+    2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056,
+    2.052, 2.048, 2.045, 2.042,
+];
+
+/// A measure of a run by its name.
+type Measure = (&'static str, fn(&Outcome) -> f64);
+
+const MEASURES: [Measure; 7] = [
+    ("p50", |o| o.p50),
+    ("p99", |o| o.p99),
+    ("finished/h", |o| o.finished_per_hour),
+    ("core-h/h", |o| o.work_per_hour),
+    ("evictions", |o| o.evictions),
+    ("lost s", |o| o.work_lost),
+    ("urgent p99 s", |o| o.urgent_start_p99),
+];
+
+/// Prints the mean of each measure with its interval, then the ratios to the first row.
+pub fn print(rows: &[(&'static str, Vec<Outcome>)]) {
+    let header: Vec<_> = MEASURES
+        .iter()
+        .map(|(name, _)| format!("{name:>18}"))
+        .collect();
+    println!("{:<28}{}", "", header.join(""));
+    for (name, outcomes) in rows {
+        let cells: Vec<_> = MEASURES
+            .iter()
+            .map(|(_, measure)| cell(&outcomes.iter().map(measure).collect::<Vec<_>>()))
+            .collect();
+        println!("{name:<28}{}", cells.join(""));
+    }
+    let Some((first, base)) = rows.first() else {
+        return;
+    };
+    println!("ratios to {first}, by seed");
+    for (name, outcomes) in &rows[1..] {
+        let cells: Vec<_> = MEASURES
+            .iter()
+            .map(|(_, measure)| {
+                let pairs = outcomes.iter().zip(base);
+                let ratios: Vec<_> = pairs
+                    .map(|(a, b)| (measure(a), measure(b)))
+                    .filter(|(_, b)| *b > 0.0)
+                    .map(|(a, b)| a / b)
+                    .collect();
+                cell(&ratios)
+            })
+            .collect();
+        println!("{name:<28}{}", cells.join(""));
+    }
+}
+
+/// Returns a mean with its 95% interval.
+fn cell(values: &[f64]) -> String {
+    let n = values.len() as f64;
+    if values.is_empty() {
+        return format!("{:>18}", "-");
+    }
+    let mean = values.iter().sum::<f64>() / n;
+    let squares: f64 = values.iter().map(|v| (v - mean).powi(2)).sum();
+    let freedom = values.len().saturating_sub(1);
+    let text = if freedom == 0 {
+        format!("{mean:.2}")
+    } else {
+        let t = T95[(freedom - 1).min(T95.len() - 1)];
+        let half = t * (squares / freedom as f64).sqrt() / n.sqrt();
+        format!("{mean:.2} +-{half:.2}")
+    };
+    format!("{text:>18}")
+}
