place: let each job wait for workers that suit its class while others fill the room

Cause: in a full pool only one worker has room at a time, so that choosing a worker for a job chooses nothing; and taking quotas back at once evicted some 300 tasks an hour. Change: first each job to where its class does least harm, then the rest; a team takes back only after 30 s below its quota without a start.

--- a/crates/fakes/src/harm.rs
+++ b/crates/fakes/src/harm.rs
@@ -170,7 +170,8 @@
         at.as_secs() / self.cfg.shift_every.as_secs().max(1)
     }
 
-    fn pair(&self, kind: Victim, victim: &ClassName, aggressor: &ClassName, phase: u64) -> f64 {
+    /// Returns the harm of a pair after it changed `phase` times, at full load of the services.
+    pub fn pair(&self, kind: Victim, victim: &ClassName, aggressor: &ClassName, phase: u64) -> f64 {
         let key = (kind, victim.clone(), aggressor.clone(), phase);
         if let Some(harm) = self.drawn.lock().get(&key) {
             return *harm;
--- a/crates/place/src/cfg.rs
+++ b/crates/place/src/cfg.rs
@@ -30,6 +30,8 @@
     pub batch_victims: bool,
     /// Jobs may be held back from every worker where they would harm a service.
     pub hold_back: bool,
+    /// While jobs queue for room, each goes to the workers that suit its class best.
+    pub suit: bool,
     /// Samples are matched to what ran when they were taken, not to what runs now.
     pub match_lag: bool,
     /// Room is reserved for large jobs.
@@ -45,6 +47,7 @@
         forget: true,
         batch_victims: true,
         hold_back: true,
+        suit: true,
         match_lag: true,
         reserve: true,
     };
@@ -59,6 +62,8 @@
     pub parts: Parts,
     /// How many workers with room are weighed for one job.
     pub candidates: usize,
+    /// The share of the workers that count as suiting a class, 0 to 1.
+    pub suiting_share: f64,
     /// How many groups of like jobs without a place one call looks at.
     pub scan_limit: usize,
     /// The settings of harm estimates.
@@ -156,6 +161,8 @@
     pub aging: Duration,
     /// How long a job is held back for the sake of services, for each unit of the tail's weight.
     pub hold_back: Duration,
+    /// For how many jobs without room one call makes or reserves room.
+    pub room_tries: usize,
     /// How long a team that is owed its quota waits before others' tasks are evicted.
     pub give_back_after: Duration,
     /// How long a job without room waits before a worker is reserved for it.
@@ -176,6 +183,7 @@
             choice: Choice::HarmAware,
             parts: Parts::ALL,
             candidates: 32,
+            suiting_share: 0.3,
             scan_limit: 256,
             harm: HarmCfg::default(),
             ladder: LadderCfg::default(),
@@ -242,7 +250,8 @@
             patience: Duration::from_secs(4 * 3600),
             aging: Duration::from_secs(1800),
             hold_back: Duration::from_secs(600),
-            give_back_after: Duration::from_secs(5),
+            room_tries: 8,
+            give_back_after: Duration::from_secs(30),
             reserve_after: Duration::from_secs(30),
             reserve_for: Duration::from_secs(900),
             most_reserved: 0.1,
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -35,6 +35,8 @@
     patient: bool,
     /// Whether it may serve as a probe of a quarantined worker.
     probe: bool,
+    /// Whether it may wait for a worker that suits its class.
+    pub(crate) choosy: bool,
     /// How long it is expected to run; `None` for standing work.
     pub(crate) run_time: Option<Duration>,
     /// How many workers it has failed on.
@@ -43,6 +45,10 @@
 
 /// The weight of the free room left over, which settles near ties.
 const PACKING: f64 = 0.01;
+/// By how much a worker's score may be worse and still suit.
+const SUIT_MARGIN: f64 = 0.02;
+/// The load of a job by which workers are ranked for a class.
+const NOMINAL_LOAD: f64 = 0.1;
 /// The weight of the random tie-breaker.
 const TIE: f64 = 1e-6;
 /// The score in favour of probing a quarantined worker.
@@ -59,6 +65,9 @@
         let hold_back = self.cfg.queue.hold_back.mul_f64(self.weights.tail);
         let urgent = waiting.priority == Priority::Urgent;
         let standing = ask.run_time.is_none();
+        let run_time = self.rest_of(waiting.class, ask.run_time, ask.work_done);
+        let due = waiting.due.0.saturating_duration_since(now);
+        let pressed = run_time.is_some_and(|run_time| due <= run_time * 2);
         Candidate {
             job: ask.job.clone(),
             class: waiting.class,
@@ -68,7 +77,8 @@
             large: self.is_large(&granted),
             patient: !urgent && !standing && waited < hold_back,
             probe: !urgent && !standing && ask.failures == 0,
-            run_time: self.rest_of(waiting.class, ask.run_time, ask.work_done),
+            choosy: !urgent && !standing && !pressed,
+            run_time,
             failed_on: self.health.failed_on_count(&ask.job),
         }
     }
@@ -99,8 +109,13 @@
             || granted.memory_mib as f64 >= largest.memory_mib as f64 * share
     }
 
-    /// Chooses a worker with room for a job.
-    pub(crate) fn choose(&mut self, now: Instant, job: &Candidate) -> Result<WorkerId, Blocked> {
+    /// Chooses a worker with room for a job; if `choosy`, one that suits its class.
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        choosy: bool,
+    ) -> Result<WorkerId, Blocked> {
         let drawn = self
             .ledger
             .rooms
@@ -114,7 +129,7 @@
             if !self.has_room(now, row, job) || !self.may_run(now, &worker, row, job) {
                 continue;
             }
-            if self.would_harm(now, row, job) {
+            if self.would_harm(now, row, job) || (choosy && !self.suits(now, row, job)) {
                 harmful = true;
                 continue;
             }
@@ -168,6 +183,39 @@
         })
     }
 
+    /// Tells whether a worker is among the best for a class.
+    fn suits(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let Some(best) = self.suiting.get(&job.class) else {
+            return true;
+        };
+        self.harm_score(now, row, job.class, load_of(row, job)) <= best + SUIT_MARGIN
+    }
+
+    /// Works out anew which score makes a worker suit each waiting class.
+    pub(crate) fn update_suiting(&mut self, now: Instant) {
+        if self.cfg.choice != Choice::HarmAware || !self.cfg.parts.suit {
+            return;
+        }
+        let classes: IndexSet<_> = self.queue.classes().collect();
+        let drawn = self
+            .ledger
+            .rooms
+            .draw_any(self.cfg.candidates, &mut self.rng);
+        self.suiting.clear();
+        for class in classes {
+            let mut scores: Vec<f64> = drawn
+                .iter()
+                .filter_map(|worker| self.ledger.workers.get(worker))
+                .map(|row| self.harm_score(now, row, class, NOMINAL_LOAD))
+                .collect();
+            scores.sort_by(f64::total_cmp);
+            let at = (scores.len() as f64 * self.cfg.suiting_share) as usize;
+            if let Some(score) = scores.get(at) {
+                self.suiting.insert(class, *score);
+            }
+        }
+    }
+
     /// Returns how bad a worker is for a job; lower is better.
     fn score(&self, now: Instant, row: &WorkerRow, job: &Candidate, tie: f64) -> f64 {
         let offer = self.ledger.offer(row).cpu_milli.max(1) as f64;
@@ -181,28 +229,29 @@
             Choice::LeastLoaded => -free,
             Choice::BestFit => free,
             Choice::Random => tie / TIE,
-            Choice::HarmAware => self.harm_score(now, row, job) + PACKING * free,
+            Choice::HarmAware => {
+                self.harm_score(now, row, job.class, load_of(row, job)) + PACKING * free
+            }
         };
         base + self.spread_score(row, job) + tie - probe
     }
 
     /// Returns the harm that a job would do and suffer, as the pool weighs it.
-    fn harm_score(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> f64 {
-        let load = load_of(row, job);
+    fn harm_score(&self, now: Instant, row: &WorkerRow, class: ClassId, load: f64) -> f64 {
         let accepted = self.extra_limit() * self.cfg.ladder.rise;
         let mut tail = 0.0;
         let mut evictions = 0.0;
         for &victim in row.services.keys() {
             let before = self.harm.predict_safely(victim, &row.mix, now);
-            let after = before + self.harm.estimate(victim, job.class, now).mean * load;
+            let after = before + self.harm.estimate(victim, class, now).mean * load;
             tail += tail_cost(after) - tail_cost(before);
             evictions += (after - accepted).max(0.0);
         }
         let mut throughput = 0.0;
         if self.cfg.parts.batch_victims {
-            throughput += load * self.harm.predict(job.class, &row.mix, now);
+            throughput += load * self.harm.predict(class, &row.mix, now);
             for &(other, other_load) in &row.mix {
-                throughput += other_load * self.harm.estimate(other, job.class, now).mean * load;
+                throughput += other_load * self.harm.estimate(other, class, now).mean * load;
             }
         }
         // Per unit of load, so that small jobs are not indifferent to where they go.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -7,7 +7,7 @@
 
 use crate::cfg::PlacerCfg;
 use crate::common::Common;
-use crate::harm::{Harm, HarmOracle};
+use crate::harm::{ClassId, Harm, HarmOracle};
 use crate::health::{Access, Health};
 use crate::keep::Keeps;
 use crate::ladder::Ladder;
@@ -44,12 +44,18 @@
     pub(crate) crowded: IndexSet<WorkerId>,
     /// What jobs that outgrew their memory used, in mebibytes.
     pub(crate) grown: IndexMap<JobId, u64>,
+    /// Since when a team below its quota has got nothing.
+    pub(crate) owed: IndexMap<TeamName, Instant>,
     pub(crate) leaving: IndexSet<WorkerId>,
     /// Workers that went silent, until they hold nothing.
     away: IndexSet<WorkerId>,
     /// Whether something changed that may let a waiting job start.
     pub(crate) dirty: bool,
     pub(crate) cursors: Cursors,
+    /// The score up to which a worker suits each class.
+    pub(crate) suiting: IndexMap<ClassId, f64>,
+    /// For how many more jobs this round makes room.
+    pub(crate) room_tries: usize,
     pub(crate) ticked: Option<Instant>,
     /// Decisions beyond the limit of the last call.
     pub(crate) backlog: Vec<Decision>,
@@ -81,10 +87,13 @@
             evicting: IndexMap::new(),
             crowded: IndexSet::new(),
             grown: IndexMap::new(),
+            owed: IndexMap::new(),
             leaving: IndexSet::new(),
             away: IndexSet::new(),
             dirty: true,
             cursors: Cursors::default(),
+            suiting: IndexMap::new(),
+            room_tries: 0,
             ticked: None,
             backlog: Vec::new(),
             first_seen: None,
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -255,6 +255,12 @@
         Some((due, job.clone()))
     }
 
+    /// Returns the classes of the jobs in lanes, some more than once.
+    pub(crate) fn classes(&self) -> impl Iterator<Item = ClassId> {
+        let teams = self.teams.iter().flat_map(IndexMap::values);
+        teams.flat_map(|lanes| lanes.lanes.keys().map(|shape| shape.class))
+    }
+
     /// Returns the first jobs of the lane that a job stands in.
     pub(crate) fn lane_of(&self, job: &JobId, most: usize) -> Vec<JobId> {
         let Some(waiting) = self.jobs.get(job) else {
--- a/crates/place/src/rounds.rs
+++ b/crates/place/src/rounds.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use tables::Priority;
 
+use crate::cfg::Choice;
 use crate::choose::{Blocked, Candidate};
 use crate::ledger::Pending;
 use crate::placer::Placer;
@@ -74,6 +75,7 @@
         for worker in quarantined {
             self.reindex(now, &worker);
         }
+        self.update_suiting(now);
         self.common.update(now, &self.ledger, COMMON_FRESH);
         self.evict_again(now, out);
         self.relieve_memory(now, out);
@@ -145,11 +147,17 @@
 
     fn place_waiting(&mut self, now: Instant, limit: usize, out: &mut Vec<Decision>) {
         let mut looks = self.cfg.scan_limit;
+        self.room_tries = self.cfg.queue.room_tries;
+        let suit = self.cfg.choice == Choice::HarmAware && self.cfg.parts.suit;
         for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
-            self.place_priority(now, priority, limit, &mut looks, out);
-            if out.len() >= limit {
-                self.dirty = true;
-                return;
+            // First each job to where it suits, then the room left over to any.
+            let passes: &[bool] = if suit { &[true, false] } else { &[false] };
+            for &choosy in passes {
+                self.place_priority(now, priority, choosy, limit, &mut looks, out);
+                if out.len() >= limit {
+                    self.dirty = true;
+                    return;
+                }
             }
         }
     }
@@ -158,6 +166,7 @@
         &mut self,
         now: Instant,
         priority: Priority,
+        choosy: bool,
         limit: usize,
         looks: &mut usize,
         out: &mut Vec<Decision>,
@@ -181,7 +190,7 @@
                 return;
             }
             turn.after = Some(due);
-            if self.place_job(now, &job, out) {
+            if self.place_job(now, &job, choosy, out) {
                 turn.ratio = self.quotas.ratio(&self.ledger, &turn.team, Resources::ZERO);
             } else {
                 *looks -= 1;
@@ -208,7 +217,13 @@
     }
 
     /// Places a job, or notes why it waits and makes room where it has the right to.
-    fn place_job(&mut self, now: Instant, job: &JobId, out: &mut Vec<Decision>) -> bool {
+    fn place_job(
+        &mut self,
+        now: Instant,
+        job: &JobId,
+        choosy: bool,
+        out: &mut Vec<Decision>,
+    ) -> bool {
         let Some(waiting) = self.queue.jobs.get(job) else {
             return false;
         };
@@ -216,7 +231,7 @@
         let waited = now.saturating_duration_since(waiting.since);
         let candidate = self.candidate(now, waiting);
         let chosen = if self.quotas.allows(&self.ledger, &team, candidate.granted) {
-            self.choose(now, &candidate)
+            self.choose(now, &candidate, choosy && candidate.choosy)
         } else {
             Err(Blocked::Quota)
         };
@@ -226,9 +241,10 @@
                 self.place_on(now, &candidate, worker, out);
                 true
             }
+            Err(_) if choosy && !candidate.urgent => false,
             Err(blocked) => {
                 self.queue.set_why(job, reason(blocked, &candidate, &team));
-                if blocked == Blocked::NoRoom {
+                if blocked == Blocked::NoRoom && self.room_tries > 0 {
                     self.find_room(now, &candidate, &team, waited, out);
                 }
                 false
@@ -245,17 +261,13 @@
         waited: Duration,
         out: &mut Vec<Decision>,
     ) {
+        self.room_tries -= 1;
         if job.urgent {
             self.make_urgent_room(now, &job.job, team, out);
             return;
         }
-        let owed =
-            !self.quotas.is_empty() && self.quotas.ratio(&self.ledger, team, job.granted) <= 1.0;
-        if owed
-            && waited >= self.cfg.queue.give_back_after
-            && !self.keeps.has_quota_keep(team)
-            && self.make_room(now, job, team, EvictWhy::Quota, out)
-        {
+        let may_take_back = self.is_owed(now, job, team) && !self.keeps.has_quota_keep(team);
+        if may_take_back && self.make_room(now, job, team, EvictWhy::Quota, out) {
             return;
         }
         if self.cfg.parts.reserve && waited >= self.cfg.queue.reserve_after {
@@ -263,6 +275,18 @@
         }
     }
 
+    /// Tells whether a team has for long got less than its quota.
+    fn is_owed(&mut self, now: Instant, job: &Candidate, team: &TeamName) -> bool {
+        let below =
+            !self.quotas.is_empty() && self.quotas.ratio(&self.ledger, team, job.granted) <= 1.0;
+        if !below {
+            self.owed.swap_remove(team);
+            return false;
+        }
+        let since = *self.owed.entry(team.clone()).or_insert(now);
+        now.saturating_duration_since(since) >= self.cfg.queue.give_back_after
+    }
+
     /// Makes room for every urgent job of a lane, not for its first alone.
     fn make_urgent_room(
         &mut self,
@@ -299,12 +323,14 @@
         let Some(waiting) = self.queue.jobs.get(&job.job) else {
             return;
         };
+        let team = waiting.ask.team.clone();
+        self.owed.swap_remove(&team);
         let pending = Pending {
             worker: worker.clone(),
             granted: job.granted,
             declared: waiting.ask.resources,
             class: job.class,
-            team: waiting.ask.team.clone(),
+            team,
             spread: job.standing,
         };
         self.queue.make_pending(&job.job);
--- a/examples/placement/desk.rs
+++ b/examples/placement/desk.rs
@@ -10,13 +10,17 @@
 use rand_chacha::ChaCha8Rng;
 use tables::{Pool, Priority, Quota, Weights};
 
+/// How many classes of services and of tasks a desk has.
+pub const SERVICES: usize = 3;
+pub const CLASSES: usize = 6;
+
 /// A desk of today's size.
 #[derive(Clone, Copy, Debug)]
 pub struct Desk {
     pub name: &'static str,
     pub weights: Weights,
-    pub services: [&'static str; 3],
-    pub classes: [&'static str; 6],
+    pub services: [&'static str; SERVICES],
+    pub classes: [&'static str; CLASSES],
     pub teams: [&'static str; 5],
 }
 
@@ -57,6 +61,8 @@
     pub id: JobId,
     pub team: TeamName,
     pub class: ClassName,
+    /// The class by its place in the desk's list.
+    pub class_at: usize,
     pub priority: Priority,
     pub declared: Resources,
     pub declared_time: Duration,
@@ -118,7 +124,7 @@
             let gap = -rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln() * 3600.0 / load.rate;
             at += Duration::from_secs_f64(gap);
         }
-        let noisy = *self.classes.choose(&mut rng).unwrap_or(&self.classes[0]);
+        let noisy = rng.random_range(0..CLASSES);
         for start in (WAVE_EVERY_SECS..load.length.as_secs()).step_by(WAVE_EVERY_SECS as usize) {
             arrivals.extend(vec![(Duration::from_secs(start), Some(noisy)); WAVE_JOBS]);
         }
@@ -133,13 +139,14 @@
         &self,
         n: usize,
         at: Duration,
-        class: Option<&'static str>,
+        class: Option<usize>,
         load: &Load,
         model: &HarmModel,
         rng: &mut ChaCha8Rng,
     ) -> Job {
-        let drawn = *self.classes.choose(rng).unwrap_or(&self.classes[0]);
-        let class = ClassName::from(class.unwrap_or(drawn));
+        let drawn = rng.random_range(0..CLASSES);
+        let class_at = class.unwrap_or(drawn);
+        let class = ClassName::from(self.classes[class_at]);
         let cores = *CORES.choose(rng).unwrap_or(&CORES[0]);
         let declared = Resources::new(cores, cores * MIB_PER_CORE, 0);
         let secs = rng.random_range(RUN_SECS.0..=RUN_SECS.1);
@@ -167,6 +174,7 @@
             work: Duration::from_secs_f64(secs as f64 * error("time")),
             id: id.into(),
             class,
+            class_at,
         }
     }
 }
--- a/examples/placement/main.rs
+++ b/examples/placement/main.rs
@@ -71,7 +71,7 @@
 #[derive(Debug)]
 struct Oracle {
     model: Arc<HarmModel>,
-    services: [&'static str; 3],
+    services: [&'static str; desk::SERVICES],
     start: Instant,
 }
 
@@ -187,6 +187,7 @@
         without("without forgetting", |parts| parts.forget = false),
         without("without batch victims", |parts| parts.batch_victims = false),
         without("without holding back", |parts| parts.hold_back = false),
+        without("without suiting", |parts| parts.suit = false),
         without("without matching the lag", |parts| parts.match_lag = false),
         without("without reservations", |parts| parts.reserve = false),
         policy("without size correction", |cfg| cfg.grant_ceiling = 1.0),
--- a/examples/placement/world.rs
+++ b/examples/placement/world.rs
@@ -10,13 +10,13 @@
 use fakes::harm::{HarmModel, Victim, normal};
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
-use place::{Decision, Ended, JobAsk, PlacedTask, Placer, WorkerView};
+use place::{Decision, Ended, EvictWhy, JobAsk, PlacedTask, Placer, WorkerView};
 use platform::worker::UsageSample;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tables::Priority;
 
-use crate::desk::{Desk, Job, Load};
+use crate::desk::{CLASSES, Desk, Job, Load, SERVICES};
 
 const WORKERS: usize = 10;
 const CAPACITY: Resources = Resources::new(64, 250 * 1024, 0);
@@ -40,6 +40,10 @@
     /// Core-hours of undisturbed work done an hour, by declared cores.
     pub work_per_hour: f64,
     pub evictions: f64,
+    /// Those for the sake of services.
+    pub harm_evictions: f64,
+    /// Those for teams that were owed their quota.
+    pub quota_evictions: f64,
     /// Seconds of task time lost to checkpoints and work done twice.
     pub work_lost: f64,
     /// From queueing to start, in seconds.
@@ -47,6 +51,16 @@
     pub urgent_starts: u64,
 }
 
+/// The real load of each class on a worker.
+type Mix = [f64; CLASSES];
+
+/// The harm of each aggressor's class in one phase of the day, at full load of the services.
+#[derive(Debug)]
+struct Truth {
+    services: [Mix; SERVICES],
+    batch: [Mix; CLASSES],
+}
+
 /// A task on a worker.
 #[derive(Debug)]
 struct Task {
@@ -81,6 +95,7 @@
     attempts: Vec<u32>,
     by_id: IndexMap<base::JobId, usize>,
     arrived: usize,
+    truth: Vec<Truth>,
     rng: ChaCha8Rng,
     latency: Histogram<u64>,
     urgent: Histogram<u64>,
@@ -121,6 +136,7 @@
                 .collect(),
             jobs,
             arrived: 0,
+            truth: truth(desk, load, model),
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
             latency: histogram(),
             urgent: histogram(),
@@ -189,7 +205,7 @@
                         task.throttle = share;
                     }
                 }
-                Decision::Evict { key, .. } => self.checkpoint(&key),
+                Decision::Evict { key, why } => self.checkpoint(&key, why),
             }
         }
     }
@@ -205,7 +221,7 @@
         if job.priority == Priority::Urgent && self.attempts[n] == 1 {
             let waited = starts - (self.start + job.at);
             let millis = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
-            self.urgent.saturating_record(millis);
+            record(&mut self.urgent, millis);
         }
         let placed = PlacedTask {
             key: key.clone(),
@@ -238,7 +254,7 @@
             .find(|task| task.key == *key)
     }
 
-    fn checkpoint(&mut self, key: &TaskKey) {
+    fn checkpoint(&mut self, key: &TaskKey, why: EvictWhy) {
         let n = self.by_id[&key.job];
         let took = self.model.checkpoint_time(&self.jobs[n].class);
         let ends = self.now + COMMIT + took;
@@ -249,6 +265,11 @@
         if task.checkpointed_at.is_none() {
             task.checkpointed_at = Some(ends);
             self.outcome.evictions += 1.0;
+            match why {
+                EvictWhy::Harm => self.outcome.harm_evictions += 1.0,
+                EvictWhy::Quota => self.outcome.quota_evictions += 1.0,
+                _ => {}
+            }
             self.outcome.work_lost += lost.as_secs_f64();
         }
     }
@@ -256,8 +277,7 @@
     /// Lets every worker work for one step.
     fn work(&mut self) {
         for n in 0..self.workers.len() {
-            let mix = self.mix(n, None);
-            let extra = self.extra(Victim::Service, &self.workers[n].service.clone(), &mix);
+            let extra = self.service_extra(n);
             self.record_latency(extra);
             let mut ended = Vec::new();
             for t in 0..self.workers[n].tasks.len() {
@@ -288,8 +308,9 @@
     /// Returns the speed of a task among its neighbours, its throttle included.
     fn speed(&self, n: usize, t: usize) -> f64 {
         let task = &self.workers[n].tasks[t];
-        let class = &self.jobs[task.job].class;
-        let extra = self.extra(Victim::Batch, class, &self.mix(n, Some(t)));
+        let class = self.jobs[task.job].class_at;
+        let harm = &self.truth[self.phase()].batch[class];
+        let extra = self.extra(harm, 1.0, &self.mix(n, Some(t)));
         task.throttle / (1.0 + extra)
     }
 
@@ -307,28 +328,36 @@
     }
 
     /// Returns the real load of each class on a worker, without one of its tasks.
-    fn mix(&self, n: usize, without: Option<usize>) -> Vec<(ClassName, f64)> {
-        let mut mix: Vec<(ClassName, f64)> = Vec::new();
+    fn mix(&self, n: usize, without: Option<usize>) -> Mix {
+        let mut mix = Mix::default();
         for (t, task) in self.workers[n].tasks.iter().enumerate() {
             if Some(t) == without || task.starts > self.now {
                 continue;
             }
             let job = &self.jobs[task.job];
             let load = job.needed.cpu_milli as f64 * task.throttle / CAPACITY.cpu_milli as f64;
-            match mix.iter_mut().find(|(class, _)| *class == job.class) {
-                Some((_, sum)) => *sum += load,
-                None => mix.push((job.class.clone(), load)),
-            }
+            mix[job.class_at] += load;
         }
         mix
     }
 
-    /// Returns the extra time of a victim: harm, and what overload adds.
-    fn extra(&self, kind: Victim, victim: &ClassName, mix: &[(ClassName, f64)]) -> f64 {
-        let load: f64 = mix.iter().map(|(_, load)| load).sum();
+    /// Returns the extra time of a service or task: harm, and what overload adds.
+    fn extra(&self, harm: &[f64; CLASSES], load: f64, mix: &Mix) -> f64 {
+        let used: f64 = mix.iter().sum();
         let room = 1.0 - crate::desk::RESERVED.cpu_milli as f64 / CAPACITY.cpu_milli as f64;
-        let overload = (load - room).max(0.0);
-        self.model.extra(kind, victim, mix, self.at()) + overload
+        let overload = (used - room).max(0.0);
+        let harm: f64 = harm.iter().zip(mix).map(|(harm, x)| harm * x).sum();
+        harm * load + overload + self.model.wave(self.at())
+    }
+
+    fn service_extra(&self, n: usize) -> f64 {
+        let harm = &self.truth[self.phase()].services[n % SERVICES];
+        self.extra(harm, self.model.load(self.at()), &self.mix(n, None))
+    }
+
+    fn phase(&self) -> usize {
+        let phase = self.model.phase(self.at()) as usize;
+        phase.min(self.truth.len() - 1)
     }
 
     fn record_latency(&mut self, extra: f64) {
@@ -336,7 +365,7 @@
         let requests = REQUESTS_PER_SECOND * self.step.as_secs_f64() * load;
         for _ in 0..requests.ceil() as u32 {
             let latency = (1.0 + extra) * (REQUEST_SPREAD * normal(&mut self.rng)).exp();
-            self.latency.saturating_record((latency * 1000.0) as u64);
+            record(&mut self.latency, (latency * 1000.0) as u64);
         }
     }
 
@@ -366,8 +395,7 @@
     fn samples_of(&mut self, n: usize) -> Vec<UsageSample> {
         let mut samples = Vec::new();
         let service = self.workers[n].service.clone();
-        let mix = self.mix(n, None);
-        let extra = self.extra(Victim::Service, &service, &mix);
+        let extra = self.service_extra(n);
         samples.push(UsageSample {
             task: None,
             class: service,
@@ -400,6 +428,18 @@
     }
 }
 
+fn truth(desk: &Desk, load: &Load, model: &HarmModel) -> Vec<Truth> {
+    let row = |kind, victim: &str, phase| {
+        let harm = |aggressor: &str| model.pair(kind, &victim.into(), &aggressor.into(), phase);
+        desk.classes.map(harm)
+    };
+    let of_phase = |phase| Truth {
+        services: desk.services.map(|name| row(Victim::Service, name, phase)),
+        batch: desk.classes.map(|name| row(Victim::Batch, name, phase)),
+    };
+    (0..=model.phase(load.length)).map(of_phase).collect()
+}
+
 fn worker(desk: &Desk, n: usize) -> Worker {
     Worker {
         id: format!("w{n}").into(),
@@ -419,6 +459,13 @@
     }
 }
 
+/// The most that a histogram tells apart, in thousandths.
+const MOST: u64 = 10_000_000;
+
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are valid")
+    Histogram::new_with_max(MOST, 3).expect("the bounds are valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram.saturating_record(value);
 }
