--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod store;
 pub mod target;
 pub mod worker;
+pub mod harm;
