Add the operator commands over the store's and the entry's ports

apply keeps the generation that it replaces, then swaps against its revision. A lost answer is resolved by sending the same swap again or by reading back: the nonce tells ours, also after a later volunteer went on. A conflict names what the other volunteer changed and which rows both changed.

--- /dev/null
+++ b/crates/ops/src/client.rs
@@ -0,0 +1,202 @@
+//! The operators' calls to an entry over HTTP.
+
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use base::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+use ureq::http::StatusCode;
+use wire::header;
+use wire::operator::{JobRequest, JobsNamed, Status, path};
+use wire::{JobStatus, SubmitReply};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The shared secret of the system's processes and operators; never shown.
+#[derive(Clone)]
+pub struct Token(Name);
+
+/// The port to an entry.
+///
+/// # Errors
+///
+/// Errors whose kind [is of unknown outcome](ErrorKind::is_outcome_unknown) may have taken effect.
+pub trait EntryPort: fmt::Debug {
+    /// Asks for all that the entry knows.
+    fn status(&self) -> Result<Status>;
+
+    /// Submits a job.
+    fn submit(&self, job: &JobRequest) -> Result<SubmitReply>;
+
+    /// Asks for the status of jobs; unknown ones are left out.
+    fn find(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>>;
+
+    /// Cancels jobs; unknown ones are left out of the answer.
+    fn cancel(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>>;
+
+    /// Starts the planned stop of a target.
+    fn drain(&self, target: &TargetId) -> Result<()>;
+
+    /// Reads the report on service-level burn in a format: `text`, `json` or `html`.
+    fn report(&self, format: &str) -> Result<String>;
+}
+
+/// An entry behind its HTTP address.
+#[derive(Debug)]
+pub struct HttpEntry {
+    agent: Agent,
+    addr: SocketAddr,
+    token: Option<Token>,
+}
+
+impl Token {
+    /// Wraps a secret.
+    pub fn new(secret: &str) -> Self {
+        Self(secret.trim().into())
+    }
+
+    /// Reads a secret from a file; blanks around it are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the path if the file can't be read or is empty.
+    pub fn read(path: &Path) -> Result<Self> {
+        let invalid = |message: String| {
+            Error::new(
+                ErrorKind::Invalid,
+                "read token",
+                path.display().to_string(),
+                message,
+            )
+        };
+        let text = fs::read_to_string(path).map_err(|e| invalid(e.to_string()))?;
+        if text.trim().is_empty() {
+            return Err(invalid("expected a secret, found nothing".to_owned()));
+        }
+        Ok(Self::new(&text))
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token")
+    }
+}
+
+impl HttpEntry {
+    /// Creates a client of the entry at `addr`.
+    pub fn new(addr: SocketAddr, token: Option<Token>) -> Self {
+        let cfg = Agent::config_builder()
+            .timeout_global(Some(CALL_TIMEOUT))
+            .http_status_as_error(false)
+            .build();
+        Self {
+            agent: cfg.into(),
+            addr,
+            token,
+        }
+    }
+
+    fn uri(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addr)
+    }
+
+    fn secret(&self) -> &str {
+        self.token.as_ref().map_or("", |token| &token.0)
+    }
+
+    fn get(&self, step: &'static str, path: &str) -> Result<String> {
+        let req = self.agent.get(self.uri(path));
+        let resp = req.header(header::TOKEN, self.secret()).call();
+        self.read(step, resp)
+    }
+
+    fn post<T: Serialize>(&self, step: &'static str, path: &str, body: &T) -> Result<String> {
+        let req = self.agent.post(self.uri(path));
+        let resp = req.header(header::TOKEN, self.secret()).send_json(body);
+        self.read(step, resp)
+    }
+
+    fn read(
+        &self,
+        step: &'static str,
+        resp: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    ) -> Result<String> {
+        let mut resp = resp.map_err(|e| self.error(kind(&e), step, e.to_string()))?;
+        let body = resp.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+        let text = body
+            .read_to_string()
+            .map_err(|e| self.error(ErrorKind::Interrupted, step, e.to_string()))?;
+        let kind = match resp.status() {
+            status if status.is_success() => return Ok(text),
+            StatusCode::NOT_FOUND => ErrorKind::NotFound,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                ErrorKind::Overloaded
+            }
+            StatusCode::GATEWAY_TIMEOUT => ErrorKind::Timeout,
+            status if status.is_client_error() => ErrorKind::Refused,
+            _ => ErrorKind::Internal,
+        };
+        let message = format!("{}: {}", resp.status(), text.trim());
+        Err(self.error(kind, step, message))
+    }
+
+    fn parse<T: DeserializeOwned>(&self, step: &'static str, text: &str) -> Result<T> {
+        serde_json::from_str(text)
+            .map_err(|e| self.error(ErrorKind::Malformed, step, e.to_string()))
+    }
+
+    fn error(&self, kind: ErrorKind, step: &'static str, message: String) -> Error {
+        Error::new(kind, step, format!("entry {}", self.addr), message)
+    }
+}
+
+impl EntryPort for HttpEntry {
+    fn status(&self) -> Result<Status> {
+        let step = "read status";
+        self.parse(step, &self.get(step, path::STATUS)?)
+    }
+
+    fn submit(&self, job: &JobRequest) -> Result<SubmitReply> {
+        let step = "submit job";
+        self.parse(step, &self.post(step, path::JOBS, job)?)
+    }
+
+    fn find(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>> {
+        let step = "read jobs";
+        self.parse(step, &self.post(step, path::JOBS_FIND, jobs)?)
+    }
+
+    fn cancel(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>> {
+        let step = "cancel jobs";
+        self.parse(step, &self.post(step, path::JOBS_CANCEL, jobs)?)
+    }
+
+    fn drain(&self, target: &TargetId) -> Result<()> {
+        self.post("drain target", path::DRAIN, target).map(drop)
+    }
+
+    fn report(&self, format: &str) -> Result<String> {
+        self.get("read report", &format!("{}?format={format}", path::REPORT))
+    }
+}
+
+/// Tells what a failed call means; only a call that was never sent had surely no effect.
+fn kind(error: &ureq::Error) -> ErrorKind {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => ErrorKind::Unreachable,
+        ureq::Error::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+            ErrorKind::Unreachable
+        }
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+            ErrorKind::Unreachable
+        }
+        ureq::Error::Timeout(_) => ErrorKind::Timeout,
+        _ => ErrorKind::Interrupted,
+    }
+}
--- /dev/null
+++ b/crates/ops/src/command/fleet.rs
@@ -0,0 +1,183 @@
+//! Commands on processes: status, planned stops, the report.
+
+use std::fs;
+use std::path::Path;
+
+use base::prelude::*;
+use serde_json::json;
+use wire::TargetState;
+use wire::operator::Status;
+
+use super::Context;
+use crate::cli::{EntryFlags, Format};
+use crate::{EntryPort, Exit, Failure, Outcome};
+
+const WAIT_PAUSE: Duration = Duration::from_millis(200);
+
+/// A process and the generation that it applies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Process {
+    name: String,
+    generation: Generation,
+}
+
+/// Shows what an entry knows of the fleet.
+pub(super) fn status(cx: &dyn Context, entry: &EntryFlags) -> Result<Outcome, Failure> {
+    let status = cx.entry(entry)?.status()?;
+    let json =
+        serde_json::to_value(&status).map_err(|e| Failure::new(Exit::Fault, e.to_string()))?;
+    Ok(Outcome::done(status_text(&status), json))
+}
+
+fn status_text(status: &Status) -> String {
+    let mut lines = vec![format!(
+        "entry {} in {}, generation {}",
+        status.entry.entry, status.entry.zone, status.entry.generation
+    )];
+    lines.push(match &status.store {
+        Some(store) if store.is_reachable => "store reachable".to_owned(),
+        Some(store) => match store.answered_ms_ago {
+            Some(ms) => format!("store unreachable, last answered {ms} ms ago"),
+            None => "store unreachable, never answered".to_owned(),
+        },
+        None => "store not asked yet".to_owned(),
+    });
+    lines.push(format!("{} other entries", other_entries(status).count()));
+    for entry in other_entries(status) {
+        lines.push(format!(
+            "  {} in {}, generation {}",
+            entry.entry, entry.zone, entry.generation
+        ));
+    }
+    lines.push(format!("{} targets", status.targets.len()));
+    for target in &status.targets {
+        let state = match target.state {
+            TargetState::Serving => "serving",
+            TargetState::Leaving => "leaving",
+        };
+        lines.push(format!(
+            "  {} on {} in {}, {state}, {} of {} slots, generation {}",
+            target.target,
+            target.worker,
+            target.zone,
+            target.in_flight,
+            target.slots,
+            target.generation
+        ));
+    }
+    lines.push(format!("{} shards", status.owners.len()));
+    for owner in &status.owners {
+        lines.push(format!(
+            "  {} of pool {}, owner {}, epoch {}",
+            owner.shard, owner.pool, owner.entry, owner.epoch
+        ));
+    }
+    for shard in &status.shards {
+        lines.push(format!(
+            "shard {}: {} queued, {} running",
+            shard.shard, shard.queued, shard.running
+        ));
+        for (worker, reason) in &shard.quarantined {
+            lines.push(format!("  {worker} in quarantine: {reason}"));
+        }
+    }
+    let broken = status.promises.iter().filter(|p| p.broken > 0);
+    lines.extend(broken.map(|p| format!("BROKEN PROMISE {}: {} times", p.promise, p.broken)));
+    lines.join("\n")
+}
+
+fn other_entries(status: &Status) -> impl Iterator<Item = &wire::EntryInfo> {
+    let own = &status.entry.entry;
+    status
+        .entries
+        .iter()
+        .filter(move |entry| entry.entry != *own)
+}
+
+/// Returns every live process that an entry knows.
+fn processes(status: &Status) -> Vec<Process> {
+    let own = std::iter::once(&status.entry);
+    let entries = own.chain(other_entries(status)).map(|entry| Process {
+        name: format!("entry {}", entry.entry),
+        generation: entry.generation,
+    });
+    let targets = status.targets.iter().map(|target| Process {
+        name: format!("companion of {}", target.target),
+        generation: target.generation,
+    });
+    entries.chain(targets).collect()
+}
+
+/// Waits until every live process applies a generation, and adds to `outcome` what came of it.
+pub(super) fn wait_in_force(
+    cx: &dyn Context,
+    entry: &dyn EntryPort,
+    generation: Generation,
+    timeout: Duration,
+    mut outcome: Outcome,
+) -> Outcome {
+    let deadline = cx.clock().now() + timeout;
+    loop {
+        let late = match entry.status() {
+            Ok(status) => {
+                let all = processes(&status);
+                let late = all.iter().filter(|p| p.generation < generation).cloned();
+                let late = late.collect::<Vec<_>>();
+                if late.is_empty() {
+                    outcome.text += &format!("\nin force on all {} processes", all.len());
+                    outcome.json["in-force-on"] = json!(all.len());
+                    return outcome;
+                }
+                late.iter()
+                    .map(|p| format!("{} (generation {})", p.name, p.generation))
+                    .collect()
+            }
+            Err(e) => vec![e.to_string()],
+        };
+        if cx.clock().now() >= deadline {
+            outcome.text += "\naccepted, but not yet in force on:";
+            outcome
+                .text
+                .extend(late.iter().map(|name| format!("\n  {name}")));
+            outcome.json["not-in-force-on"] = json!(late);
+            return outcome.with_exit(Exit::NotInForce);
+        }
+        (cx.pause())(WAIT_PAUSE);
+    }
+}
+
+/// Starts the planned stop of a target.
+pub(super) fn drain(
+    cx: &dyn Context,
+    entry: &EntryFlags,
+    target: &str,
+) -> Result<Outcome, Failure> {
+    let target = TargetId::from(target);
+    cx.entry(entry)?.drain(&target)?;
+    let text = format!("{target} takes no new work and finishes what is in progress");
+    Ok(Outcome::done(text, json!({ "target": target })))
+}
+
+/// Shows the report on service-level burn.
+pub(super) fn report(
+    cx: &dyn Context,
+    entry: &EntryFlags,
+    format: Format,
+    out: Option<&Path>,
+) -> Result<Outcome, Failure> {
+    let report = cx.entry(entry)?.report(format.as_str())?;
+    let json = match format {
+        Format::Json => serde_json::from_str(&report)
+            .map_err(|e| Failure::new(Exit::Fault, format!("read report: {e}")))?,
+        Format::Text | Format::Html => json!({ "report": report }),
+    };
+    let Some(path) = out else {
+        return Ok(Outcome::done(report, json));
+    };
+    let failed = |e| Failure::new(Exit::Usage, format!("{}: {e}", path.display()));
+    fs::write(path, report).map_err(failed)?;
+    Ok(Outcome::done(
+        format!("written to {}", path.display()),
+        json,
+    ))
+}
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -1,1 +1,23 @@
 //! The operator commands.
+
+mod apply;
+mod cli;
+mod client;
+mod command;
+mod exit;
+mod files;
+mod history;
+mod outcome;
+mod run;
+
+pub use apply::{Applied, Applier, Change, Plan};
+pub use cli::{
+    Action, ApplyFlags, Command, EntryFlags, Format, JobFlags, StoreFlags, SubmitFlags, command,
+};
+pub use client::{EntryPort, HttpEntry, Token};
+pub use command::{Context, execute};
+pub use exit::Exit;
+pub use files::{Loaded, TableFiles};
+pub use history::{HISTORY_KEPT, InForce, Swap, TablesStore};
+pub use outcome::{Failure, Outcome};
+pub use run::run;
--- /dev/null
+++ b/crates/ops/src/run.rs
@@ -0,0 +1,79 @@
+//! Runs a command with the machine's clock, terminal and connections.
+
+use std::io::{self, BufRead, IsTerminal, Write};
+use std::thread;
+
+use base::SystemClock;
+use base::prelude::*;
+use platform::store::Store;
+
+use crate::cli::{EntryFlags, StoreFlags};
+use crate::{Command, Context, EntryPort, Exit, HttpEntry, Token, execute};
+
+/// Runs a command, writes what it tells and returns its exit code.
+pub fn run(command: &Command) -> Exit {
+    let (written, exit) = match execute(&Machine, &command.action) {
+        Ok(outcome) if command.json => (print(&outcome.json.to_string()), outcome.exit),
+        Ok(outcome) => (print(&outcome.text), outcome.exit),
+        Err(failure) if command.json => (print(&failure.json().to_string()), failure.exit()),
+        Err(failure) => {
+            eprintln!("{failure}");
+            (Ok(()), failure.exit())
+        }
+    };
+    // A reader that went away, such as a pager, has seen enough.
+    match written {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Exit::Fault,
+        _ => exit,
+    }
+}
+
+fn print(text: &str) -> io::Result<()> {
+    writeln!(io::stdout(), "{}", text.trim_end())
+}
+
+/// The machine's clock, terminal and connections.
+#[derive(Debug)]
+struct Machine;
+
+impl Context for Machine {
+    fn store(&self, flags: &StoreFlags) -> Result<Box<dyn Store>> {
+        Err(Error::new(
+            ErrorKind::Internal,
+            "connect",
+            flags.addr.to_string(),
+            "no adapter",
+        ))
+    }
+
+    fn entry(&self, flags: &EntryFlags) -> Result<Box<dyn EntryPort>> {
+        let token = match (&flags.token, &flags.token_file) {
+            (Some(secret), _) => Some(Token::new(secret)),
+            (None, Some(path)) => Some(Token::read(path)?),
+            (None, None) => None,
+        };
+        Ok(Box::new(HttpEntry::new(flags.addr, token)))
+    }
+
+    fn clock(&self) -> &dyn Clock {
+        &SystemClock
+    }
+
+    fn nonce(&self) -> Nonce {
+        Nonce(rand::random())
+    }
+
+    fn confirm(&self, question: &str) -> Option<bool> {
+        if !io::stdin().is_terminal() {
+            return None;
+        }
+        eprint!("{question} [y/N] ");
+        let mut answer = String::new();
+        io::stdin().lock().read_line(&mut answer).ok()?;
+        Some(matches!(answer.trim(), "y" | "Y" | "yes"))
+    }
+
+    fn pause(&self) -> fn(Duration) {
+        thread::sleep
+    }
+}
--- /dev/null
+++ b/crates/ops/tests/it/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operator commands.
+
+mod apply;
+mod commands;
+mod common;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod http;
 mod member;
+pub mod operator;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
 pub use batch::{
