Add metrics, logs and the report on service-level burn

Counts of each objective are kept in 30-second buckets for six hours and hourly ones for a week, per process, and add up over processes. An alarm needs two windows to agree: 5 min and 1 h above 14.4 pages, 30 min and 6 h above 6 asks for a ticket. The page holds its plots and refers to nothing. Labels of metrics and offenders are bounded: names that callers make up count as 'other'. A place in the code that logs more than 20 lines in 10 s is held back and the number told.

--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,8 @@
-//! Metrics and the report on service-level burn.
+//! Metrics, logs and the report on service-level burn.
+
+pub mod burn;
+mod log;
+mod metrics;
+
+pub use log::{Limited, LogFormat, logger};
+pub use metrics::Metrics;
