--- a/crates/ops/src/run.rs
+++ b/crates/ops/src/run.rs
@@ -5,11 +5,14 @@
 
 use base::SystemClock;
 use base::prelude::*;
+use platform::HttpStore;
 use platform::store::Store;
 
 use crate::cli::{EntryFlags, StoreFlags};
 use crate::{Command, Context, EntryPort, Exit, HttpEntry, Token, execute};
 
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs a command, writes what it tells and returns its exit code.
 pub fn run(command: &Command) -> Exit {
     let (written, exit) = match execute(&Machine, &command.action) {
@@ -38,12 +41,7 @@
 
 impl Context for Machine {
     fn store(&self, flags: &StoreFlags) -> Result<Box<dyn Store>> {
-        Err(Error::new(
-            ErrorKind::Internal,
-            "connect",
-            flags.addr.to_string(),
-            "no adapter",
-        ))
+        Ok(Box::new(HttpStore::new(flags.addr, STORE_TIMEOUT)))
     }
 
     fn entry(&self, flags: &EntryFlags) -> Result<Box<dyn EntryPort>> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,11 +7,13 @@
 mod http;
 mod member;
 pub mod operator;
+mod pool;
+pub mod timing;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
 pub use batch::{
     Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
-    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd,
+    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd, shard_of_pool,
 };
 pub use call::{Answer, Call, CallPort, CallToken, Part, Reply};
 pub use client::{Client, ClientCfg};
@@ -19,3 +21,4 @@
 pub use member::{
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
 };
+pub use pool::HttpPool;
