--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod http;
 mod member;
+pub mod operator;
 mod pool;
 pub mod timing;
 
