--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the platform and the targets, and load tools. Not shipped.
 
+pub mod harm;
 mod http;
 pub mod relay;
 pub mod store;
 pub mod target;
 pub mod worker;
-pub mod harm;
