Check the store stand-in: linearizable histories and a model over random calls

Everything that the long randomised runs prove rests on the stand-in's compare-and-swap, leases and late effects, so these are checked first.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform and the targets, and load tools. Not shipped.
 
+pub mod history;
 mod http;
 pub mod relay;
 pub mod store;
