--- a/crates/companion/src/announce.rs
+++ b/crates/companion/src/announce.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use slog::{error, info};
+use slog::{error, info, warn};
 use stakker::{Actor, CX, after, call};
-use tables::{Tables, TablesDoc};
+use tables::{InForce, Offer, TablesDoc};
 use wire::timing::ANNOUNCE_EVERY;
 use wire::{
-    AnnounceReply, Announcement, Answer, Call, CallToken, Part, ShardOwner, TargetState,
+    AnnounceReply, Announcement, Answer, Call, CallToken, Part, Reply, ShardOwner, TargetState,
     shard_of_pool,
 };
 
@@ -41,8 +41,7 @@
     calls: IndexMap<u64, SocketAddr>,
     sequence: u64,
     state: TargetState,
-    doc: Option<TablesDoc>,
-    tables: Arc<Tables>,
+    in_force: InForce,
     owners: IndexMap<ShardId, ShardOwner>,
 }
 
@@ -66,8 +65,7 @@
             calls: IndexMap::new(),
             sequence: 0,
             state: TargetState::Serving,
-            doc: None,
-            tables: Arc::default(),
+            in_force: InForce::default(),
             owners: IndexMap::new(),
         };
         this.announce_later(cx);
@@ -122,7 +120,7 @@
             capacity: cfg.capacity,
             state: self.state,
             in_flight: 0,
-            generation: self.tables.generation,
+            generation: self.in_force.generation(),
         }
     }
 
@@ -170,31 +168,39 @@
 
     /// Puts tables in force where their generation is higher than what is.
     fn offer(&mut self, doc: TablesDoc) {
-        if doc.generation <= self.tables.generation {
-            return;
-        }
-        match doc.tables() {
-            Ok(tables) => {
+        let generation = doc.generation;
+        match self.in_force.offer(doc) {
+            Offer::Taken(_) => {
                 info!(
                     self.ports.log,
-                    "config: generation {} is in force", doc.generation
+                    "config: generation {} is in force", generation
                 );
-                self.tables = Arc::new(tables);
-                self.doc = Some(doc);
             }
-            Err(e) => {
+            Offer::Malformed(e) => {
                 error!(
                     self.ports.log,
-                    "config: generation {} is invalid: {}", doc.generation, e
+                    "config: generation {} is invalid: {}", generation, e
                 );
             }
+            Offer::Rival => {
+                warn!(
+                    self.ports.log,
+                    "config: two tables are of generation {}", generation
+                );
+            }
+            Offer::Same | Offer::Older => {}
         }
     }
 
+    pub(crate) fn tables(&mut self, _cx: CX![], reply: Reply<Option<TablesDoc>>) {
+        reply.send(self.in_force.doc().cloned());
+    }
+
     /// Tells the tasks which shard the worker is in, and who owns it.
     fn tell_shard(&mut self, cx: CX![]) {
         let pool = self
-            .tables
+            .in_force
+            .tables()
             .pools_of_worker(&self.cfg.worker, &self.cfg.zone)
             .next();
         let Some(pool) = pool else { return };
--- a/crates/companion/src/event.rs
+++ b/crates/companion/src/event.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use platform::worker::WorkerReply;
+use tables::TablesDoc;
 use wire::{Answer, CallToken, Reply, RevokeReply};
 
 use crate::admit::{AdmitStep, StoredAnswer};
@@ -17,6 +18,8 @@
     Worker(u64, Result<WorkerReply>),
     /// An entry answered.
     Call(CallToken, Result<Answer>),
+    /// An entry asks for the tables in force here.
+    Tables(Reply<Option<TablesDoc>>),
     /// A planned stop of the target begins.
     Drain,
 }
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -58,6 +58,7 @@
                 Part::Batch => call!([self.tasks], answer(token.id, answer)),
                 Part::Request | Part::Config => {}
             },
+            Event::Tables(reply) => call!([self.announce], tables(reply)),
             Event::Drain => {
                 call!([self.admit], leave());
                 call!([self.announce], leave());
--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -7,6 +7,7 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use tables::TablesDoc;
 use tokio::sync::oneshot;
 use wire::{CompanionApiServer, Reply, RevokeReply};
 
@@ -45,6 +46,16 @@
         rx.await.map_err(|_closed| dropped())
     }
 
+    async fn tables(&self) -> RpcResult<Option<TablesDoc>> {
+        let (tx, rx) = oneshot::channel();
+        // The receiver is gone where the caller gave up: nobody wants the answer.
+        let reply = Reply::new(move |answer| drop(tx.send(answer)));
+        if self.events.send(Event::Tables(reply)).is_err() {
+            return Err(dropped());
+        }
+        rx.await.map_err(|_closed| dropped())
+    }
+
     async fn drain(&self) -> RpcResult<()> {
         self.events.send(Event::Drain).map_err(|_closed| dropped())
     }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -4,6 +4,7 @@
 use platform::store::StoreReply;
 use route::{AttemptEnd, RequestMeta, RequestStep};
 use tables::{Tables, TablesDoc};
+use wire::operator::{Status, StoreHealth};
 use wire::{
     AnnounceReply, Announcement, Answer, CallToken, Claim, ClaimReply, DoneAck, DoneReport, Gossip,
     JobRef, JobSpec, JobStatus, Part, Poll, PollReply, Reply, SubmitReply,
@@ -71,6 +72,8 @@
     Tables(Reply<Option<TablesDoc>>),
     /// Asks for the tables in force here, checked and joined.
     Parsed(Reply<Option<Arc<Tables>>>),
-    /// Asks for everything this entry knows, as JSON.
-    Status(Reply<serde_json::Value>),
+    /// Asks for what this entry sees of the store.
+    StoreHealth(Reply<StoreHealth>),
+    /// Asks for everything this entry knows of the fleet.
+    Status(Reply<Status>),
 }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -3,10 +3,10 @@
 use base::prelude::*;
 use journal::{Keys, OwnerValue};
 use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
-use serde_json::json;
 use slog::info;
 use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
+use wire::operator::Status;
 use wire::timing::ANNOUNCE_TTL;
 use wire::{
     AnnounceReply, Announcement, Answer, EntryInfo, Gossip, Part, Reply, ShardOwner, TargetState,
@@ -215,6 +215,9 @@
             .doc
             .clone()
             .filter(|doc| doc.generation > msg.generation);
+        if let Some(config) = &self.config {
+            call!([config, cx], companion_at(msg.generation, msg.rpc_addr));
+        }
         if !stale {
             if !self.targets.contains_key(&msg.target) {
                 info!(
@@ -274,18 +277,17 @@
 
     pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
 
-    pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<serde_json::Value>) {
-        let targets: Vec<_> = self
-            .targets
-            .values()
-            .map(|heard| &heard.announcement)
-            .collect();
-        reply.send(json!({
-            "entry": self.info(),
-            "entries": self.entries.values().collect::<Vec<_>>(),
-            "owners": self.owners.values().collect::<Vec<_>>(),
-            "targets": targets,
-        }));
+    pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<Status>) {
+        let targets = self.targets.values();
+        reply.send(Status {
+            entry: self.info(),
+            entries: self.entries.values().cloned().collect(),
+            owners: self.owners.values().cloned().collect(),
+            targets: targets.map(|heard| heard.announcement.clone()).collect(),
+            store: None,
+            shards: Vec::new(),
+            promises: Vec::new(),
+        });
     }
 
     pub(crate) fn stop(&mut self, _cx: CX![]) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -93,7 +93,7 @@
                 Part::Request => {}
             },
             Event::Call(token, answer) => match token.part {
-                Part::Config => {}
+                Part::Config => call!([self.config], answer(answer)),
                 Part::Member => call!([self.member], answer(token.id, answer)),
                 Part::Batch => call!([self.shard], answer(token.id, answer)),
                 Part::Request => call!([self.request], answer(token.id, answer)),
@@ -115,6 +115,7 @@
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
             AdminEvent::Parsed(reply) => call!([self.config], parsed(reply)),
+            AdminEvent::StoreHealth(reply) => call!([self.config], store_health(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
         }
     }
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -50,14 +50,42 @@
     is_closed: bool,
 }
 
+#[derive(Default)]
 struct Shared {
     queue: Mutex<Queue>,
     ready: Condvar,
 }
 
+impl Shared {
+    fn push(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
+        let mut queue = self.queue.lock();
+        let number = queue.next_number;
+        queue.next_number += 1;
+        queue.waiting.push(Queued {
+            priority,
+            number,
+            token,
+            call,
+        });
+        drop(queue);
+        self.ready.notify_one();
+    }
+
+    fn close(&self) {
+        let mut queue = self.queue.lock();
+        queue.is_closed = true;
+        queue.waiting.clear();
+        drop(queue);
+        self.ready.notify_all();
+    }
+}
+
 /// Makes store calls on a few threads and hands their replies to a sink.
+///
+/// Watches have a thread of their own, so that their waits hold up nothing else.
 pub(crate) struct StoreIo {
     shared: Arc<Shared>,
+    watches: Arc<Shared>,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -66,36 +94,33 @@
         store: &Arc<dyn Store>,
         sink: impl Fn(StoreToken, Result<StoreReply>) + Send + Sync + 'static,
     ) -> Self {
-        let shared = Arc::new(Shared {
-            queue: Mutex::default(),
-            ready: Condvar::new(),
-        });
+        let shared = Arc::new(Shared::default());
+        let watches = Arc::new(Shared::default());
         let sink = Arc::new(sink);
-        let threads = (0..THREADS)
-            .map(|_| {
-                let shared = Arc::clone(&shared);
-                let store = Arc::clone(store);
-                let sink = Arc::clone(&sink);
-                std::thread::spawn(move || {
-                    while let Some(queued) = next(&shared) {
-                        sink(queued.token, store.call(&queued.call));
-                    }
-                })
+        let spawn = |shared: &Arc<Shared>| {
+            let shared = Arc::clone(shared);
+            let store = Arc::clone(store);
+            let sink = Arc::clone(&sink);
+            std::thread::spawn(move || {
+                while let Some(queued) = next(&shared) {
+                    sink(queued.token, store.call(&queued.call));
+                }
             })
-            .collect();
+        };
+        let threads = (0..THREADS).map(|_| spawn(&shared)).collect();
+        // Nobody waits for this thread's end: its last watch may take long.
+        drop(spawn(&watches));
         Self {
             shared,
+            watches,
             threads: Mutex::new(threads),
         }
     }
 
     /// Drops what waits and ends the threads after the calls in progress.
     pub(crate) fn stop(&self) {
-        let mut queue = self.shared.queue.lock();
-        queue.is_closed = true;
-        queue.waiting.clear();
-        drop(queue);
-        self.shared.ready.notify_all();
+        self.shared.close();
+        self.watches.close();
         for thread in self.threads.lock().drain(..) {
             drop(thread.join());
         }
@@ -118,17 +143,11 @@
 
 impl StorePort for StoreIo {
     fn submit(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
-        let mut queue = self.shared.queue.lock();
-        let number = queue.next_number;
-        queue.next_number += 1;
-        queue.waiting.push(Queued {
-            priority,
-            number,
-            token,
-            call,
-        });
-        drop(queue);
-        self.shared.ready.notify_one();
+        let shared = match call {
+            StoreCall::Watch { .. } => &self.watches,
+            _ => &self.shared,
+        };
+        shared.push(priority, token, call);
     }
 }
 
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use tables::TablesDoc;
 
 use crate::{
     AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, Gossip, JobRef, JobSpec,
@@ -57,6 +58,10 @@
     #[method(name = "revoke")]
     async fn revoke(&self, request: RequestId, incarnation: Incarnation) -> RpcResult<RevokeReply>;
 
+    /// Returns the tables that the companion applies, for an entry that can't read the store.
+    #[method(name = "tables")]
+    async fn tables(&self) -> RpcResult<Option<TablesDoc>>;
+
     /// Starts a planned stop of the target: no new work, finish what is in progress.
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use tables::TablesDoc;
 
 use crate::{
     AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, Gossip, JobRef, JobSpec,
@@ -55,6 +56,8 @@
     Revoke(RequestId, Incarnation),
     /// Entry to companion.
     Drain,
+    /// Entry to companion.
+    Tables,
 }
 
 /// The answer to a [`Call`] of the same name.
@@ -80,6 +83,8 @@
     Revoke(RevokeReply),
     /// Answers a drain.
     Drain,
+    /// Answers a question for the tables.
+    Tables(Option<Box<TablesDoc>>),
 }
 
 /// The port through which decisions call other processes.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -126,6 +126,10 @@
             CompanionApiClient::drain(client).await?;
             Answer::Drain
         }
+        Call::Tables => {
+            let tables = CompanionApiClient::tables(client).await?;
+            Answer::Tables(tables.map(Box::new))
+        }
     })
 }
 
