--- a/crates/place/src/cfg.rs
+++ b/crates/place/src/cfg.rs
@@ -113,7 +113,7 @@
 /// The settings of the ladder.
 #[derive(Clone, Debug)]
 pub struct LadderCfg {
-    /// The extra time of a service that is accepted, times the pool's weight of the tail.
+    /// The extra time of a service that is accepted, times the root of the pool's weight of the tail.
     pub limit: f64,
     /// The multiple of the accepted extra time from which on the ladder goes up.
     pub rise: f64,
@@ -217,7 +217,7 @@
 impl Default for LadderCfg {
     fn default() -> Self {
         Self {
-            limit: 0.14,
+            limit: 0.16,
             rise: 1.5,
             fall: 0.8,
             eviction_restraint: 2.0,
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -61,7 +61,9 @@
     pub(crate) fn candidate(&self, now: Instant, waiting: &Waiting) -> Candidate {
         let ask = &waiting.ask;
         let granted = self.grant(waiting);
-        let waited = now.saturating_duration_since(waiting.since);
+        let held_back = waiting
+            .held_back
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         let hold_back = self.cfg.queue.hold_back.mul_f64(self.weights.tail);
         let urgent = waiting.priority == Priority::Urgent;
         let standing = ask.run_time.is_none();
@@ -75,7 +77,7 @@
             urgent,
             standing,
             large: self.is_large(&granted),
-            patient: !urgent && !standing && waited < hold_back,
+            patient: !urgent && !standing && held_back < hold_back,
             probe: !urgent && !standing && ask.failures == 0,
             choosy: !urgent && !standing && !pressed,
             run_time,
@@ -272,7 +274,7 @@
 
     /// Returns the extra time of services that the pool accepts.
     pub(crate) fn extra_limit(&self) -> f64 {
-        self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT)
+        self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT).sqrt()
     }
 }
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -57,6 +57,7 @@
     /// For how many more jobs this round makes room.
     pub(crate) room_tries: usize,
     pub(crate) ticked: Option<Instant>,
+    pub(crate) retried: Option<Instant>,
     /// Decisions beyond the limit of the last call.
     pub(crate) backlog: Vec<Decision>,
     first_seen: Option<Instant>,
@@ -95,6 +96,7 @@
             suiting: IndexMap::new(),
             room_tries: 0,
             ticked: None,
+            retried: None,
             backlog: Vec::new(),
             first_seen: None,
             settled: false,
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -32,6 +32,8 @@
     pub(crate) priority: Priority,
     pub(crate) due: Due,
     pub(crate) since: Instant,
+    /// Since when it is held back for the sake of services.
+    pub(crate) held_back: Option<Instant>,
     /// Why it waits, for a person.
     pub(crate) why: Option<Name>,
     /// Where it stands.
@@ -137,6 +139,7 @@
             priority: ask.priority,
             due: (due, self.arrivals),
             since: now,
+            held_back: None,
             why: None,
             place: WaitPlace::Pending,
             ask,
@@ -277,6 +280,13 @@
         &self.parked
     }
 
+    /// Notes that a job is held back for the sake of services.
+    pub(crate) fn note_held_back(&mut self, now: Instant, job: &JobId) {
+        if let Some(waiting) = self.jobs.get_mut(job) {
+            waiting.held_back.get_or_insert(now);
+        }
+    }
+
     /// Notes why a job waits.
     pub(crate) fn set_why(&mut self, job: &JobId, why: Name) {
         if let Some(waiting) = self.jobs.get_mut(job) {
--- a/crates/place/src/relieve.rs
+++ b/crates/place/src/relieve.rs
@@ -11,6 +11,8 @@
 
 /// The share of the extra time that tasks must account for before they are acted against.
 const LEAST_BLAME: f64 = 0.3;
+/// The share of the excess that unthrottled tasks must account for to be throttled first.
+const UNTHROTTLED_BLAME: f64 = 0.5;
 /// The share of the excess that one task must account for to be evicted.
 const LEAST_RELIEF: f64 = 0.1;
 
@@ -22,6 +24,7 @@
     /// The time that its eviction would waste, in seconds.
     cost: f64,
     standing: bool,
+    throttled: bool,
     ending: bool,
 }
 
@@ -80,12 +83,25 @@
                 self.throttle_worst(now, worker, &suspects, extra, out);
                 self.ladder.moved(now, worker, Step::Squeezed);
             }
+            Step::Squeezed if self.has_unthrottled(&suspects, extra) => {
+                self.throttle_worst(now, worker, &suspects, extra, out);
+                self.ladder.moved(now, worker, Step::Squeezed);
+            }
             Step::Halted | Step::Squeezed => {
                 self.evict_worst(now, worker, &suspects, extra, out);
             }
         }
     }
 
+    /// Tells whether tasks that are not throttled are to blame for much of the excess.
+    fn has_unthrottled(&self, suspects: &[Suspect], extra: f64) -> bool {
+        let free = suspects
+            .iter()
+            .filter(|suspect| !suspect.throttled && !suspect.standing);
+        let blamed: f64 = free.map(|suspect| suspect.extra).sum();
+        self.cfg.parts.throttle && blamed >= (extra - self.extra_limit()) * UNTHROTTLED_BLAME
+    }
+
     /// Throttles the worst suspects, as many as explain the excess.
     fn throttle_worst(
         &mut self,
@@ -95,7 +111,7 @@
         extra: f64,
         out: &mut Vec<Decision>,
     ) {
-        let further = self.ladder.step(worker) == Step::Throttled;
+        let further = self.ladder.step(worker) >= Step::Throttled;
         let share = self.cfg.ladder.shares[usize::from(further)];
         let mut excess = extra - self.extra_limit();
         for suspect in suspects.iter().filter(|suspect| !suspect.standing) {
@@ -226,6 +242,7 @@
                     extra: self.harm.estimate(victim, task.class, now).mean * load,
                     cost: self.eviction_cost(task),
                     standing: task.is_standing(),
+                    throttled: task.throttle < 1.0,
                     ending: self.is_ending(now, task, row.lag),
                 }
             })
--- a/crates/place/src/rounds.rs
+++ b/crates/place/src/rounds.rs
@@ -12,6 +12,8 @@
 
 /// How often the periodic work is done.
 const TICK: Duration = Duration::from_millis(500);
+/// How often waiting jobs are looked at though nothing happened: estimates move by themselves.
+const RETRY: Duration = Duration::from_secs(2);
 /// How fresh a service's sample must be to tell of a common slowdown.
 const COMMON_FRESH: Duration = Duration::from_secs(60);
 /// How many urgent jobs of one lane room is made for in one call.
@@ -65,7 +67,14 @@
     /// Does what comes due with time.
     fn tick(&mut self, now: Instant, out: &mut Vec<Decision>) {
         self.ticked = Some(now);
-        self.dirty = true;
+        let retry = self
+            .retried
+            .is_none_or(|last| now.saturating_duration_since(last) >= RETRY);
+        if retry {
+            self.retried = Some(now);
+            self.dirty = true;
+            self.update_suiting(now);
+        }
         self.settle(now);
         self.queue.age(now);
         for job in self.keeps.expired(now) {
@@ -75,7 +84,6 @@
         for worker in quarantined {
             self.reindex(now, &worker);
         }
-        self.update_suiting(now);
         self.common.update(now, &self.ledger, COMMON_FRESH);
         self.evict_again(now, out);
         self.relieve_memory(now, out);
@@ -243,6 +251,9 @@
             }
             Err(_) if choosy && !candidate.urgent => false,
             Err(blocked) => {
+                if blocked == Blocked::Harm {
+                    self.queue.note_held_back(now, job);
+                }
                 self.queue.set_why(job, reason(blocked, &candidate, &team));
                 if blocked == Blocked::NoRoom && self.room_tries > 0 {
                     self.find_room(now, &candidate, &team, waited, out);
--- a/examples/placement/world.rs
+++ b/examples/placement/world.rs
@@ -49,6 +49,12 @@
     /// From queueing to start, in seconds.
     pub urgent_start_p99: f64,
     pub urgent_starts: u64,
+    /// The mean share of the workers' room that tasks hold.
+    pub held: f64,
+    /// The mean extra time of tasks.
+    pub batch_extra: f64,
+    /// The mean extra time of services.
+    pub service_extra: f64,
 }
 
 /// The real load of each class on a worker.
@@ -102,6 +108,7 @@
     outcome: Outcome,
     finished: u64,
     work_done: f64,
+    task_steps: f64,
 }
 
 impl<'a> World<'a> {
@@ -143,6 +150,7 @@
             outcome: Outcome::default(),
             finished: 0,
             work_done: 0.0,
+            task_steps: 0.0,
         }
     }
 
@@ -151,6 +159,8 @@
         while self.now < self.start + load.length {
             self.arrive();
             self.decide();
+            let summary = self.placer.summary();
+            self.outcome.held += summary.held.cpu_milli as f64 / summary.capacity.cpu_milli as f64;
             self.now += self.step;
             self.work();
             self.sample();
@@ -162,6 +172,10 @@
         self.outcome.work_per_hour = self.work_done / 3600.0 / hours;
         self.outcome.urgent_start_p99 = self.urgent.value_at_quantile(0.99) as f64 / 1000.0;
         self.outcome.urgent_starts = self.urgent.len();
+        self.outcome.batch_extra /= self.task_steps;
+        let steps = load.length.as_secs_f64() / self.step.as_secs_f64();
+        self.outcome.held /= steps;
+        self.outcome.service_extra /= steps * WORKERS as f64;
         self.outcome
     }
 
@@ -278,6 +292,7 @@
     fn work(&mut self) {
         for n in 0..self.workers.len() {
             let extra = self.service_extra(n);
+            self.outcome.service_extra += extra;
             self.record_latency(extra);
             let mut ended = Vec::new();
             for t in 0..self.workers[n].tasks.len() {
@@ -293,6 +308,9 @@
 
     fn work_task(&mut self, n: usize, t: usize) -> Option<Ended> {
         let speed = self.speed(n, t);
+        let throttle = self.workers[n].tasks[t].throttle;
+        self.outcome.batch_extra += throttle / speed - 1.0;
+        self.task_steps += 1.0;
         let task = &mut self.workers[n].tasks[t];
         if let Some(at) = task.checkpointed_at {
             return (at <= self.now).then_some(Ended::Evicted);
