Keep tasks from the issue of the poll and only on an owner's word

Cause: a restarted companion prolonged tasks that it merely found in the worker's list; an answer kept tasks that its poll had not named; a start whose call was lost was never made again; a worker that dropped its tasks was not noticed; calls that waited in the queue of a paused companion renewed or started long after their time.

Change: TaskKeeper counts keep_for from the issue of the poll, ignores answers of a lower term, adopts tasks without a time of their own, repeats unseen starts, reports TaskEnd::Lost, and remembers forgotten tasks for the grant window. Calls carry the time at which they lose their ground; renewals are batched by it.

Contracts, additive: TaskStart::ttl, TaskEnd::Lost, WorkerPort::submit_until (with a default). The stand-in's worker honours ttl; its tests name the new field.

No speed was aimed at.

Left: a call that is already on the wire when the companion is paused can still land late; the worker would need a limit in its own clock.

--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -82,10 +82,14 @@
 
         let worker = Arc::new(HttpWorker::new(cfg.worker_addr, WORKER_TIMEOUT));
         let worker_events = events.clone();
-        let worker_io = Arc::new(WorkerIo::start(worker, move |id, reply| {
-            // The actors may have ended first; then nobody wants the reply.
-            drop(worker_events.send(Event::Worker(id, reply)));
-        }));
+        let worker_io = Arc::new(WorkerIo::start(
+            worker,
+            Arc::new(SystemClock),
+            move |id, reply| {
+                // The actors may have ended first; then nobody wants the reply.
+                drop(worker_events.send(Event::Worker(id, reply)));
+            },
+        ));
         let call_events = events.clone();
         let client_cfg = ClientCfg {
             runtime: runtime.handle().clone(),
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -18,4 +18,5 @@
 pub use event::{AdmitEvent, AdmitMeta, Event};
 pub use node::Node;
 pub use ports::{Ports, WorkerPort};
-pub use tasks::TaskKeeper;
+pub use tasks::{KeeperCfg, TaskKeeper, TimedCall};
+pub use worker_io::call_in_time;
--- a/crates/companion/src/ports.rs
+++ b/crates/companion/src/ports.rs
@@ -12,6 +12,15 @@
 pub trait WorkerPort: Send + Sync + fmt::Debug {
     /// Queues a call.
     fn submit(&self, id: u64, call: WorkerCall);
+
+    /// Queues a call that must not be made at or after `until`.
+    ///
+    /// An adapter whose calls wait must drop a late one with an error, and must not
+    /// let the time to live that a call carries reach beyond `until`.
+    fn submit_until(&self, id: u64, call: WorkerCall, until: Instant) {
+        let _ = until;
+        self.submit(id, call);
+    }
 }
 
 /// The outside of a companion, as its actors see it.
--- a/crates/companion/src/tasks.rs
+++ b/crates/companion/src/tasks.rs
@@ -4,4 +4,4 @@
 mod keeper;
 
 pub(crate) use self::actor::TaskActor;
-pub use self::keeper::{KeeperCfg, TaskKeeper};
+pub use self::keeper::{KeeperCfg, TaskKeeper, TimedCall};
--- a/crates/companion/src/tasks/actor.rs
+++ b/crates/companion/src/tasks/actor.rs
@@ -11,7 +11,7 @@
 use wire::timing::{GRANT_WINDOW, POLL_WAIT};
 use wire::{Answer, Call, CallToken, DoneReport, Part, Poll, PollAnswer, PollReply};
 
-use super::{KeeperCfg, TaskKeeper};
+use super::{KeeperCfg, TaskKeeper, TimedCall};
 use crate::CompanionCfg;
 use crate::ports::Ports;
 
@@ -42,7 +42,11 @@
     samples: Vec<UsageSample>,
     calls: IndexMap<u64, Purpose>,
     next_id: u64,
-    lists: u64,
+    rounds: u64,
+    /// The list on its way: the call's id, and its number for the keeper.
+    listing: Option<(u64, u64)>,
+    /// Renewals on their way.
+    renewing: IndexSet<u64>,
     is_leaving: bool,
 }
 
@@ -60,7 +64,9 @@
             samples: Vec::new(),
             calls: IndexMap::new(),
             next_id: 0,
-            lists: 0,
+            rounds: 0,
+            listing: None,
+            renewing: IndexSet::new(),
             is_leaving: false,
         };
         this.round(cx);
@@ -69,29 +75,60 @@
 
     /// Renews tasks, reads the worker's list, and reports ends.
     fn round(&mut self, cx: CX![]) {
-        let renewals = self.keeper.renewals(cx.now());
-        self.call_worker(renewals);
-        self.call_worker([WorkerCall::List]);
-        if self.lists.is_multiple_of(LISTS_PER_USAGE) {
-            self.call_worker([WorkerCall::Usage]);
+        if self.renewing.is_empty() {
+            self.renew(cx.now());
         }
-        self.lists += 1;
+        if self.listing.is_none() {
+            self.list();
+        }
+        self.rounds += 1;
         self.report_ends();
         self.poll(cx.now());
         after!(LIST_EVERY, [cx], |this, cx| this.round(cx));
     }
 
-    fn call_worker(&mut self, calls: impl IntoIterator<Item = WorkerCall>) {
+    fn renew(&mut self, now: Instant) {
+        for call in self.keeper.renewals(now) {
+            let id = self.call_worker(call);
+            self.renewing.insert(id);
+        }
+    }
+
+    /// Asks for the worker's list, and now and then for its samples.
+    fn list(&mut self) {
+        let number = self.keeper.list_issued();
+        let id = self.call_worker(always(WorkerCall::List));
+        self.listing = Some((id, number));
+        if self.rounds.is_multiple_of(LISTS_PER_USAGE) {
+            self.call_worker(always(WorkerCall::Usage));
+        }
+    }
+
+    fn call_worker(&mut self, call: TimedCall) -> u64 {
+        self.next_id += 1;
+        match call.until {
+            Some(until) => self
+                .ports
+                .worker
+                .submit_until(self.next_id, call.call, until),
+            None => self.ports.worker.submit(self.next_id, call.call),
+        }
+        self.next_id
+    }
+
+    fn call_worker_all(&mut self, calls: Vec<TimedCall>) {
         for call in calls {
-            self.next_id += 1;
-            self.ports.worker.submit(self.next_id, call);
+            self.call_worker(call);
         }
     }
 
-    pub(crate) fn worker_reply(&mut self, cx: CX![], _id: u64, reply: Result<WorkerReply>) {
+    pub(crate) fn worker_reply(&mut self, cx: CX![], id: u64, reply: Result<WorkerReply>) {
+        self.renewing.swap_remove(&id);
+        let listing = self.listing.take_if(|(of, _)| *of == id);
         match reply {
             Ok(WorkerReply::Tasks { tasks, .. }) => {
-                self.keeper.listed(cx.now(), &tasks);
+                let Some((_, number)) = listing else { return };
+                self.keeper.listed(cx.now(), number, &tasks);
                 self.report_ends();
                 self.poll(cx.now());
             }
@@ -156,8 +193,8 @@
             (Purpose::Poll, Ok(Answer::Poll(reply))) => self.poll_answered(cx.now(), &reply),
             (Purpose::Poll, _) => self.keeper.abandon(),
             (Purpose::Done, Ok(Answer::Done(ack))) => {
-                let calls = self.keeper.acknowledged(&ack.keys);
-                self.call_worker(calls);
+                let calls = self.keeper.acknowledged(cx.now(), &ack.keys);
+                self.call_worker_all(calls);
             }
             (Purpose::Done, _) => {}
         }
@@ -171,9 +208,8 @@
             return;
         }
         let calls = self.keeper.answered(now, reply);
-        self.call_worker(calls);
-        let renewals = self.keeper.renewals(now);
-        self.call_worker(renewals);
+        self.call_worker_all(calls);
+        self.renew(now);
         self.poll(now);
     }
 
@@ -188,3 +224,8 @@
         self.is_leaving = true;
     }
 }
+
+/// Wraps a call that is safe at any time.
+fn always(call: WorkerCall) -> TimedCall {
+    TimedCall { call, until: None }
+}
--- a/crates/companion/src/worker_io.rs
+++ b/crates/companion/src/worker_io.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use crossbeam_channel::{Sender, unbounded};
 use parking_lot::Mutex;
-use platform::worker::{Worker, WorkerCall, WorkerReply};
+use platform::worker::{TaskStart, Worker, WorkerCall, WorkerReply};
 
 use crate::ports::WorkerPort;
 
@@ -13,6 +13,7 @@
 struct Queued {
     id: u64,
     call: WorkerCall,
+    until: Option<Instant>,
 }
 
 /// Makes worker calls one after the other and hands their replies to a sink.
@@ -25,12 +26,16 @@
 impl WorkerIo {
     pub(crate) fn start(
         worker: Arc<dyn Worker>,
+        clock: Arc<dyn Clock>,
         sink: impl Fn(u64, Result<WorkerReply>) + Send + 'static,
     ) -> Self {
         let (queue, rx) = unbounded::<Queued>();
         let thread = std::thread::spawn(move || {
             for queued in rx {
-                sink(queued.id, worker.call(&queued.call));
+                let now = clock.now();
+                let reply = call_in_time(queued.call, queued.until, now)
+                    .and_then(|call| worker.call(&call));
+                sink(queued.id, reply);
             }
         });
         Self {
@@ -39,6 +44,13 @@
         }
     }
 
+    fn queue(&self, id: u64, call: WorkerCall, until: Option<Instant>) {
+        if let Some(queue) = &*self.queue.lock() {
+            // The thread ends only when the queue is dropped.
+            drop(queue.send(Queued { id, call, until }));
+        }
+    }
+
     /// Ends the thread after the calls that wait.
     pub(crate) fn stop(&self) {
         drop(self.queue.lock().take());
@@ -50,9 +62,43 @@
 
 impl WorkerPort for WorkerIo {
     fn submit(&self, id: u64, call: WorkerCall) {
-        if let Some(queue) = &*self.queue.lock() {
-            // The thread ends only when the queue is dropped.
-            drop(queue.send(Queued { id, call }));
-        }
+        self.queue(id, call, None);
+    }
+
+    fn submit_until(&self, id: u64, call: WorkerCall, until: Instant) {
+        self.queue(id, call, Some(until));
+    }
+}
+
+/// Returns the call to make at `now` in place of one queued earlier.
+///
+/// The time to live that it carries ends at `until`, however long the call waited:
+/// the process may have been paused meanwhile.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Refused`] from `until` on: the call has lost its ground.
+pub fn call_in_time(call: WorkerCall, until: Option<Instant>, now: Instant) -> Result<WorkerCall> {
+    let Some(until) = until else { return Ok(call) };
+    if now >= until {
+        let message = "the call waited too long";
+        return Err(Error::new(
+            ErrorKind::Refused,
+            call.kind(),
+            "worker",
+            message,
+        ));
     }
+    let left = until.saturating_duration_since(now);
+    Ok(match call {
+        WorkerCall::Renew { keys, ttl } => WorkerCall::Renew {
+            keys,
+            ttl: ttl.min(left),
+        },
+        WorkerCall::Start(start) => WorkerCall::Start(TaskStart {
+            ttl: Some(start.ttl.map_or(left, |ttl| ttl.min(left))),
+            ..start
+        }),
+        call => call,
+    })
 }
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -433,5 +433,6 @@
         TaskEnd::Finished => Ended::Finished,
         TaskEnd::Failed { .. } => Ended::Failed,
         TaskEnd::Stopped { .. } => Ended::Evicted,
+        TaskEnd::Lost => Ended::Lost,
     }
 }
--- a/crates/entry/src/shard/owned/polls.rs
+++ b/crates/entry/src/shard/owned/polls.rs
@@ -225,6 +225,7 @@
         work: job.spec.run_time,
         checkpoint: job.checkpoint.clone(),
         payload: Arc::clone(&job.spec.payload),
+        ttl: None,
     };
     Some(Order::Start(start))
 }
--- a/crates/fakes/src/worker/mem.rs
+++ b/crates/fakes/src/worker/mem.rs
@@ -158,7 +158,7 @@
             throttle: 1.0,
             done: done.as_secs_f64(),
             work: start.work.map(|work| work.as_secs_f64() * profile.work),
-            leased_until: self.now + self.settings.first_ttl,
+            leased_until: self.now + start.ttl.unwrap_or(self.settings.first_ttl),
             checkpoint_at: None,
             fails_at: fails.then(|| self.now + self.settings.fail_after),
         }
--- a/crates/fakes/tests/worker.rs
+++ b/crates/fakes/tests/worker.rs
@@ -23,6 +23,7 @@
         work: Some(Duration::from_secs(seconds)),
         checkpoint: None,
         payload: "".into(),
+        ttl: None,
     }
 }
 
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -172,6 +172,11 @@
         let held = Promise::OnePlace.check(fits, || {
             format!("{key} assigned to {worker} while {:?}", job.state)
         });
+        if job.evictions > 0 {
+            Promise::ResumeOnce.check(fits, || {
+                format!("{key} resumes on {worker} while {:?}", job.state)
+            });
+        }
         if held {
             job.attempt = key.attempt;
             job.state = JobState::Assigned {
@@ -207,6 +212,7 @@
                 job.checkpoint = checkpoint.clone().or_else(|| job.checkpoint.take());
                 job.state = JobState::Queued;
             }
+            TaskEnd::Lost => job.state = JobState::Queued,
         }
     }
 
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -21,6 +21,9 @@
     pub checkpoint: Option<Checkpoint>,
     /// The job's own data, opaque to us.
     pub payload: Name,
+    /// How long the task may run before its first renewal; `None` for the worker's own limit.
+    #[serde(default)]
+    pub ttl: Option<Duration>,
 }
 
 /// How far a task had come when it was checkpointed.
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -232,6 +232,8 @@
         /// Where to resume.
         checkpoint: Option<platform::worker::Checkpoint>,
     },
+    /// Its worker once listed it and no longer does: the VM was restarted or replaced.
+    Lost,
 }
 
 /// A companion's report of ended tasks, repeated until acknowledged.
