--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod harm;
 pub mod history;
 mod http;
+pub mod process;
 pub mod relay;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/crates/fakes/src/process.rs
@@ -0,0 +1,148 @@
+//! A real process of the system under test, with the signals that tests send it.
+
+use std::io::{BufRead, BufReader, Read};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base::prelude::{Arc, Name};
+use parking_lot::{Condvar, Mutex};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A process that ends with the test.
+#[derive(Debug)]
+pub struct Process {
+    name: Name,
+    child: Child,
+    log: Arc<Log>,
+}
+
+/// What a process wrote to standard output and error, line by line.
+#[derive(Debug, Default)]
+struct Log {
+    lines: Mutex<Vec<String>>,
+    grown: Condvar,
+}
+
+impl Process {
+    /// Starts `program` with `args`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start(name: &str, program: &Path, args: &[String]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|e| panic!("start {}: {e}", program.display()));
+        let log = Arc::new(Log::default());
+        if let Some(out) = child.stdout.take() {
+            collect(out, &log);
+        }
+        if let Some(err) = child.stderr.take() {
+            collect(err, &log);
+        }
+        Self {
+            name: name.into(),
+            child,
+            log,
+        }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Kills the process, as the loss of its VM does, and waits until it is gone.
+    pub fn kill(&mut self) {
+        self.send(Signal::KILL);
+        self.child.wait().expect("wait for a killed process");
+    }
+
+    /// Lets the process stand still.
+    pub fn pause(&mut self) {
+        self.send(Signal::STOP);
+    }
+
+    /// Lets a process that stands still go on.
+    pub fn resume(&mut self) {
+        self.send(Signal::CONT);
+    }
+
+    /// Asks the process for a planned stop.
+    pub fn terminate(&mut self) {
+        self.send(Signal::TERM);
+    }
+
+    /// Waits until the process has ended by itself; `None` if it did not within `guard`.
+    pub fn wait(&mut self, guard: Duration) -> Option<ExitStatus> {
+        let give_up = Instant::now() + guard;
+        loop {
+            let ended = self.child.try_wait().expect("wait for a process");
+            if ended.is_some() || Instant::now() >= give_up {
+                return ended;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Tells whether the process runs or stands still.
+    pub fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("wait for a process").is_none()
+    }
+
+    /// Waits for a line that holds `text` and returns it; `None` if none came within `guard`.
+    pub fn wait_for_line(&self, text: &str, guard: Duration) -> Option<String> {
+        let give_up = Instant::now() + guard;
+        let mut lines = self.log.lines.lock();
+        loop {
+            if let Some(line) = lines.iter().find(|line| line.contains(text)) {
+                return Some(line.clone());
+            }
+            if self.log.grown.wait_until(&mut lines, give_up).timed_out() {
+                return None;
+            }
+        }
+    }
+
+    /// Returns all that the process wrote so far.
+    pub fn output(&self) -> String {
+        self.log.lines.lock().join("\n")
+    }
+
+    fn send(&mut self, signal: Signal) {
+        // The id of a process that was waited for may belong to another by now.
+        if !self.is_alive() {
+            return;
+        }
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.expect("a process has an id");
+        kill_process(pid, signal).expect("signal a process of this test");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.is_alive() {
+            self.kill();
+        }
+        if thread::panicking() {
+            eprintln!("--- output of {}:\n{}", self.name, self.output());
+        }
+    }
+}
+
+fn collect(from: impl Read + Send + 'static, log: &Arc<Log>) {
+    let log = Arc::clone(log);
+    thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            log.lines.lock().push(line);
+            log.grown.notify_all();
+        }
+    });
+}
--- a/crates/soak/src/account.rs
+++ b/crates/soak/src/account.rs
@@ -61,6 +61,13 @@
         self.effects.get(job).map_or(0, Vec::len)
     }
 
+    /// Tells whether a job started later than `after`.
+    pub fn starts_after(&self, job: &JobId, after: Instant) -> bool {
+        self.runs
+            .get(job)
+            .is_some_and(|runs| runs.iter().any(|(_, run)| run.start > after))
+    }
+
     /// Returns the broken promises, in the order of the jobs' first runs.
     pub fn breaches(&self) -> Vec<Breach> {
         let mut breaches = Vec::new();
