--- a/crates/soak/src/finish.rs
+++ b/crates/soak/src/finish.rs
@@ -4,6 +4,7 @@
 use wire::timing::{GRANT_WINDOW, KEEP_FOR};
 
 use crate::account::Breach;
+use crate::vm::CAPACITY;
 use crate::world::World;
 
 impl World {
@@ -45,6 +46,7 @@
             }
             Some(JobPhase::Failed { .. }) => self.count("jobs failed"),
             Some(JobPhase::Cancelled) => self.count("jobs cancelled"),
+            _ if !job.spec.resources.fits(&CAPACITY) => self.count("jobs that can never run"),
             _ if is_standing => self.count("standing jobs"),
             _ => self.breach(format!("{key} ({id}) was accepted and did not end")),
         }
