--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -11,7 +11,7 @@
 use platform::HttpWorker;
 use slog::{Logger, info};
 use tokio::runtime::Runtime;
-use wire::{Client, ClientCfg, HttpPool};
+use wire::{Client, ClientCfg, HttpPool, Token};
 
 use crate::http::Door;
 use crate::worker_io::WorkerIo;
@@ -56,6 +56,15 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start(cfg: CompanionCfg, log: &Logger) -> Result<Self> {
+        Self::start_secured(cfg, None, log)
+    }
+
+    /// Binds the addresses and starts the threads; calls need the shared secret where one is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
+    pub fn start_secured(cfg: CompanionCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
             .enable_all()
@@ -69,8 +78,14 @@
                 )
             })?;
         let (events, rx) = unbounded();
-        let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
-        let door = Door::new(events.clone(), cfg.target_addr, cfg.connections);
+        let (rpc_addr, rpc) =
+            runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
+        let door = Door::new(
+            events.clone(),
+            cfg.target_addr,
+            cfg.connections,
+            token.clone(),
+        );
         let threads = cfg.connections as usize;
         let http = HttpPool::start(cfg.http_addr, threads, move |req| door.serve(req))?;
         let cfg = Arc::new(CompanionCfg {
@@ -92,7 +107,8 @@
         };
         let calls = Client::new(client_cfg, move |token, answer| {
             drop(call_events.send(Event::Call(token, answer)));
-        });
+        })
+        .with_token(token.as_ref())?;
         let ports = Ports {
             clock: Arc::new(SystemClock),
             worker: Arc::clone(&worker_io) as Arc<dyn crate::WorkerPort>,
@@ -209,9 +225,9 @@
 /// # Errors
 ///
 /// Returns what kept the companion from starting.
-pub fn run(cfg: CompanionCfg, log: &Logger) -> Result<()> {
+pub fn run(cfg: CompanionCfg, token: Option<Token>, log: &Logger) -> Result<()> {
     use signal_hook::consts::{SIGINT, SIGTERM};
-    let app = App::start(cfg, log)?;
+    let app = App::start_secured(cfg, token, log)?;
     let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM]).map_err(|e| {
         Error::new(
             ErrorKind::Internal,
--- a/crates/companion/src/cfg.rs
+++ b/crates/companion/src/cfg.rs
@@ -4,6 +4,8 @@
 
 use base::prelude::*;
 use bpaf::{OptionParser, Parser, construct, long};
+use report::LogFormat;
+use wire::{TokenFlags, token_flags};
 
 /// Flags and environment variables as given.
 #[derive(Clone, Debug)]
@@ -38,6 +40,10 @@
     pub memory_mib: u64,
     /// The worker's accelerators.
     pub accelerators: u32,
+    /// The form of the log.
+    pub log_format: LogFormat,
+    /// Where the shared secret comes from.
+    pub token: TokenFlags,
 }
 
 /// The checked settings of a companion.
@@ -159,6 +165,13 @@
         .argument::<u32>("COUNT")
         .fallback(0)
         .display_fallback();
+    let log_format = long("log")
+        .env("MONSOONTRESTLE_LOG")
+        .help("Form of the log: text or json")
+        .argument::<LogFormat>("FORMAT")
+        .fallback(LogFormat::Text)
+        .display_fallback();
+    let token = token_flags();
     construct!(CompanionFlags {
         target,
         worker,
@@ -174,7 +187,9 @@
         connections,
         cores,
         memory_mib,
-        accelerators
+        accelerators,
+        log_format,
+        token
     })
     .to_options()
     .descr("Runs beside one target and its worker VM, and is the only door to both.")
--- a/crates/companion/src/http.rs
+++ b/crates/companion/src/http.rs
@@ -8,7 +8,7 @@
 use tiny_http::{Header, Request, Response};
 use ureq::Agent;
 use ureq::http;
-use wire::{Outcome, Reply, header};
+use wire::{Outcome, Reply, Token, header};
 
 use crate::admit::{AdmitStep, StoredAnswer};
 use crate::event::{AdmitEvent, AdmitMeta, Event};
@@ -30,10 +30,16 @@
     events: Sender<Event>,
     agent: Agent,
     target: SocketAddr,
+    token: Option<Token>,
 }
 
 impl Door {
-    pub(crate) fn new(events: Sender<Event>, target: SocketAddr, connections: u32) -> Self {
+    pub(crate) fn new(
+        events: Sender<Event>,
+        target: SocketAddr,
+        connections: u32,
+        token: Option<Token>,
+    ) -> Self {
         let agent = Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .max_idle_connections_per_host(connections as usize)
@@ -44,11 +50,17 @@
             events,
             agent,
             target,
+            token,
         }
     }
 
     /// Serves one request to its end.
     pub(crate) fn serve(&self, mut req: Request) {
+        let given = header_of(&req, header::TOKEN);
+        let is_admitted = self.token.as_ref().is_none_or(|token| token.admits(given));
+        if !is_admitted {
+            return respond(req, refused(401, Outcome::RefusedNotRun, "wrong-secret"));
+        }
         let mut body = Vec::new();
         let read = req.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body);
         let expected = req.body_length();
--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -1,8 +1,9 @@
 //! Runs the companion.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
-use slog::{Drain, Logger, o};
+use base::SystemClock;
 
 fn main() -> ExitCode {
     match run() {
@@ -15,11 +16,9 @@
 }
 
 fn run() -> eyre::Result<()> {
-    let cfg = companion::companion_flags().run().resolve()?;
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-    let drain = slog_term::FullFormat::new(decorator).build().fuse();
-    let drain = slog_async::Async::new(drain).build().fuse();
-    let log = Logger::root(drain, o!());
-    companion::run(cfg, &log)?;
+    let flags = companion::companion_flags().run();
+    let log = report::logger(flags.log_format, Arc::new(SystemClock));
+    let token = flags.token.resolve()?;
+    companion::run(flags.resolve()?, token, &log)?;
     Ok(())
 }
--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -9,7 +9,8 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use tables::TablesDoc;
 use tokio::sync::oneshot;
-use wire::{CompanionApiServer, Reply, RevokeReply};
+use tower::ServiceBuilder;
+use wire::{CompanionApiServer, Reply, RevokeReply, Token, TokenLayer};
 
 use crate::event::Event;
 
@@ -65,6 +66,7 @@
 pub(crate) async fn serve(
     addr: SocketAddr,
     events: Sender<Event>,
+    token: Option<Token>,
 ) -> Result<(SocketAddr, ServerHandle)> {
     let bind_error = |e: std::io::Error| {
         Error::new(
@@ -81,6 +83,7 @@
         .build();
     let server = Server::builder()
         .set_config(cfg)
+        .set_http_middleware(ServiceBuilder::new().layer(TokenLayer(token)))
         .build(addr)
         .await
         .map_err(bind_error)?;
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -35,7 +35,8 @@
 
 fn serve(flags: EntryFlags) -> eyre::Result<()> {
     let log = report::logger(flags.log_format, Arc::new(SystemClock));
-    entry::run(flags.resolve()?, &log)?;
+    let token = flags.token.resolve()?;
+    entry::run(flags.resolve()?, token, &log)?;
     Ok(())
 }
 
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -12,10 +12,11 @@
 use platform::store::Store;
 use slog::{Logger, info};
 use tokio::runtime::Runtime;
-use wire::{Client, ClientCfg, HttpPool};
+use wire::{Client, ClientCfg, HttpPool, Token};
 
 use crate::http::Front;
 use crate::store_io::StoreIo;
+use crate::telemetry::Telemetry;
 use crate::{EntryCfg, Event, Node, Ports, rpc};
 
 /// How long the loop sleeps when no timer is set.
@@ -53,6 +54,15 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start(cfg: EntryCfg, log: &Logger) -> Result<Self> {
+        Self::start_secured(cfg, None, log)
+    }
+
+    /// Binds the addresses and starts the threads; calls need the shared secret where one is given.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
+    pub fn start_secured(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
         let store: Arc<dyn Store> = Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
@@ -62,8 +72,15 @@
                 Error::new(ErrorKind::Internal, "start runtime", "entry", e.to_string())
             })?;
         let (events, rx) = unbounded();
-        let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
-        let front = Front::new(events.clone(), log.clone());
+        let (rpc_addr, rpc) =
+            runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
+        let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let front = Front::new(
+            events.clone(),
+            token.clone(),
+            Arc::clone(&telemetry),
+            log.clone(),
+        );
         let http = HttpPool::start(cfg.http_addr, cfg.threads, move |req| front.serve(req))?;
         let cfg = Arc::new(EntryCfg {
             http_addr: http.addr(),
@@ -88,7 +105,8 @@
         };
         let calls = Client::new(client_cfg, move |token, answer| {
             drop(call_events.send(Event::Call(token, answer)));
-        });
+        })
+        .with_token(token.as_ref())?;
         let ports = Ports {
             clock: Arc::new(SystemClock),
             store: Arc::clone(&store_io) as Arc<dyn crate::StorePort>,
@@ -186,8 +204,8 @@
 /// # Errors
 ///
 /// Returns what kept the entry from starting.
-pub fn run(cfg: EntryCfg, log: &Logger) -> Result<()> {
-    let app = App::start(cfg, log)?;
+pub fn run(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<()> {
+    let app = App::start_secured(cfg, token, log)?;
     wait_for_signal()?;
     info!(log, "entry: stops as planned");
     app.stop();
--- a/crates/entry/src/cfg.rs
+++ b/crates/entry/src/cfg.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use bpaf::{Parser, construct, long};
 use report::LogFormat;
+use wire::{TokenFlags, token_flags};
 
 /// Flags and environment variables as given.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub threads: usize,
     /// The form of the log.
     pub log_format: LogFormat,
+    /// Where the shared secret comes from.
+    pub token: TokenFlags,
 }
 
 /// The checked settings of an entry.
@@ -88,6 +91,7 @@
         .argument::<LogFormat>("FORMAT")
         .fallback(LogFormat::Text)
         .display_fallback();
+    let token = token_flags();
     construct!(EntryFlags {
         name,
         zone,
@@ -96,7 +100,8 @@
         store,
         peers,
         threads,
-        log_format
+        log_format,
+        token
     })
 }
 
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -72,6 +72,8 @@
     Tables(Reply<Option<TablesDoc>>),
     /// Asks for the tables in force here, checked and joined.
     Parsed(Reply<Option<Arc<Tables>>>),
+    /// Starts the planned stop of a target; tells whether the target is known.
+    Drain(TargetId, Reply<bool>),
     /// Asks for what this entry sees of the store.
     StoreHealth(Reply<StoreHealth>),
     /// Asks for everything this entry knows of the fleet.
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -9,10 +9,14 @@
 use crossbeam_channel::{Sender, bounded};
 use slog::Logger;
 use tiny_http::{Header, Request, Response};
-use wire::{Outcome, Reply, header};
+use wire::{Outcome, Reply, Token, header};
 
 use self::proxy::Proxy;
 use crate::event::{AdminEvent, Event};
+use crate::telemetry::Telemetry;
+
+/// What the paths of operators' calls begin with.
+const OPERATOR_PATHS: &str = "/v1/";
 
 /// How long an operator call waits for the actors.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(6);
@@ -21,27 +25,49 @@
 pub(crate) struct Front {
     events: Sender<Event>,
     proxy: Proxy,
+    token: Option<Token>,
+    telemetry: Arc<Telemetry>,
     log: Logger,
 }
 
 impl Front {
-    pub(crate) fn new(events: Sender<Event>, log: Logger) -> Self {
+    pub(crate) fn new(
+        events: Sender<Event>,
+        token: Option<Token>,
+        telemetry: Arc<Telemetry>,
+        log: Logger,
+    ) -> Self {
         Self {
-            proxy: Proxy::new(events.clone()),
+            proxy: Proxy::new(events.clone(), token.clone()),
             events,
+            token,
+            telemetry,
             log,
         }
     }
 
     /// Serves one request to its end.
     pub(crate) fn serve(&self, req: Request) {
-        if req.url().starts_with("/v1/") {
+        if req.url().starts_with(OPERATOR_PATHS) {
             self.serve_admin(req);
         } else {
             self.serve_route(req);
         }
     }
 
+    /// Counts a request by what its response tells.
+    fn count(&self, route: &RouteName, began: Instant, response: &Response<Cursor<Vec<u8>>>) {
+        let told = |name: &str| {
+            let mut headers = response.headers().iter();
+            headers.find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
+        };
+        let outcome = told(header::OUTCOME).and_then(|h| h.value.as_str().parse().ok());
+        let reason = told(header::REASON).map_or("no reason", |h| h.value.as_str());
+        let outcome = outcome.unwrap_or(Outcome::Unknown);
+        let now = Instant::now();
+        self.telemetry.request(route, outcome, reason, began, now);
+    }
+
     /// Asks the actors and waits for their answer; `None` if none came in time.
     fn ask<T: Send + 'static>(&self, event: impl FnOnce(Reply<T>) -> AdminEvent) -> Option<T> {
         let (tx, rx) = bounded(1);
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -1,16 +1,19 @@
 //! Jobs and operator calls under `/v1/`.
 
-use std::io::{Cursor, Read};
+use std::io::Cursor;
 
+use base::PromiseCounts;
 use base::prelude::*;
+use report::burn::BurnSnapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::debug;
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
-use wire::{JobRef, JobSpec, Outcome, SubmitReply, header};
+use wire::operator::{JobRequest, JobsNamed, PromiseStatus, Status, path};
+use wire::{JobSpec, Outcome, SubmitReply, header};
 
-use super::proxy::respond;
+use super::proxy::{read_body, respond};
 use super::{Front, header_of, refusal};
 use crate::event::AdminEvent;
 
@@ -33,38 +36,38 @@
     payload: Option<Name>,
 }
 
-/// A pool and one of its jobs, by id or key.
-#[derive(Debug)]
-#[derive(Deserialize, Serialize)]
-struct JobQuery {
-    pool: PoolName,
-    jobs: Vec<JobRef>,
-}
-
 impl Front {
     pub(super) fn serve_admin(&self, mut req: Request) {
-        let mut body = Vec::new();
-        if req
-            .as_reader()
-            .take(MAX_ADMIN_BODY)
-            .read_to_end(&mut body)
-            .is_err()
-        {
-            return;
+        let (path, query) = split_url(req.url());
+        if !is_open(&path) && !self.is_admitted(&req) {
+            self.telemetry.metrics().call_refused();
+            return respond(req, text(401, "wrong secret\n"));
         }
-        let path = req.url().split('?').next().unwrap_or_default().to_owned();
+        let Some(body) = read_body(&mut req, MAX_ADMIN_BODY) else {
+            return respond(req, text(413, "body too large or cut off\n"));
+        };
         let response = match (req.method(), path.as_str()) {
-            (Method::Get, "/v1/health/live") => text(200, "live\n"),
-            (Method::Get, "/v1/health/ready") => self.ready(),
-            (Method::Get, "/v1/status") => self.answer(self.ask(AdminEvent::Status)),
-            (Method::Get, "/v1/tables") => self.answer(self.ask(AdminEvent::Tables)),
-            (Method::Post, "/v1/jobs/query") => self.query(&body),
-            (Method::Post, "/v1/jobs/cancel") => self.cancel(&body),
+            (Method::Get, path::LIVE) => text(200, "live\n"),
+            (Method::Get, path::READY) => self.ready(),
+            (Method::Get, path::STATUS) => self.answer(self.status()),
+            (Method::Get, path::TABLES) => self.answer(self.ask(AdminEvent::Tables)),
+            (Method::Get, path::METRICS) => self.metrics(),
+            (Method::Get, path::BURN) => self.answer(Some(self.burn())),
+            (Method::Get, path::REPORT) => self.report(&query),
+            (Method::Post, path::JOBS) => self.submit_named(&body),
+            (Method::Post, path::JOBS_QUERY) => self.query(&body),
+            (Method::Post, path::JOBS_CANCEL) => self.cancel(&body),
+            (Method::Post, path::DRAIN) => self.drain(&body),
             _ => text(404, "no such call\n"),
         };
         respond(req, response);
     }
 
+    fn is_admitted(&self, req: &Request) -> bool {
+        let given = header_of(req, header::TOKEN);
+        self.token.as_ref().is_none_or(|token| token.admits(given))
+    }
+
     fn ready(&self) -> Response<Cursor<Vec<u8>>> {
         match self.ask(AdminEvent::Tables).flatten() {
             Some(_) => text(200, "ready\n"),
@@ -72,6 +75,48 @@
         }
     }
 
+    fn status(&self) -> Option<Status> {
+        let mut status = self.ask(AdminEvent::Status)?;
+        status.store = self.ask(AdminEvent::StoreHealth);
+        status.promises = Promise::counts().iter().map(promise_status).collect();
+        Some(status)
+    }
+
+    fn metrics(&self) -> Response<Cursor<Vec<u8>>> {
+        self.take_up_tables();
+        if let Some(status) = self.ask(AdminEvent::Status) {
+            self.telemetry.metrics().set_targets(status.targets.len());
+        }
+        match self.telemetry.metrics().encode() {
+            Ok(body) => text(200, &body),
+            Err(e) => text(500, &format!("{e}\n")),
+        }
+    }
+
+    fn burn(&self) -> BurnSnapshot {
+        self.take_up_tables();
+        self.telemetry.snapshot(Instant::now())
+    }
+
+    fn take_up_tables(&self) {
+        if let Some(tables) = self.ask(AdminEvent::Parsed).flatten() {
+            self.telemetry.set_tables(&tables);
+        }
+    }
+
+    fn report(&self, query: &str) -> Response<Cursor<Vec<u8>>> {
+        let report = self.burn().report(Vec::new());
+        match query {
+            "format=html" => match report.to_html() {
+                Ok(page) => with_type(text(200, &page), "text/html; charset=utf-8"),
+                Err(e) => text(500, &format!("{e}\n")),
+            },
+            "format=json" => json_response(200, &report),
+            "" | "format=text" => text(200, &report.to_string()),
+            _ => text(400, "expected format=text, json or html\n"),
+        }
+    }
+
     fn answer(&self, answer: Option<impl Serialize>) -> Response<Cursor<Vec<u8>>> {
         match answer {
             Some(answer) => json_response(200, &answer),
@@ -79,26 +124,55 @@
         }
     }
 
+    fn submit_named(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
+        let request = match serde_json::from_slice::<JobRequest>(body) {
+            Ok(request) => request,
+            Err(e) => return text(400, &format!("expected a job: {e}\n")),
+        };
+        let tables = self.ask(AdminEvent::Parsed).flatten();
+        let Some(tables) = tables else {
+            return text(503, "no tables yet\n");
+        };
+        let Some(route) = tables.routes.get(&request.route) else {
+            return text(404, "no such route\n");
+        };
+        if route.kind == RouteKind::Request {
+            return text(400, "expected a route of kind batch or standing\n");
+        }
+        let spec = named_spec(route, request);
+        self.answer(self.ask(|reply| AdminEvent::Submit(Box::new(spec), reply)))
+    }
+
     fn query(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
-        let Ok(query) = serde_json::from_slice::<JobQuery>(body) else {
-            return text(400, "expected {\"pool\": .., \"jobs\": [..]}\n");
+        let named = match serde_json::from_slice::<JobsNamed>(body) {
+            Ok(named) => named,
+            Err(e) => return text(400, &format!("expected a pool and jobs: {e}\n")),
         };
-        let statuses: Vec<_> = query
-            .jobs
-            .into_iter()
-            .map(|job| {
-                self.ask(|reply| AdminEvent::Job(query.pool.clone(), job, reply))
-                    .flatten()
-            })
-            .collect();
-        json_response(200, &statuses)
+        let statuses = named.jobs.into_iter().map(|job| {
+            self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply))
+                .flatten()
+        });
+        json_response(200, &statuses.collect::<Vec<_>>())
     }
 
     fn cancel(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
-        let Ok(query) = serde_json::from_slice::<JobQuery>(body) else {
-            return text(400, "expected {\"pool\": .., \"jobs\": [..]}\n");
+        match serde_json::from_slice::<JobsNamed>(body) {
+            Ok(named) => {
+                self.answer(self.ask(|reply| AdminEvent::Cancel(named.pool, named.jobs, reply)))
+            }
+            Err(e) => text(400, &format!("expected a pool and jobs: {e}\n")),
+        }
+    }
+
+    fn drain(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
+        let Ok(target) = serde_json::from_slice::<TargetId>(body) else {
+            return text(400, "expected the name of a target\n");
         };
-        self.answer(self.ask(|reply| AdminEvent::Cancel(query.pool, query.jobs, reply)))
+        match self.ask(|reply| AdminEvent::Drain(target, reply)) {
+            Some(true) => text(200, "\n"),
+            Some(false) => text(404, "no such target\n"),
+            None => text(504, "no answer in time\n"),
+        }
     }
 
     /// Submits a job under a batch or standing route.
@@ -177,14 +251,58 @@
     }
 }
 
+/// Joins what the route says with what an operator sets.
+fn named_spec(route: &Route, request: JobRequest) -> JobSpec {
+    let body = JobBody {
+        team: request.team,
+        after: request.after,
+        payload: Some(request.payload),
+        ..JobBody::default()
+    };
+    let mut spec = job_spec(route, request.key, body);
+    spec.resources = request.resources.unwrap_or(spec.resources);
+    if route.kind == RouteKind::Batch {
+        spec.run_time = request.run_time.or(spec.run_time);
+    }
+    spec
+}
+
+/// Splits a URL into its path and its query.
+fn split_url(url: &str) -> (String, String) {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    (path.to_owned(), query.to_owned())
+}
+
+/// Tells whether a call needs no secret: balancers ask for a process's health.
+fn is_open(path: &str) -> bool {
+    matches!(path, path::LIVE | path::READY)
+}
+
+fn promise_status(counts: &PromiseCounts) -> PromiseStatus {
+    PromiseStatus {
+        promise: counts.promise.as_str().into(),
+        checked: counts.checked,
+        broken: counts.broken,
+    }
+}
+
 fn text(status: u16, body: &str) -> Response<Cursor<Vec<u8>>> {
     Response::from_string(body).with_status_code(status)
 }
 
 fn json_response(status: u16, body: &impl Serialize) -> Response<Cursor<Vec<u8>>> {
     let body = serde_json::to_vec(body).unwrap_or_default();
-    let mut response = Response::from_data(body).with_status_code(status);
-    if let Some(h) = super::header("Content-Type", "application/json") {
+    with_type(
+        Response::from_data(body).with_status_code(status),
+        "application/json",
+    )
+}
+
+fn with_type(
+    mut response: Response<Cursor<Vec<u8>>>,
+    content_type: &str,
+) -> Response<Cursor<Vec<u8>>> {
+    if let Some(h) = super::header("Content-Type", content_type) {
         response.add_header(h);
     }
     response
--- a/crates/entry/src/http/proxy.rs
+++ b/crates/entry/src/http/proxy.rs
@@ -11,7 +11,7 @@
 use tiny_http::{Request, Response};
 use ureq::Agent;
 use ureq::http::{self, HeaderMap};
-use wire::{Outcome, Reply, header};
+use wire::{Outcome, Reply, Token, header};
 
 use super::{Front, header_of, refusal};
 use crate::event::{AdminEvent, Event, RequestEvent};
@@ -29,6 +29,7 @@
 pub(super) struct Proxy {
     events: Sender<Event>,
     agent: Agent,
+    token: Option<Token>,
     prefix: u32,
     next_id: AtomicU64,
 }
@@ -49,10 +50,11 @@
 }
 
 impl Proxy {
-    pub(super) fn new(events: Sender<Event>) -> Self {
+    pub(super) fn new(events: Sender<Event>, token: Option<Token>) -> Self {
         Self {
             events,
             agent: agent(),
+            token,
             prefix: rand::random(),
             next_id: AtomicU64::new(0),
         }
@@ -97,6 +99,10 @@
             Some(value) => req.header("Content-Type", value),
             None => req,
         };
+        let req = match &self.token {
+            Some(token) => req.header(header::TOKEN, token.secret()),
+            None => req,
+        };
         let Ok(req) = req.body(incoming.body.as_slice()) else {
             return (AttemptEnd::NotSent, None);
         };
@@ -217,7 +223,10 @@
             content_type: header_of(&req, "Content-Type").map(str::to_owned),
             body,
         };
+        self.telemetry.set_tables(&tables);
+        let began = Instant::now();
         let response = self.run_request(&meta, &incoming);
+        self.count(&route.name, began, &response);
         respond(req, response);
     }
 
@@ -304,7 +313,7 @@
 }
 
 /// Reads a body whole; `None` if it is larger than `limit`.
-fn read_body(req: &mut Request, limit: u64) -> Option<Vec<u8>> {
+pub(super) fn read_body(req: &mut Request, limit: u64) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     req.as_reader()
         .take(limit + 1)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod rpc;
 mod shard;
 mod store_io;
+mod telemetry;
 
 pub use app::{App, run};
 pub use cfg::{EntryCfg, EntryFlags, entry_flags};
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -9,7 +9,8 @@
 use wire::operator::Status;
 use wire::timing::ANNOUNCE_TTL;
 use wire::{
-    AnnounceReply, Announcement, Answer, EntryInfo, Gossip, Part, Reply, ShardOwner, TargetState,
+    AnnounceReply, Announcement, Answer, Call, CallToken, EntryInfo, Gossip, Part, Reply,
+    ShardOwner, TargetState,
 };
 
 use crate::EntryCfg;
@@ -25,6 +26,9 @@
 /// How long an entry counts as there after its last renewal.
 const PRESENCE_TTL: Duration = Duration::from_secs(5);
 
+/// How long the message of a planned stop may take.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The prefix of the keys under which entries are present.
 const PRESENCE_PREFIX: &str = "entry/";
 
@@ -277,6 +281,23 @@
 
     pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
 
+    /// Tells a target's companion to begin a planned stop.
+    pub(crate) fn drain(&mut self, _cx: CX![], target: TargetId, reply: Reply<bool>) {
+        let heard = self.targets.get(&target);
+        if let Some(heard) = heard {
+            let token = CallToken {
+                part: Part::Config,
+                id: 0,
+            };
+            let to = heard.announcement.rpc_addr;
+            self.ports
+                .calls
+                .submit(to, token, DRAIN_TIMEOUT, Call::Drain);
+            info!(self.ports.log, "member: target {} is to leave", target);
+        }
+        reply.send(heard.is_some());
+    }
+
     pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<Status>) {
         let targets = self.targets.values();
         reply.send(Status {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -8,9 +8,10 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use tokio::sync::oneshot;
+use tower::ServiceBuilder;
 use wire::{
     AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, EntryApiServer, Gossip,
-    JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply,
+    JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token, TokenLayer,
 };
 
 use crate::event::Event;
@@ -94,6 +95,7 @@
 pub(crate) async fn serve(
     addr: SocketAddr,
     events: Sender<Event>,
+    token: Option<Token>,
 ) -> Result<(SocketAddr, ServerHandle)> {
     let bind_error = |e: std::io::Error| {
         Error::new(
@@ -111,6 +113,7 @@
         .build();
     let server = Server::builder()
         .set_config(cfg)
+        .set_http_middleware(ServiceBuilder::new().layer(TokenLayer(token)))
         .build(addr)
         .await
         .map_err(bind_error)?;
--- /dev/null
+++ b/crates/entry/src/telemetry.rs
@@ -0,0 +1,65 @@
+//! What an entry counts, shared by its threads.
+
+use base::prelude::*;
+use parking_lot::Mutex;
+use report::Metrics;
+use report::burn::{BurnMeter, BurnSnapshot, Sample};
+use tables::Tables;
+use wire::Outcome;
+
+/// Metrics and the burn of objectives.
+#[derive(Debug)]
+pub(crate) struct Telemetry {
+    metrics: Metrics,
+    burn: Mutex<BurnMeter>,
+    generation: Mutex<Generation>,
+}
+
+impl Telemetry {
+    pub(crate) fn new(entry: &EntryId, now: Instant) -> Self {
+        Self {
+            metrics: Metrics::new(),
+            burn: Mutex::new(BurnMeter::new(entry.as_str(), now)),
+            generation: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Takes up the routes and objectives of the tables, once for each generation.
+    pub(crate) fn set_tables(&self, tables: &Tables) {
+        let mut generation = self.generation.lock();
+        if *generation < tables.generation {
+            *generation = tables.generation;
+            self.metrics.set_tables(tables);
+            self.burn.lock().set_tables(tables);
+        }
+    }
+
+    /// Counts a request that ended with `outcome`, for `reason` where there was no answer.
+    pub(crate) fn request(
+        &self,
+        route: &RouteName,
+        outcome: Outcome,
+        reason: &str,
+        began: Instant,
+        now: Instant,
+    ) {
+        let took = now.saturating_duration_since(began);
+        self.metrics.request(route.as_str(), outcome.as_str(), took);
+        let mut burn = self.burn.lock();
+        let is_answered = outcome == Outcome::Answered;
+        let sample = Sample {
+            route,
+            is_good: is_answered && burn.is_within(route, took),
+            offender: if is_answered { "slow" } else { reason },
+        };
+        burn.record(now, &sample);
+    }
+
+    pub(crate) fn snapshot(&self, now: Instant) -> BurnSnapshot {
+        self.burn.lock().snapshot(now)
+    }
+}
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -11,6 +11,7 @@
     let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("bind to loopback");
     let addr = listener.local_addr().expect("a bound address");
     let server = Server::from_listener(listener, None).expect("start a server");
+    wire::serve_stalled_connections(addr);
     (server, addr)
 }
 
--- a/crates/ops/src/cli.rs
+++ b/crates/ops/src/cli.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::*;
 use bpaf::{Parser, construct, long, positional};
+use wire::{TokenFlags, token_flags};
 
 use crate::TableFiles;
 
@@ -123,10 +124,8 @@
 pub struct EntryFlags {
     /// The address.
     pub addr: SocketAddr,
-    /// The secret itself, from the environment.
-    pub token: Option<String>,
-    /// The file that holds the secret.
-    pub token_file: Option<PathBuf>,
+    /// Where the secret comes from.
+    pub token: TokenFlags,
 }
 
 /// How to apply a change.
@@ -421,30 +420,8 @@
         .env("MONSOONTRESTLE_ENTRY")
         .help("IP address and port of any entry")
         .argument::<SocketAddr>("ADDR");
-    let token = token();
-    let token_file = token_file();
-    construct!(EntryFlags {
-        addr,
-        token,
-        token_file
-    })
-}
-
-/// The secret comes from the environment alone: command lines are seen by others.
-fn token() -> impl Parser<Option<String>> {
-    bpaf::env("MONSOONTRESTLE_TOKEN")
-        .help("The shared secret")
-        .argument::<String>("SECRET")
-        .optional()
-        .hide()
-}
-
-fn token_file() -> impl Parser<Option<PathBuf>> {
-    long("token-file")
-        .env("MONSOONTRESTLE_TOKEN_FILE")
-        .help("File that holds the shared secret; or set MONSOONTRESTLE_TOKEN")
-        .argument::<PathBuf>("FILE")
-        .optional()
+    let token = token_flags();
+    construct!(EntryFlags { addr, token })
 }
 
 fn generation(help: &'static str) -> impl Parser<Option<u64>> {
--- a/crates/ops/src/client.rs
+++ b/crates/ops/src/client.rs
@@ -1,26 +1,21 @@
 //! The operators' calls to an entry over HTTP.
 
 use std::fmt;
-use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
 
 use base::prelude::*;
+use report::burn::BurnSnapshot;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 use ureq::http::StatusCode;
 use wire::header;
 use wire::operator::{JobRequest, JobsNamed, Status, path};
-use wire::{JobStatus, SubmitReply};
+use wire::{JobStatus, SubmitReply, Token};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
-/// The shared secret of the system's processes and operators; never shown.
-#[derive(Clone)]
-pub struct Token(Name);
-
 /// The port to an entry.
 ///
 /// # Errors
@@ -42,8 +37,8 @@
     /// Starts the planned stop of a target.
     fn drain(&self, target: &TargetId) -> Result<()>;
 
-    /// Reads the report on service-level burn in a format: `text`, `json` or `html`.
-    fn report(&self, format: &str) -> Result<String>;
+    /// Reads the counts that reports on service-level burn are made of.
+    fn burn(&self) -> Result<BurnSnapshot>;
 }
 
 /// An entry behind its HTTP address.
@@ -54,40 +49,6 @@
     token: Option<Token>,
 }
 
-impl Token {
-    /// Wraps a secret.
-    pub fn new(secret: &str) -> Self {
-        Self(secret.trim().into())
-    }
-
-    /// Reads a secret from a file; blanks around it are dropped.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the path if the file can't be read or is empty.
-    pub fn read(path: &Path) -> Result<Self> {
-        let invalid = |message: String| {
-            Error::new(
-                ErrorKind::Invalid,
-                "read token",
-                path.display().to_string(),
-                message,
-            )
-        };
-        let text = fs::read_to_string(path).map_err(|e| invalid(e.to_string()))?;
-        if text.trim().is_empty() {
-            return Err(invalid("expected a secret, found nothing".to_owned()));
-        }
-        Ok(Self::new(&text))
-    }
-}
-
-impl fmt::Debug for Token {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Token")
-    }
-}
-
 impl HttpEntry {
     /// Creates a client of the entry at `addr`.
     pub fn new(addr: SocketAddr, token: Option<Token>) -> Self {
@@ -107,7 +68,7 @@
     }
 
     fn secret(&self) -> &str {
-        self.token.as_ref().map_or("", |token| &token.0)
+        self.token.as_ref().map_or("", Token::secret)
     }
 
     fn get(&self, step: &'static str, path: &str) -> Result<String> {
@@ -169,7 +130,9 @@
 
     fn find(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>> {
         let step = "read jobs";
-        self.parse(step, &self.post(step, path::JOBS_FIND, jobs)?)
+        let text = self.post(step, path::JOBS_QUERY, jobs)?;
+        let found = self.parse::<Vec<Option<JobStatus>>>(step, &text)?;
+        Ok(found.into_iter().flatten().collect())
     }
 
     fn cancel(&self, jobs: &JobsNamed) -> Result<Vec<JobStatus>> {
@@ -181,8 +144,9 @@
         self.post("drain target", path::DRAIN, target).map(drop)
     }
 
-    fn report(&self, format: &str) -> Result<String> {
-        self.get("read report", &format!("{}?format={format}", path::REPORT))
+    fn burn(&self) -> Result<BurnSnapshot> {
+        let step = "read burn";
+        self.parse(step, &self.get(step, path::BURN)?)
     }
 }
 
--- a/crates/ops/src/command/config.rs
+++ b/crates/ops/src/command/config.rs
@@ -145,14 +145,7 @@
     });
     match &flags.entry {
         Some(entry) if flags.wait => {
-            let entry = cx.entry(entry)?;
-            Ok(wait_in_force(
-                cx,
-                &*entry,
-                generation,
-                flags.timeout,
-                outcome,
-            ))
+            Ok(wait_in_force(cx, entry, generation, flags.timeout, outcome))
         }
         _ => Ok(outcome),
     }
--- a/crates/ops/src/command/fleet.rs
+++ b/crates/ops/src/command/fleet.rs
@@ -5,12 +5,12 @@
 
 use base::prelude::*;
 use serde_json::json;
-use wire::TargetState;
 use wire::operator::Status;
+use wire::{EntryInfo, TargetState};
 
 use super::Context;
 use crate::cli::{EntryFlags, Format};
-use crate::{EntryPort, Exit, Failure, Outcome};
+use crate::{Exit, Failure, Outcome};
 
 const WAIT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -86,7 +86,7 @@
     lines.join("\n")
 }
 
-fn other_entries(status: &Status) -> impl Iterator<Item = &wire::EntryInfo> {
+fn other_entries(status: &Status) -> impl Iterator<Item = &EntryInfo> {
     let own = &status.entry.entry;
     status
         .entries
@@ -94,43 +94,58 @@
         .filter(move |entry| entry.entry != *own)
 }
 
-/// Returns every live process that an entry knows.
-fn processes(status: &Status) -> Vec<Process> {
-    let own = std::iter::once(&status.entry);
-    let entries = own.chain(other_entries(status)).map(|entry| Process {
-        name: format!("entry {}", entry.entry),
-        generation: entry.generation,
-    });
+/// Returns every live process with the generation it applies: each entry is asked itself, and
+/// companions tell theirs to the entries.
+fn processes(cx: &dyn Context, flags: &EntryFlags) -> Result<Vec<Process>> {
+    let status = cx.entry(flags)?.status()?;
+    let mut all = vec![process(&status.entry)];
+    for other in other_entries(&status) {
+        let asked = cx.entry(&at(flags, other)).and_then(|entry| entry.status());
+        all.push(match asked {
+            Ok(status) => process(&status.entry),
+            // Its presence runs out soon unless it lives; until then it counts as behind.
+            Err(_) => Process {
+                name: format!("entry {}", other.entry),
+                generation: Generation(0),
+            },
+        });
+    }
     let targets = status.targets.iter().map(|target| Process {
         name: format!("companion of {}", target.target),
         generation: target.generation,
     });
-    entries.chain(targets).collect()
+    all.extend(targets);
+    Ok(all)
+}
+
+fn process(entry: &EntryInfo) -> Process {
+    Process {
+        name: format!("entry {}", entry.entry),
+        generation: entry.generation,
+    }
 }
 
 /// Waits until every live process applies a generation, and adds to `outcome` what came of it.
 pub(super) fn wait_in_force(
     cx: &dyn Context,
-    entry: &dyn EntryPort,
+    flags: &EntryFlags,
     generation: Generation,
     timeout: Duration,
     mut outcome: Outcome,
 ) -> Outcome {
     let deadline = cx.clock().now() + timeout;
     loop {
-        let late = match entry.status() {
-            Ok(status) => {
-                let all = processes(&status);
-                let late = all.iter().filter(|p| p.generation < generation).cloned();
+        let late = match processes(cx, flags) {
+            Ok(all) => {
+                let late = all.iter().filter(|p| p.generation < generation);
+                let late = late.map(|p| format!("{} (generation {})", p.name, p.generation));
                 let late = late.collect::<Vec<_>>();
                 if late.is_empty() {
                     outcome.text += &format!("\nin force on all {} processes", all.len());
                     outcome.json["in-force-on"] = json!(all.len());
                     return outcome;
                 }
-                late.iter()
-                    .map(|p| format!("{} (generation {})", p.name, p.generation))
-                    .collect()
+                late
             }
             Err(e) => vec![e.to_string()],
         };
@@ -158,26 +173,46 @@
     Ok(Outcome::done(text, json!({ "target": target })))
 }
 
-/// Shows the report on service-level burn.
+/// Shows the report on service-level burn, added up over all entries.
 pub(super) fn report(
     cx: &dyn Context,
-    entry: &EntryFlags,
+    flags: &EntryFlags,
     format: Format,
     out: Option<&Path>,
 ) -> Result<Outcome, Failure> {
-    let report = cx.entry(entry)?.report(format.as_str())?;
-    let json = match format {
-        Format::Json => serde_json::from_str(&report)
-            .map_err(|e| Failure::new(Exit::Fault, format!("read report: {e}")))?,
-        Format::Text | Format::Html => json!({ "report": report }),
+    let entry = cx.entry(flags)?;
+    let status = entry.status()?;
+    let mut all = entry.burn()?;
+    let mut missing = Vec::new();
+    for other in other_entries(&status) {
+        match cx.entry(&at(flags, other)).and_then(|entry| entry.burn()) {
+            Ok(burn) => all.merge(burn),
+            Err(_) => missing.push(other.entry.as_str().into()),
+        }
+    }
+    let report = all.report(missing);
+    let json =
+        serde_json::to_value(&report).map_err(|e| Failure::new(Exit::Fault, e.to_string()))?;
+    let text = match format {
+        Format::Text => report.to_string(),
+        Format::Json => json.to_string(),
+        Format::Html => report.to_html()?,
     };
     let Some(path) = out else {
-        return Ok(Outcome::done(report, json));
+        return Ok(Outcome::done(text, json));
     };
     let failed = |e| Failure::new(Exit::Usage, format!("{}: {e}", path.display()));
-    fs::write(path, report).map_err(failed)?;
+    fs::write(path, text).map_err(failed)?;
     Ok(Outcome::done(
         format!("written to {}", path.display()),
         json,
     ))
 }
+
+/// Returns the settings by which another entry is asked.
+fn at(flags: &EntryFlags, entry: &EntryInfo) -> EntryFlags {
+    EntryFlags {
+        addr: entry.http_addr,
+        token: flags.token.clone(),
+    }
+}
--- a/crates/ops/src/history.rs
+++ b/crates/ops/src/history.rs
@@ -9,6 +9,7 @@
 
 const HISTORY_PREFIX: &str = "config/history/";
 const LIST_PAGE: usize = 8;
+const READ_TRIES: u32 = 3;
 
 /// The tables in force, and the revision of their key.
 #[derive(Clone, Debug, PartialEq)]
@@ -97,7 +98,7 @@
                 after: after.clone(),
                 limit: LIST_PAGE,
             };
-            let StoreReply::Listed(page) = self.store.call(&call)? else {
+            let StoreReply::Listed(page) = self.read(&call)? else {
                 return Err(unexpected(&call));
             };
             for found in &page {
@@ -174,9 +175,26 @@
         }
     }
 
+    /// Makes a call that has no effect, again if its answer is lost.
+    fn read(&self, call: &StoreCall) -> Result<StoreReply> {
+        let mut answer = self.store.call(call);
+        for _ in 1..READ_TRIES {
+            match &answer {
+                Err(e) if e.kind().is_outcome_unknown() => answer = self.store.call(call),
+                _ => break,
+            }
+        }
+        answer.map_err(|e| match e.kind() {
+            kind if kind.is_outcome_unknown() => {
+                Error::new(ErrorKind::Unreachable, e.step(), e.peer(), e.message())
+            }
+            _ => e,
+        })
+    }
+
     fn get(&self, key: &str) -> Result<Option<KeyValue>> {
         let call = StoreCall::Get { key: key.into() };
-        match self.store.call(&call)? {
+        match self.read(&call)? {
             StoreReply::Got(found) => Ok(found),
             _ => Err(unexpected(&call)),
         }
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -14,7 +14,7 @@
 pub use cli::{
     Action, ApplyFlags, Command, EntryFlags, Format, JobFlags, StoreFlags, SubmitFlags, command,
 };
-pub use client::{EntryPort, HttpEntry, Token};
+pub use client::{EntryPort, HttpEntry};
 pub use command::{Context, execute};
 pub use exit::Exit;
 pub use files::{Loaded, TableFiles};
--- a/crates/ops/src/run.rs
+++ b/crates/ops/src/run.rs
@@ -9,7 +9,7 @@
 use platform::store::Store;
 
 use crate::cli::{EntryFlags, StoreFlags};
-use crate::{Command, Context, EntryPort, Exit, HttpEntry, Token, execute};
+use crate::{Command, Context, EntryPort, Exit, HttpEntry, execute};
 
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -45,12 +45,7 @@
     }
 
     fn entry(&self, flags: &EntryFlags) -> Result<Box<dyn EntryPort>> {
-        let token = match (&flags.token, &flags.token_file) {
-            (Some(secret), _) => Some(Token::new(secret)),
-            (None, Some(path)) => Some(Token::read(path)?),
-            (None, None) => None,
-        };
-        Ok(Box::new(HttpEntry::new(flags.addr, token)))
+        Ok(Box::new(HttpEntry::new(flags.addr, flags.token.resolve()?)))
     }
 
     fn clock(&self) -> &dyn Clock {
--- a/crates/ops/tests/it/commands.rs
+++ b/crates/ops/tests/it/commands.rs
@@ -116,7 +116,7 @@
 
 #[test]
 fn secrets_are_never_shown() {
-    let token = ops::Token::new("hush");
+    let token = wire::Token::new("hush");
 
     let shown = format!(
         "{:?}",
--- a/crates/ops/tests/it/common.rs
+++ b/crates/ops/tests/it/common.rs
@@ -206,7 +206,7 @@
         unused()
     }
 
-    fn report(&self, _format: &str) -> Result<String> {
+    fn burn(&self) -> Result<report::burn::BurnSnapshot> {
         unused()
     }
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -5,15 +5,18 @@
 
 use base::prelude::*;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
 
-use crate::{Answer, Call, CallPort, CallToken, CompanionApiClient, EntryApiClient};
+use crate::{Answer, Call, CallPort, CallToken, CompanionApiClient, EntryApiClient, Token};
 
 /// The largest control message, in bytes.
 const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
 
+/// [`crate::header::TOKEN`] in the case that header maps ask for.
+const TOKEN_HEADER: &str = "monsoontrestle-token";
+
 /// Takes the answers of calls.
 type Sink = Arc<dyn Fn(CallToken, Result<Answer>) + Send + Sync>;
 
@@ -27,6 +30,7 @@
 /// Calls other processes and hands their answers to a sink.
 pub struct Client {
     cfg: ClientCfg,
+    headers: HeaderMap,
     sink: Sink,
     clients: Arc<Mutex<IndexMap<SocketAddr, HttpClient>>>,
 }
@@ -39,11 +43,28 @@
     ) -> Self {
         Self {
             cfg,
+            headers: HeaderMap::new(),
             sink: Arc::new(sink),
             clients: Arc::default(),
         }
     }
 
+    /// Sends the shared secret with every call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the secret holds what no header may hold.
+    pub fn with_token(mut self, token: Option<&Token>) -> Result<Self> {
+        let Some(token) = token else {
+            return Ok(self);
+        };
+        let mut value = HeaderValue::from_str(token.secret())
+            .map_err(|e| Error::new(ErrorKind::Invalid, "read token", "client", e.to_string()))?;
+        value.set_sensitive(true);
+        self.headers.insert(TOKEN_HEADER, value);
+        Ok(self)
+    }
+
     /// Returns the client of a peer, made on first use.
     fn client(&self, to: SocketAddr) -> Result<HttpClient> {
         let mut clients = self.clients.lock();
@@ -54,6 +75,7 @@
             .max_request_size(MAX_MESSAGE_BYTES)
             .max_response_size(MAX_MESSAGE_BYTES)
             .request_timeout(Duration::from_secs(60))
+            .set_headers(self.headers.clone())
             .build(format!("http://{to}"))
             .map_err(|e| Error::new(ErrorKind::Invalid, "build client", peer(to), e.to_string()))?;
         clients.insert(to, client.clone());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, over JSON-RPC.
 
 mod api;
+mod auth;
 mod batch;
 mod call;
 mod client;
@@ -8,9 +9,11 @@
 mod member;
 pub mod operator;
 mod pool;
+mod stall;
 pub mod timing;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
+pub use auth::{Token, TokenFlags, TokenLayer, TokenService, token_flags};
 pub use batch::{
     Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
     Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd, shard_of_pool,
@@ -22,3 +25,4 @@
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
 };
 pub use pool::HttpPool;
+pub use stall::serve_stalled_connections;
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -13,6 +13,8 @@
     pub const TABLES: &str = "/v1/tables";
     /// Returns the report on service-level burn; `?format=html` or `?format=text` for a person.
     pub const REPORT: &str = "/v1/report";
+    /// Returns the counts that reports are made of, to be added up over entries.
+    pub const BURN: &str = "/v1/burn";
     /// Returns the metrics as text.
     pub const METRICS: &str = "/v1/metrics";
     /// Tells that the process lives.
@@ -21,8 +23,8 @@
     pub const READY: &str = "/v1/health/ready";
     /// Takes a [`super::JobRequest`].
     pub const JOBS: &str = "/v1/jobs";
-    /// Takes a [`super::JobsNamed`] and returns the status of its jobs.
-    pub const JOBS_FIND: &str = "/v1/jobs/find";
+    /// Takes a [`super::JobsNamed`] and returns the status of each job, null where it is unknown.
+    pub const JOBS_QUERY: &str = "/v1/jobs/query";
     /// Takes a [`super::JobsNamed`] and cancels its jobs.
     pub const JOBS_CANCEL: &str = "/v1/jobs/cancel";
     /// Takes the name of a target and starts its planned stop.
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -42,6 +42,7 @@
         let Some(addr) = server.server_addr().to_ip() else {
             return Err(bind_error("not an IP address".to_owned()));
         };
+        crate::serve_stalled_connections(addr);
         let server = Arc::new(server);
         let handler = Arc::new(handler);
         let stopping = Arc::new(AtomicBool::new(false));
--- /dev/null
+++ b/tests/config/main.rs
@@ -0,0 +1,227 @@
+//! The tables in force in real processes, under outages, stale reads and garbage.
+
+mod garbage;
+mod rig;
+
+use std::sync::Barrier;
+
+use base::prelude::*;
+use fakes::store::Outage;
+use fakes::target::{ServiceTime, TargetServer, TargetSettings};
+use fakes::worker::{WorkerServer, WorkerSettings};
+use ops::{EntryPort, Exit, HttpEntry};
+use platform::store::{Expect, Store, StoreCall};
+use rig::{Desk, client, companion, generation, try_apply, wait_for_generation, wait_until};
+use tables::TablesDoc;
+use wire::Token;
+
+fn target() -> TargetServer {
+    TargetServer::start(TargetSettings {
+        slots: 8,
+        connections: 8,
+        service_time: ServiceTime::Exponential(Duration::from_millis(1)),
+        answer_bytes: 64,
+        seed: 1,
+    })
+}
+
+fn worker() -> WorkerServer {
+    WorkerServer::start(WorkerSettings::default(), Arc::new(base::SystemClock))
+}
+
+#[test]
+fn accepted_tables_come_into_force_on_entries_and_companions() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let second = desk.entry("second", &[]);
+    let (target, worker) = (target(), worker());
+    let companion = companion(target.addr(), worker.addr(), &[first.cfg().rpc_addr]);
+
+    let applied = desk.apply(3);
+
+    wait_for_generation(first.http_addr(), applied);
+    wait_for_generation(second.http_addr(), applied);
+    wait_until(|| {
+        let status = client(first.http_addr()).status().expect("status");
+        status
+            .targets
+            .iter()
+            .any(|target| target.generation == applied)
+    });
+    companion.kill();
+    first.kill();
+    second.kill();
+}
+
+#[test]
+fn of_many_volunteers_at_once_one_wins_and_the_others_are_told() {
+    let desk = Desk::start();
+    let base = desk.apply(3);
+    let volunteers = 8;
+    let barrier = Barrier::new(volunteers);
+
+    let results = std::thread::scope(|scope| {
+        let run = |i: usize| {
+            let (desk, barrier) = (&desk, &barrier);
+            scope.spawn(move || {
+                barrier.wait();
+                try_apply(&desk.store, 10 + i as u64, Some(base.0))
+            })
+        };
+        let threads = (0..volunteers).map(run).collect::<Vec<_>>();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().expect("volunteer"))
+            .collect::<Vec<_>>()
+    });
+
+    let (won, told): (Vec<_>, Vec<_>) = results.into_iter().partition(Result::is_ok);
+    assert_eq!(won.len(), 1);
+    for told in told {
+        let failure = told.expect_err("told");
+        assert_eq!(failure.exit(), Exit::Conflict, "{failure}");
+    }
+    assert_eq!(desk.in_store(), base.next());
+}
+
+#[test]
+fn lost_answers_to_writes_lose_no_change_and_apply_none_twice() {
+    let desk = Desk::start();
+    let base = desk.apply(3);
+
+    for i in 0..5 {
+        desk.switches().lose_next_writes(2);
+        let applied = try_apply(&desk.store, 10 + i, Some(base.0 + i)).expect("applied");
+
+        assert_eq!(applied.generation(), Generation(base.0 + i + 1));
+    }
+
+    assert_eq!(desk.in_store(), Generation(base.0 + 5));
+}
+
+#[test]
+fn entry_that_starts_in_an_outage_takes_the_tables_of_another_entry() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    wait_for_generation(first.http_addr(), applied);
+    desk.switches().set_outage(Some(Outage::Refused));
+
+    let second = desk.entry("second", &[first.cfg().rpc_addr]);
+
+    wait_for_generation(second.http_addr(), applied);
+    first.kill();
+    second.kill();
+}
+
+#[test]
+fn entry_that_starts_in_an_outage_takes_the_tables_of_a_companion() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    let (target, worker) = (target(), worker());
+    let second = desk.entry("second", &[]);
+    wait_for_generation(first.http_addr(), applied);
+    wait_for_generation(second.http_addr(), applied);
+    let entries = [first.cfg().rpc_addr, second.cfg().rpc_addr];
+    let companion = companion(target.addr(), worker.addr(), &entries);
+    wait_until(|| {
+        let status = client(second.http_addr()).status().expect("status");
+        status
+            .targets
+            .iter()
+            .any(|target| target.generation == applied)
+    });
+    desk.switches().set_outage(Some(Outage::Refused));
+    let http_addr = second.http_addr();
+    let cfg = second.cfg().clone();
+    first.kill();
+    second.kill();
+    wait_until(|| generation(http_addr) == Generation(0));
+
+    let third = entry::App::start(cfg, &rig::log());
+    let third = third.expect("entry at the address that the companion knows");
+
+    wait_for_generation(third.http_addr(), applied);
+    companion.kill();
+    third.kill();
+}
+
+#[test]
+fn outage_changes_nothing_that_is_in_force() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    wait_for_generation(first.http_addr(), applied);
+
+    desk.switches().set_outage(Some(Outage::Refused));
+    let refused = try_apply(&desk.store, 4, Some(applied.0)).expect_err("outage");
+    wait_until(|| {
+        let status = client(first.http_addr()).status().expect("status");
+        status.store.is_some_and(|store| !store.is_reachable)
+    });
+    let during = generation(first.http_addr());
+    desk.switches().set_outage(None);
+    let after = desk.apply(4);
+
+    assert_eq!(refused.exit(), Exit::Unreachable);
+    assert_eq!(during, applied);
+    wait_for_generation(first.http_addr(), after);
+    first.kill();
+}
+
+#[test]
+fn stale_tables_in_the_store_never_come_back_into_force() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    desk.apply(3);
+    let old = desk
+        .store
+        .call(&StoreCall::Get {
+            key: TablesDoc::KEY.into(),
+        })
+        .expect("read");
+    let platform::store::StoreReply::Got(Some(old)) = old else {
+        panic!("no tables");
+    };
+    let newer = desk.apply(4);
+    wait_for_generation(first.http_addr(), newer);
+    let reads = desk.server.counts();
+
+    let put = StoreCall::Put {
+        key: TablesDoc::KEY.into(),
+        value: old.value,
+        expect: Expect::Any,
+        lease: None,
+    };
+    desk.store.call(&put).expect("write");
+    wait_until(|| desk.server.counts().reads >= reads.reads + 10);
+
+    assert_eq!(generation(first.http_addr()), newer);
+    assert_eq!(Promise::total_broken(), 0);
+    first.kill();
+}
+
+#[test]
+fn operator_calls_and_control_calls_need_the_secret() {
+    let desk = Desk::start();
+    let token = Token::new("hush");
+    let entry = desk.secured_entry("first", &token);
+    let applied = desk.apply(3);
+    let with = HttpEntry::new(entry.http_addr(), Some(token));
+    wait_until(|| {
+        with.status()
+            .is_ok_and(|status| status.entry.generation == applied)
+    });
+
+    let without = client(entry.http_addr()).status().expect_err("no secret");
+    let wrong = HttpEntry::new(entry.http_addr(), Some(Token::new("hash"))).status();
+    let control = ureq::post(format!("http://{}", entry.cfg().rpc_addr))
+        .content_type("application/json")
+        .send("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"entry_gossip\"}");
+
+    assert_eq!(without.kind(), ErrorKind::Refused);
+    assert_eq!(wrong.expect_err("wrong secret").kind(), ErrorKind::Refused);
+    assert!(matches!(control, Err(ureq::Error::StatusCode(401))));
+    entry.kill();
+}
--- /dev/null
+++ b/tests/config/rig.rs
@@ -0,0 +1,148 @@
+//! Processes of a small desk on loopback.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use base::SystemClock;
+use base::prelude::*;
+use companion::CompanionCfg;
+use entry::EntryCfg;
+use fakes::store::{StoreServer, StoreSwitches};
+use ops::{Applied, Applier, Change, EntryPort, HttpEntry, TableFiles, TablesStore};
+use platform::HttpStore;
+use platform::store::Store;
+use slog::{Logger, o};
+use wire::Token;
+
+/// A guard against waiting forever; no verdict depends on it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn log() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// The store and its faults.
+pub struct Desk {
+    pub server: StoreServer,
+    pub store: HttpStore,
+}
+
+impl Desk {
+    pub fn start() -> Self {
+        let server = StoreServer::start(Arc::new(SystemClock));
+        let store = HttpStore::new(server.addr(), Duration::from_secs(2));
+        Self { server, store }
+    }
+
+    pub fn switches(&self) -> StoreSwitches {
+        self.server.switches()
+    }
+
+    pub fn entry(&self, name: &str, peers: &[SocketAddr]) -> entry::App {
+        entry::App::start(self.entry_cfg(name, peers), &log()).expect("entry")
+    }
+
+    pub fn secured_entry(&self, name: &str, token: &Token) -> entry::App {
+        let cfg = self.entry_cfg(name, &[]);
+        entry::App::start_secured(cfg, Some(token.clone()), &log()).expect("entry")
+    }
+
+    fn entry_cfg(&self, name: &str, peers: &[SocketAddr]) -> EntryCfg {
+        EntryCfg {
+            entry: EntryId::from(name),
+            zone: ZoneName::from("viti-suva"),
+            http_addr: loopback(),
+            rpc_addr: loopback(),
+            store: self.server.addr(),
+            peers: peers.to_vec(),
+            threads: 4,
+        }
+    }
+
+    /// Applies the sample tables with another deadline; returns the generation.
+    pub fn apply(&self, deadline_s: u64) -> Generation {
+        try_apply(&self.store, deadline_s, None)
+            .expect("applied")
+            .generation()
+    }
+
+    pub fn in_store(&self) -> Generation {
+        let current = TablesStore::new(&self.store).current().expect("read");
+        current.expect("tables").doc.generation
+    }
+}
+
+pub fn try_apply(
+    store: &dyn Store,
+    deadline_s: u64,
+    base: Option<u64>,
+) -> Result<Applied, ops::Failure> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/vakaloloma");
+    let files = TableFiles {
+        routes: folder.join("routes.toml"),
+        pools: folder.join("pools.toml"),
+    };
+    let loaded = files.load().expect("sample tables");
+    let deadline = format!("deadline = \"{deadline_s}s\"");
+    let change = Change {
+        routes: loaded
+            .routes
+            .text
+            .replace("deadline = \"2s\"", &deadline)
+            .into(),
+        pools: loaded.pools.text,
+        author: "test".into(),
+        comment: "".into(),
+        nonce: Nonce(rand::random()),
+    };
+    let applier = Applier::new(store, &SystemClock, std::thread::sleep);
+    let plan = applier.plan(change, base.map(Generation))?;
+    applier.apply(plan)
+}
+
+pub fn companion(target: SocketAddr, worker: SocketAddr, entries: &[SocketAddr]) -> companion::App {
+    let cfg = CompanionCfg {
+        target: TargetId::from("runner-0"),
+        worker: WorkerId::from("runner-0"),
+        incarnation: Incarnation(1),
+        zone: ZoneName::from("viti-suva"),
+        rack: RackName::from("rack-0"),
+        http_addr: loopback(),
+        announce_http: None,
+        rpc_addr: loopback(),
+        target_addr: target,
+        worker_addr: worker,
+        entries: entries.to_vec(),
+        slots: 8,
+        connections: 8,
+        capacity: Resources::new(64, 250 * 1024, 0),
+    };
+    companion::App::start(cfg, &log()).expect("companion")
+}
+
+pub fn client(addr: SocketAddr) -> HttpEntry {
+    HttpEntry::new(addr, None)
+}
+
+pub fn generation(addr: SocketAddr) -> Generation {
+    client(addr)
+        .status()
+        .map_or(Generation(0), |status| status.entry.generation)
+}
+
+pub fn wait_for_generation(addr: SocketAddr, wanted: Generation) {
+    wait_until(|| generation(addr) >= wanted);
+    assert_eq!(generation(addr), wanted);
+}
+
+pub fn wait_until(mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "waited too long");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
