--- a/examples/placement/stats.rs
+++ b/examples/placement/stats.rs
@@ -12,12 +12,13 @@
 /// A measure of a run by its name.
 type Measure = (&'static str, fn(&Outcome) -> f64);
 
-const MEASURES: [Measure; 12] = [
+const MEASURES: [Measure; 13] = [
     ("p50", |o| o.p50),
     ("p99", |o| o.p99),
     ("finished/h", |o| o.finished_per_hour),
     ("core-h/h", |o| o.work_per_hour),
     ("held", |o| o.held),
+    ("throttled", |o| o.throttled),
     ("task extra", |o| o.batch_extra),
     ("service extra", |o| o.service_extra),
     ("evictions", |o| o.evictions),
--- a/examples/placement/world.rs
+++ b/examples/placement/world.rs
@@ -51,6 +51,8 @@
     pub urgent_starts: u64,
     /// The mean share of the workers' room that tasks hold.
     pub held: f64,
+    /// The mean share of their processors that throttles take from tasks.
+    pub throttled: f64,
     /// The mean extra time of tasks.
     pub batch_extra: f64,
     /// The mean extra time of services.
@@ -173,6 +175,7 @@
         self.outcome.urgent_start_p99 = self.urgent.value_at_quantile(0.99) as f64 / 1000.0;
         self.outcome.urgent_starts = self.urgent.len();
         self.outcome.batch_extra /= self.task_steps;
+        self.outcome.throttled /= self.task_steps;
         let steps = load.length.as_secs_f64() / self.step.as_secs_f64();
         self.outcome.held /= steps;
         self.outcome.service_extra /= steps * WORKERS as f64;
@@ -310,6 +313,7 @@
         let speed = self.speed(n, t);
         let throttle = self.workers[n].tasks[t].throttle;
         self.outcome.batch_extra += throttle / speed - 1.0;
+        self.outcome.throttled += 1.0 - throttle;
         self.task_steps += 1.0;
         let task = &mut self.workers[n].tasks[t];
         if let Some(at) = task.checkpointed_at {
