--- a/crates/companion/src/tasks/actor.rs
+++ b/crates/companion/src/tasks/actor.rs
@@ -27,7 +27,7 @@
 /// What an awaited call was for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
-    Poll,
+    Poll(Nonce),
     Done,
 }
 
@@ -168,7 +168,11 @@
             samples: std::mem::take(&mut self.samples),
         };
         self.keeper.issue(now, nonce);
-        self.call_owner(Purpose::Poll, GRANT_WINDOW, Call::Poll(Box::new(poll)));
+        self.call_owner(
+            Purpose::Poll(nonce),
+            GRANT_WINDOW,
+            Call::Poll(Box::new(poll)),
+        );
     }
 
     fn report_ends(&mut self) {
@@ -190,8 +194,8 @@
             return;
         };
         match (purpose, answer) {
-            (Purpose::Poll, Ok(Answer::Poll(reply))) => self.poll_answered(cx.now(), &reply),
-            (Purpose::Poll, _) => self.keeper.abandon(),
+            (Purpose::Poll(_), Ok(Answer::Poll(reply))) => self.poll_answered(cx.now(), &reply),
+            (Purpose::Poll(nonce), _) => self.keeper.abandon(nonce),
             (Purpose::Done, Ok(Answer::Done(ack))) => {
                 let calls = self.keeper.acknowledged(cx.now(), &ack.keys);
                 self.call_worker_all(calls);
@@ -204,7 +208,7 @@
         if let PollAnswer::NotOwner { owner } = reply.answer {
             // The next announcement's answer tells the owner if this entry does not.
             self.owner = owner;
-            self.keeper.abandon();
+            self.keeper.abandon(reply.nonce);
             return;
         }
         let calls = self.keeper.answered(now, reply);
@@ -213,11 +217,15 @@
         self.poll(now);
     }
 
-    pub(crate) fn set_shard(&mut self, _cx: CX![], shard: ShardId, owner: Option<SocketAddr>) {
+    pub(crate) fn set_shard(&mut self, cx: CX![], shard: ShardId, owner: Option<SocketAddr>) {
         self.shard = shard;
-        if owner.is_some() {
-            self.owner = owner;
+        if owner.is_none() || owner == self.owner {
+            return;
         }
+        // The poll on its way may wait for an owner that is gone.
+        self.keeper.abandon_all();
+        self.owner = owner;
+        self.poll(cx.now());
     }
 
     pub(crate) fn leave(&mut self, _cx: CX![]) {
--- a/crates/companion/src/tasks/keeper.rs
+++ b/crates/companion/src/tasks/keeper.rs
@@ -87,8 +87,13 @@
         });
     }
 
-    /// Gives up on the poll on its way; its answer will not be taken.
-    pub fn abandon(&mut self) {
+    /// Gives up on a poll on its way; its answer will not be taken.
+    pub fn abandon(&mut self, nonce: Nonce) {
+        self.issued.take_if(|issued| issued.nonce == nonce);
+    }
+
+    /// Gives up on whatever poll is on its way.
+    pub fn abandon_all(&mut self) {
         self.issued = None;
     }
 
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -68,9 +68,6 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        if self.is_stopping {
-            return;
-        }
         for at in 0..self.shards.len() {
             self.shards[at].tick(now);
             self.flush(at);
@@ -96,7 +93,7 @@
 
     pub(crate) fn set_tables(&mut self, cx: CX![], tables: Arc<Tables>) {
         let now = cx.now();
-        for pool in tables.pools.values() {
+        for pool in tables.pools.values().filter(|_| !self.is_stopping) {
             let id = shard_of_pool(&pool.name);
             if !self.shards.contains_key(&id) {
                 let owner_cfg = self.owner_cfg(id, &pool.name);
@@ -128,6 +125,7 @@
             drift: OwnerCfg::DRIFT,
             commit_window: OwnerCfg::COMMIT_WINDOW,
             retry_after: OwnerCfg::RETRY_AFTER,
+            snapshot_bytes: OwnerCfg::SNAPSHOT_BYTES,
         }
     }
 
@@ -147,8 +145,12 @@
     }
 
     pub(crate) fn poll(&mut self, cx: CX![], msg: Box<Poll>, reply: Reply<PollReply>) {
-        let owner = self.owners.get(&msg.shard).map(|owner| owner.rpc_addr);
-        match self.owned(cx.now(), msg.shard) {
+        let owner = self.owner_addr(msg.shard);
+        match self
+            .shards
+            .get_mut(&msg.shard)
+            .filter(|s| s.may_keep(cx.now()))
+        {
             Some(shard) => shard.poll(cx.now(), msg, reply),
             None => reply.send(PollReply {
                 nonce: msg.nonce,
@@ -158,10 +160,12 @@
     }
 
     pub(crate) fn done(&mut self, cx: CX![], msg: DoneReport, reply: Reply<DoneAck>) {
-        match self.owned(cx.now(), msg.shard) {
-            Some(shard) => shard.done(cx.now(), msg, reply),
+        let shard = msg.shard;
+        match self.owned(cx.now(), shard) {
+            Some(owned) => owned.done(cx.now(), msg, reply),
             None => reply.send(DoneAck::default()),
         }
+        self.commit(cx.now(), shard);
     }
 
     pub(crate) fn submit(
@@ -172,9 +176,10 @@
         reply: Reply<SubmitReply>,
     ) {
         match self.owned(cx.now(), shard) {
-            Some(shard) => shard.submit(cx.now(), job, reply),
+            Some(owned) => owned.submit(cx.now(), job, reply),
             None => reply.send(SubmitReply::NotOwner),
         }
+        self.commit(cx.now(), shard);
     }
 
     pub(crate) fn job(
@@ -198,9 +203,10 @@
         reply: Reply<Vec<JobStatus>>,
     ) {
         match self.owned(cx.now(), shard) {
-            Some(shard) => shard.cancel(cx.now(), &jobs, reply),
+            Some(owned) => owned.cancel(cx.now(), &jobs, reply),
             None => reply.send(Vec::new()),
         }
+        self.commit(cx.now(), shard);
     }
 
     pub(crate) fn claim(
@@ -212,9 +218,10 @@
         reply: Reply<ClaimReply>,
     ) {
         match self.owned(cx.now(), shard) {
-            Some(shard) => shard.claim(cx.now(), claim, replaces, reply),
+            Some(owned) => owned.claim(cx.now(), claim, replaces, reply),
             None => reply.send(ClaimReply::NotOwner),
         }
+        self.commit(cx.now(), shard);
     }
 
     /// Returns a shard that this entry owns and may act for.
@@ -228,7 +235,20 @@
         self.forward_answered(cx.now(), id, answer);
     }
 
-    pub(crate) fn stop(&mut self, _cx: CX![]) {
+    /// Gives up the shards, what is proposed committed first.
+    pub(crate) fn stop(&mut self, cx: CX![]) {
         self.is_stopping = true;
+        for at in 0..self.shards.len() {
+            self.shards[at].resign(cx.now());
+            self.flush(at);
+        }
+    }
+
+    /// Lets a shard commit what a call proposed, without waiting for the next tick.
+    fn commit(&mut self, now: Instant, shard: ShardId) {
+        if let Some(at) = self.shards.get_index_of(&shard) {
+            self.shards[at].commit(now);
+            self.flush(at);
+        }
     }
 }
--- a/crates/entry/src/shard/forward.rs
+++ b/crates/entry/src/shard/forward.rs
@@ -79,7 +79,7 @@
     }
 
     /// Returns where the shard's owner takes calls, if it is another entry.
-    fn owner_addr(&self, shard: ShardId) -> Option<SocketAddr> {
+    pub(super) fn owner_addr(&self, shard: ShardId) -> Option<SocketAddr> {
         let owner = self.owners.get(&shard)?;
         (owner.entry != self.cfg.entry).then_some(owner.rpc_addr)
     }
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -2,19 +2,20 @@
 
 mod calls;
 mod polls;
+mod riding;
 
 use std::time::UNIX_EPOCH;
 
 use base::prelude::*;
-use journal::{Change, Effect, Job, JobState, Owner, OwnerCfg, Ticket, Urgency};
+use journal::{Change, DeposedBy, Effect, Job, JobState, Owner, OwnerCfg, Ticket, Urgency};
 use place::{Decision, Ended, JobAsk, PlacedTask, Placer, PlacerCfg};
 use platform::store::{StoreCall, StoreReply};
 use slog::{Logger, error, info, warn};
 use tables::Pool;
-use wire::timing::{DRIFT, GRANT_WINDOW, KEEP_FOR};
 use wire::{ClaimReply, DoneAck, JobRef, JobStatus, Reply, SubmitReply, TaskEnd};
 
 use self::polls::HeldPoll;
+use self::riding::{Riding, Term};
 use crate::ports::StorePriority;
 
 /// How many decisions one tick carries out at most.
@@ -52,8 +53,10 @@
 /// What is known of a worker.
 #[derive(Debug)]
 struct WorkerState {
-    /// When it was last answered, or when this owner took over.
-    answered: Instant,
+    /// When it last polled, or when this owner took over.
+    heard: Instant,
+    /// The life of the companion that polled last.
+    incarnation: Option<Incarnation>,
     /// Whether it polled this owner.
     has_polled: bool,
     held: Option<HeldPoll>,
@@ -82,11 +85,15 @@
     claiming: IndexMap<(RouteName, Name), Ticket>,
     evicting: IndexSet<TaskKey>,
     throttles: IndexMap<TaskKey, f64>,
+    /// Workers that may have something to learn.
+    changed: IndexSet<WorkerId>,
     /// When an order for a task was last sent.
     ordered: IndexMap<TaskKey, Instant>,
     next_job: u64,
     next_group: u64,
     takeover_until: Instant,
+    riding: Option<Riding>,
+    term: Option<Term>,
     store_calls: Vec<ShardStoreCall>,
 }
 
@@ -115,10 +122,13 @@
             claiming: IndexMap::new(),
             evicting: IndexSet::new(),
             throttles: IndexMap::new(),
+            changed: IndexSet::new(),
             ordered: IndexMap::new(),
             next_job: 0,
             next_group: 0,
             takeover_until: now,
+            riding: None,
+            term: None,
             store_calls: Vec::new(),
         }
     }
@@ -126,6 +136,7 @@
     pub(super) fn set_pool(&mut self, now: Instant, pool: &Arc<Pool>) {
         self.pool = Some(Arc::clone(pool));
         self.placer.set_pool(now, pool);
+        self.commit_grace(now);
     }
 
     pub(super) fn may_act(&self, now: Instant) -> bool {
@@ -137,18 +148,42 @@
     }
 
     pub(super) fn store_reply(&mut self, now: Instant, id: u64, reply: Result<StoreReply>) {
+        self.note_term();
         self.owner.reply(now, id, reply);
         self.carry_out(now);
+        // What was committed may start or end something: nobody waits for the next tick.
+        if self.owner.may_act(now) {
+            self.decide(now);
+            self.answer_changed(now);
+        }
+        self.commit(now);
+    }
+
+    /// Commits what is proposed, if a record may be written now.
+    pub(super) fn commit(&mut self, now: Instant) {
+        self.note_term();
+        self.owner.set_wall(self.wall_ms());
+        self.owner.tick(now);
+        self.carry_out(now);
+    }
+
+    /// Gives the shard up for good, what is proposed committed first.
+    pub(super) fn resign(&mut self, now: Instant) {
+        let is_sole = now >= self.takeover_until;
+        self.owner.resign(now, is_sole);
+        self.commit(now);
     }
 
     pub(super) fn tick(&mut self, now: Instant) {
+        self.note_term();
         if self.owner.may_act(now) {
+            self.commit_grace(now);
             self.expire_workers(now);
             self.decide(now);
             self.answer_polls(now);
         }
-        self.owner.tick(now);
-        self.carry_out(now);
+        self.ride(now);
+        self.commit(now);
     }
 
     /// Returns a job's status.
@@ -173,13 +208,16 @@
                     let priority = match urgency {
                         Urgency::Lease => StorePriority::Lease,
                         Urgency::Commit => StorePriority::Commit,
+                        Urgency::Snapshot => StorePriority::Snapshot,
                     };
                     self.store_calls.push(ShardStoreCall { id, priority, call });
                 }
                 Effect::Activated(epoch) => self.activated(now, epoch),
                 Effect::Committed(ticket, change) => self.committed(now, ticket, &change),
                 Effect::Unknown(ticket) => self.unknown(ticket),
-                Effect::Deposed => self.deposed(),
+                Effect::Dropped(ticket) => self.dropped(ticket),
+                Effect::Deposed(by) => self.deposed(now, by),
+                Effect::Elsewhere(owner) => self.riding_ends(&owner),
                 Effect::Stuck(e) => error!(self.log, "shard: {} is stuck: {}", self.shard, e),
             }
         }
@@ -188,20 +226,15 @@
     /// Rebuilds the placer's view from the recovered state.
     fn activated(&mut self, now: Instant, epoch: Epoch) {
         info!(self.log, "shard: owns {} in epoch {}", self.shard, epoch);
+        self.release_polls(None);
         self.forget_all(now);
-        let grace = self
-            .pool
-            .as_ref()
-            .map_or(Duration::ZERO, |pool| pool.outage_grace);
-        self.takeover_until = now + grace + KEEP_FOR + GRANT_WINDOW + DRIFT;
-        let jobs: Vec<Job> = self
-            .owner
-            .state()
-            .jobs()
-            .values()
-            .filter(|job| !job.is_ended())
-            .cloned()
-            .collect();
+        self.riding = None;
+        self.takeover_until = now + self.takeover_wait();
+        self.commit_grace(now);
+        let state = self.owner.state();
+        let open = state.jobs().values().filter(|job| !job.is_ended());
+        let mut jobs: Vec<Job> = open.cloned().collect();
+        jobs.sort_by_key(|job| job.submitted_at_ms);
         for job in jobs {
             match &job.state {
                 JobState::Assigned { worker, granted } => {
@@ -218,6 +251,7 @@
             self.placer.set_pool(now, pool);
         }
         self.workers.clear();
+        self.changed.clear();
         self.evicting.clear();
         self.throttles.clear();
         self.ordered.clear();
@@ -231,13 +265,15 @@
         self.placer
             .task_placed(now, placed_of(job, worker, granted));
         self.worker(now, worker).tasks.insert(key);
+        self.changed.insert(worker.clone());
     }
 
     fn worker(&mut self, now: Instant, worker: &WorkerId) -> &mut WorkerState {
         self.workers
             .entry(worker.clone())
             .or_insert_with(|| WorkerState {
-                answered: now,
+                heard: now,
+                incarnation: None,
                 has_polled: false,
                 held: None,
                 tasks: IndexSet::new(),
@@ -285,16 +321,26 @@
                     self.assign(now, &job, worker, granted);
                 }
                 Decision::Throttle { key, share } => {
+                    self.mark_changed(&key);
                     self.throttles.insert(key, share);
                 }
                 Decision::Evict { key, why } => {
                     info!(self.log, "shard: evicts {}: {}", key, why.as_str());
+                    self.mark_changed(&key);
                     self.evicting.insert(key);
                 }
             }
         }
     }
 
+    /// Notes that the worker of a task may have something to learn.
+    fn mark_changed(&mut self, key: &TaskKey) {
+        let of = self.workers.iter().find(|(_, w)| w.tasks.contains(key));
+        if let Some((name, _)) = of {
+            self.changed.insert(name.clone());
+        }
+    }
+
     fn assign(&mut self, now: Instant, job: &JobId, worker: WorkerId, granted: Resources) {
         let Some(job) = self
             .owner
@@ -347,6 +393,7 @@
                 let at = (claim.route.clone(), Arc::clone(&claim.key));
                 self.claiming.swap_remove(&at);
             }
+            Change::Clock { .. } | Change::Grace { .. } | Change::HandedOver => {}
         }
         self.tell_waiters(ticket);
     }
@@ -369,6 +416,7 @@
         self.evicting.swap_remove(key);
         self.throttles.swap_remove(key);
         self.ordered.swap_remove(key);
+        self.mark_changed(key);
         for worker in self.workers.values_mut() {
             worker.tasks.swap_remove(key);
             worker.losing.swap_remove(key);
@@ -401,15 +449,32 @@
         }
     }
 
-    fn deposed(&mut self) {
-        warn!(self.log, "shard: no longer owns {}", self.shard);
+    /// Answers those who waited for a change that will never be committed.
+    fn dropped(&mut self, ticket: Ticket) {
+        let reason = || Name::from("not-committed");
+        for waiter in self.waiters.swap_remove(&ticket).unwrap_or_default() {
+            match waiter {
+                Waiter::Submit { reply, .. } => {
+                    reply.send(SubmitReply::Refused { reason: reason() });
+                }
+                Waiter::Claim(reply) => reply.send(ClaimReply::Refused { reason: reason() }),
+                Waiter::Done(_) | Waiter::Cancel(_) => {}
+            }
+        }
+    }
+
+    fn deposed(&mut self, now: Instant, by: DeposedBy) {
+        warn!(self.log, "shard: no longer owns {}: {:?}", self.shard, by);
         for (_, group) in self.done_groups.drain(..) {
             group.reply.send(DoneAck::default());
         }
         for (_, group) in self.cancel_groups.drain(..) {
             group.reply.send(Vec::new());
         }
-        self.release_polls();
+        match by {
+            DeposedBy::LeaseEnd => self.riding_begins(now),
+            DeposedBy::Another | DeposedBy::Resignation => self.release_polls(None),
+        }
     }
 }
 
--- a/crates/entry/src/shard/owned/polls.rs
+++ b/crates/entry/src/shard/owned/polls.rs
@@ -1,11 +1,13 @@
 //! Polls of workers: held until there is an order, or until their wait ends.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use journal::{Change, Job, JobState};
 use place::WorkerView;
 use platform::worker::TaskStart;
 use slog::warn;
-use wire::timing::{DRIFT, GRANT_WINDOW, KEEP_FOR, POLL_WAIT};
+use wire::timing::{DRIFT, KEEP_FOR, POLL_WAIT};
 use wire::{Keep, Order, Poll, PollAnswer, PollReply, Reply};
 
 use super::Shard;
@@ -16,9 +18,9 @@
 /// A poll that waits for an answer.
 #[derive(Debug)]
 pub(super) struct HeldPoll {
-    poll: Box<Poll>,
-    reply: Reply<PollReply>,
-    until: Instant,
+    pub(super) poll: Box<Poll>,
+    pub(super) reply: Reply<PollReply>,
+    pub(super) until: Instant,
 }
 
 impl Shard {
@@ -28,6 +30,9 @@
         poll: Box<Poll>,
         reply: Reply<PollReply>,
     ) {
+        if !self.may_act(now) {
+            return self.poll_riding(now, poll, reply);
+        }
         self.placer.worker_seen(
             now,
             WorkerView {
@@ -46,8 +51,8 @@
         let worker = self.worker(now, &name);
         worker.has_polled = true;
         worker.is_gone = false;
-        // The worker was heard: its silence is counted from here.
-        worker.answered = now;
+        worker.heard = now;
+        worker.incarnation = Some(poll.incarnation);
         let replaced = worker.held.replace(HeldPoll { poll, reply, until });
         if let Some(old) = replaced {
             old.reply
@@ -69,6 +74,13 @@
         }
     }
 
+    /// Answers the polls of workers that have something to learn.
+    pub(super) fn answer_changed(&mut self, now: Instant) {
+        for name in std::mem::take(&mut self.changed) {
+            self.answer_poll(now, &name);
+        }
+    }
+
     fn answer_poll(&mut self, now: Instant, name: &WorkerId) {
         let Some(worker) = self.workers.get(name) else {
             return;
@@ -93,13 +105,12 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        worker.answered = now;
         if let Some(held) = worker.held.take() {
             held.reply.send(reply);
         }
     }
 
-    fn answer(&self, nonce: Nonce, keep: Keep, orders: Vec<Order>) -> PollReply {
+    pub(super) fn answer(&self, nonce: Nonce, keep: Keep, orders: Vec<Order>) -> PollReply {
         let epoch = self.owner.epoch().unwrap_or_default();
         PollReply {
             nonce,
@@ -166,7 +177,8 @@
         let mut lost = Vec::new();
         let takeover_until = self.takeover_until;
         for (name, worker) in &mut self.workers {
-            let alone_until = worker.answered + KEEP_FOR + GRANT_WINDOW + DRIFT;
+            // A task is kept from the issue of a poll, which was before it was heard.
+            let alone_until = worker.heard + KEEP_FOR + DRIFT;
             let until = if worker.has_polled {
                 alone_until
             } else {
@@ -194,11 +206,11 @@
     }
 
     /// Answers every held poll without renewing anything.
-    pub(super) fn release_polls(&mut self) {
+    pub(super) fn release_polls(&mut self, owner: Option<SocketAddr>) {
         for worker in self.workers.values_mut() {
             if let Some(held) = worker.held.take() {
                 let nonce = held.poll.nonce;
-                let answer = PollAnswer::NotOwner { owner: None };
+                let answer = PollAnswer::NotOwner { owner };
                 held.reply.send(PollReply { nonce, answer });
             }
         }
--- /dev/null
+++ b/crates/entry/tests/outage.rs
@@ -0,0 +1,266 @@
+//! Owners, companions and workers through outages of the store, losses and pauses.
+
+mod world;
+
+use base::prelude::*;
+use wire::timing::{DRIFT, KEEP_FOR};
+use wire::{JobPhase, SubmitReply};
+
+use world::{GRACE, SECOND, World, spec};
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// A world in which `jobs` long jobs run.
+fn busy(entries: usize, vms: usize, jobs: usize) -> World {
+    let mut world = World::new(entries, vms);
+    world.run(SECOND * 4);
+    for job in 0..jobs {
+        let reply = world.submit(0, spec(&format!("job-{job}"), HOUR));
+        assert!(
+            matches!(reply, Some(SubmitReply::Accepted { .. })),
+            "{reply:?}"
+        );
+    }
+    world.run(SECOND * 2);
+    assert_eq!(world.running(), jobs);
+    world
+}
+
+#[test]
+fn short_job_finishes_and_takes_effect_once() {
+    let mut world = World::new(3, 2);
+    world.run(SECOND * 4);
+
+    world.submit(1, spec("a", SECOND));
+    world.run(SECOND * 4);
+
+    let status = world.status(2, "a").map(|s| s.phase);
+    assert_eq!(status, Some(JobPhase::Finished));
+    assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn five_minutes_without_the_store_stop_no_running_task() {
+    let mut world = busy(3, 3, 6);
+
+    world.set_store(false);
+    world.run(SECOND * 300);
+    let during = (world.running(), world.runs());
+    world.set_store(true);
+    world.run(SECOND * 20);
+
+    assert_eq!(during, (6, 6));
+    assert_eq!((world.running(), world.runs()), (6, 6));
+}
+
+#[test]
+fn nothing_starts_and_nothing_is_accepted_while_the_store_is_down() {
+    let mut world = busy(1, 1, 1);
+    world.set_store(false);
+    world.run(SECOND * 10);
+
+    let reply = world.submit(0, spec("late", SECOND));
+    world.run(SECOND * 20);
+
+    assert!(
+        matches!(reply, Some(SubmitReply::Refused { .. })),
+        "{reply:?}"
+    );
+    assert_eq!(world.runs(), 1);
+}
+
+#[test]
+fn tasks_stop_once_the_grace_is_over() {
+    let mut world = busy(1, 2, 2);
+
+    world.set_store(false);
+    world.run(GRACE + KEEP_FOR + SECOND * 6);
+
+    assert_eq!(world.running(), 0);
+}
+
+#[test]
+fn work_of_a_lost_vm_starts_elsewhere_after_the_keep_time() {
+    let mut world = busy(3, 2, 1);
+    let held = usize::from(world.vms[1].worker.record().runs.len() == 1);
+
+    world.lose_vm(held);
+    world.run(KEEP_FOR / 2);
+    let early = world.runs();
+    world.run(KEEP_FOR / 2 + DRIFT + SECOND * 2);
+
+    assert_eq!(early, 1);
+    assert_eq!(world.runs(), 2);
+}
+
+#[test]
+fn killed_owner_is_replaced_and_running_tasks_go_on() {
+    let mut world = busy(3, 3, 6);
+    let owner = world.owner().unwrap();
+
+    world.kill_entry(owner);
+    world.run(SECOND * 10);
+    let other = (owner + 1) % 3;
+    let reply = world.submit(other, spec("next", HOUR));
+    world.run(SECOND);
+
+    assert!(
+        matches!(reply, Some(SubmitReply::Accepted { .. })),
+        "{reply:?}"
+    );
+    assert_eq!((world.running(), world.runs()), (7, 7));
+}
+
+#[test]
+fn planned_stop_hands_the_shard_over_at_once() {
+    let mut world = busy(3, 3, 6);
+    let owner = world.owner().unwrap();
+
+    world.stop_entry(owner);
+    world.run(SECOND * 2);
+
+    assert_ne!(world.owner(), Some(owner));
+    assert!(world.owner().is_some());
+    assert_eq!(world.running(), 6);
+}
+
+#[test]
+fn cut_off_owner_and_new_owner_never_run_a_task_twice() {
+    let mut world = busy(3, 3, 6);
+    let owner = world.owner().unwrap();
+
+    world.entries[owner].has_store = false;
+    world.run(SECOND * 5);
+    world.kill_companion(0);
+    world.run(SECOND * 60);
+    world.start_companion(0);
+    world.run(GRACE + SECOND * 30);
+
+    assert_eq!(world.running(), 6);
+}
+
+#[test]
+fn owner_paused_at_any_time_runs_nothing_twice() {
+    for pause in [1, 3, 5, 7, 30] {
+        let mut world = busy(2, 2, 4);
+        let owner = world.owner().unwrap();
+
+        world.entries[owner].is_paused = true;
+        world.run(SECOND * pause);
+        world.entries[owner].is_paused = false;
+        world.run(SECOND * 20);
+
+        assert_eq!((world.running(), world.runs()), (4, 4), "pause {pause} s");
+    }
+}
+
+#[test]
+fn companion_paused_past_its_time_does_not_run_a_task_twice() {
+    for pause in [2, 6, 8, 20] {
+        let mut world = busy(2, 2, 4);
+
+        world.vms[0].is_paused = true;
+        world.run(SECOND * pause);
+        world.vms[0].is_paused = false;
+        world.run(SECOND * 20);
+
+        assert_eq!(world.running(), 4, "pause {pause} s");
+    }
+}
+
+#[test]
+fn restarted_companion_takes_its_tasks_back() {
+    let mut world = busy(2, 2, 4);
+
+    world.kill_companion(0);
+    world.run(SECOND);
+    world.start_companion(0);
+    world.run(SECOND * 10);
+
+    assert_eq!((world.running(), world.runs()), (4, 4));
+}
+
+#[test]
+fn partitioned_worker_reports_what_it_finished_meanwhile_or_runs_it_again_alone() {
+    let mut world = World::new(2, 2);
+    world.run(SECOND * 4);
+    world.submit(0, spec("a", SECOND * 5));
+    let holder = usize::from(world.vms[1].worker.record().runs.len() == 1);
+
+    world.vms[holder].has_network = false;
+    world.run(SECOND * 5);
+    world.vms[holder].has_network = true;
+    world.run(SECOND * 10);
+
+    let status = world.status(0, "a").map(|s| s.phase);
+    assert_eq!(status, Some(JobPhase::Finished));
+    assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn replaced_worker_under_the_same_name_gives_its_tasks_up_at_once() {
+    let mut world = busy(2, 1, 2);
+    let now = world.now();
+
+    world.vms[0].worker.lose_all(now);
+    world.run(SECOND * 3);
+
+    assert_eq!((world.running(), world.runs()), (2, 4));
+}
+
+#[test]
+fn start_whose_answer_is_lost_runs_once() {
+    let mut world = World::new(1, 1);
+    world.run(SECOND * 4);
+    world.vms[0].worker.switches_mut().lose_next_starts = 3;
+
+    world.submit(0, spec("a", SECOND * 2));
+    world.run(SECOND * 5);
+
+    assert_eq!(world.runs(), 1);
+    assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn start_that_never_arrives_is_made_again() {
+    let mut world = World::new(1, 1);
+    world.run(SECOND * 4);
+    world.vms[0].worker.switches_mut().unreachable = true;
+
+    world.submit(0, spec("a", SECOND * 2));
+    world.run(SECOND);
+    world.vms[0].worker.switches_mut().unreachable = false;
+    world.run(SECOND * 8);
+
+    assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn cancel_wave_stops_everything_and_nothing_starts_again() {
+    let mut world = busy(2, 2, 8);
+    let jobs = (0..8)
+        .map(|job| world::key(&format!("job-{job}")))
+        .collect();
+
+    let statuses = world.cancel(1, jobs).unwrap_or_default();
+    world.run(SECOND * 4);
+
+    assert_eq!(statuses.len(), 8);
+    assert!(statuses.iter().all(|s| s.phase == JobPhase::Cancelled));
+    assert_eq!((world.running(), world.runs()), (0, 8));
+}
+
+#[test]
+fn same_key_is_the_same_job_through_another_owner() {
+    let mut world = busy(3, 1, 1);
+    let owner = world.owner().unwrap();
+    world.kill_entry(owner);
+    world.run(SECOND * 10);
+
+    let again = world.submit((owner + 1) % 3, spec("job-0", HOUR));
+
+    assert!(
+        matches!(again, Some(SubmitReply::Accepted { known: true, .. })),
+        "{again:?}"
+    );
+}
--- a/crates/journal/src/keys.rs
+++ b/crates/journal/src/keys.rs
@@ -31,4 +31,29 @@
     pub fn log(&self, seq: Seq) -> Name {
         format!("shard/{}/log/{:020}", self.shard, seq.0).into()
     }
+
+    /// Returns the range of the records up to and with `seq`.
+    pub fn log_up_to(&self, seq: Seq) -> (Name, Name) {
+        (self.log(Seq(0)), self.log(seq.next()))
+    }
+
+    /// Returns the key that names the snapshot in force.
+    pub fn pointer(&self) -> Name {
+        format!("shard/{}/snapshot", self.shard).into()
+    }
+
+    /// Returns the key of a chunk of the snapshot up to `seq` that was written in a term.
+    pub fn chunk(&self, seq: Seq, epoch: Epoch, at: u32) -> Name {
+        let snapshot = self.chunks(seq, epoch);
+        format!("{snapshot}{at:06}").into()
+    }
+
+    /// Returns the range of the chunks of all snapshots before one.
+    pub fn chunks_before(&self, seq: Seq, epoch: Epoch) -> (Name, Name) {
+        (self.chunks(Seq(0), Epoch(0)), self.chunks(seq, epoch))
+    }
+
+    fn chunks(&self, seq: Seq, epoch: Epoch) -> Name {
+        format!("shard/{}/chunk/{:020}/{:020}/", self.shard, seq.0, epoch.0).into()
+    }
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -8,9 +8,12 @@
 mod keys;
 mod owner;
 mod record;
+mod retain;
+mod snapshot;
 mod state;
 
 pub use keys::Keys;
-pub use owner::{Effect, Owner, OwnerCfg, OwnerValue, Ticket, Urgency};
+pub use owner::{DeposedBy, Effect, Owner, OwnerCfg, OwnerValue, Ticket, Urgency};
 pub use record::{Change, Record, RecordBody};
+pub use retain::{CLAIM_RETENTION, JOB_RETENTION, MAX_CLAIMS, MAX_ENDED, MIN_ENDED};
 pub use state::{Job, JobState, ShardState};
--- a/crates/journal/src/owner.rs
+++ b/crates/journal/src/owner.rs
@@ -2,7 +2,9 @@
 
 mod commit;
 mod lease;
+mod recover;
 mod takeover;
+mod trim;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -13,8 +15,15 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+use crate::snapshot::Pointer;
 use crate::{Change, Keys, ShardState};
 
+use self::recover::Reading;
+use self::trim::Snapshotting;
+
+/// How long to wait before a shard that could not be recovered is tried again.
+const STUCK_RETRY: Duration = Duration::from_secs(15);
+
 /// How an owner is set up.
 #[derive(Clone, Debug)]
 pub struct OwnerCfg {
@@ -34,11 +43,13 @@
     pub commit_window: Duration,
     /// How long to wait before a failed step is tried again.
     pub retry_after: Duration,
+    /// How many bytes of log are written before a snapshot replaces them, at the least.
+    pub snapshot_bytes: u64,
 }
 
 impl OwnerCfg {
     /// The default time to live of an owner's lease.
-    pub const LEASE_TTL: Duration = Duration::from_secs(5);
+    pub const LEASE_TTL: Duration = Duration::from_secs(4);
 
     /// The default allowance for clocks that run at different rates.
     pub const DRIFT: Duration = Duration::from_millis(250);
@@ -48,6 +59,9 @@
 
     /// The default wait before a failed step is tried again.
     pub const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+    /// The default size of log that a snapshot replaces, at the least.
+    pub const SNAPSHOT_BYTES: u64 = 2 * 1024 * 1024;
 }
 
 /// The value of a shard's owner key.
@@ -64,6 +78,9 @@
     pub rpc_addr: SocketAddr,
     /// The owner's term; 0 while it takes over.
     pub epoch: Epoch,
+    /// The lease that the key lives under, by which a writer knows its own value.
+    #[serde(default)]
+    pub lease: LeaseId,
 }
 
 /// How urgent a store call is.
@@ -73,6 +90,19 @@
     Lease,
     /// It commits or recovers.
     Commit,
+    /// It writes a snapshot or trims what one replaced.
+    Snapshot,
+}
+
+/// Why an owner stood down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeposedBy {
+    /// Its lease may have ended, without a word of another owner.
+    LeaseEnd,
+    /// The store holds what another owner wrote, or has forgotten the lease.
+    Another,
+    /// It gave the shard up.
+    Resignation,
 }
 
 /// Matches the end of a proposal to the one who made it.
@@ -97,8 +127,12 @@
     Committed(Ticket, Change),
     /// It is not known whether a proposed change is committed.
     Unknown(Ticket),
+    /// A proposed change is not committed and never will be.
+    Dropped(Ticket),
     /// This entry no longer owns the shard.
-    Deposed,
+    Deposed(DeposedBy),
+    /// Another entry holds the shard's owner key.
+    Elsewhere(Box<OwnerValue>),
     /// The shard cannot be recovered: a record is unreadable.
     Stuck(Error),
 }
@@ -108,6 +142,8 @@
 struct Proposal {
     ticket: Ticket,
     change: Change,
+    /// The size of the encoded change.
+    bytes: usize,
 }
 
 /// A record on its way to the store.
@@ -117,6 +153,8 @@
     nonce: Nonce,
     value: Arc<[u8]>,
     proposals: Vec<Proposal>,
+    /// What the record says before the proposals.
+    header: Vec<Change>,
     /// When to send the record again after an error.
     retry_at: Option<Instant>,
 }
@@ -126,12 +164,14 @@
 enum Phase {
     /// Another entry may own the shard.
     Idle,
+    /// The owner key is being read.
+    Looking,
     /// The lease was asked for.
     Granting,
     /// The owner key is being created.
     Claiming { lease: LeaseId },
-    /// The log is being read.
-    Reading { lease: LeaseId },
+    /// The snapshot and the log are being read.
+    Reading { lease: LeaseId, reading: Reading },
     /// The barrier is being written.
     Barrier {
         lease: LeaseId,
@@ -141,7 +181,7 @@
     /// This entry owns the shard.
     Active { lease: LeaseId, epoch: Epoch },
     /// The log holds something unreadable.
-    Stuck,
+    Stuck(Error),
 }
 
 /// What an awaited store call was for.
@@ -151,6 +191,8 @@
     Renew,
     Commit,
     Publish,
+    Snapshot,
+    Revoke,
 }
 
 /// An awaited store call.
@@ -178,6 +220,22 @@
     /// When the lease ends at the earliest, by this process's clock.
     lease_until: Option<Instant>,
     owner_revision: Revision,
+    /// The step of a take-over on its way, to be repeated after an error.
+    step: Option<StoreCall>,
+    step_retry_at: Option<Instant>,
+    /// The snapshot that is in force, as far as this entry knows.
+    pointer: Option<Pointer>,
+    pointer_revision: Option<Revision>,
+    snapshotting: Option<Snapshotting>,
+    /// The size of the log since the last snapshot, in bytes.
+    log_bytes: u64,
+    /// How often a gap was found in the log since it was last read whole.
+    gaps: u32,
+    is_resigning: bool,
+    has_resigned: bool,
+    claim_delay: Duration,
+    free_since: Option<Instant>,
+    wall_ms: u64,
     renew_at: Instant,
     try_at: Instant,
     awaited: IndexMap<u64, Awaited>,
@@ -185,6 +243,7 @@
     next_ticket: u64,
     pending: VecDeque<Proposal>,
     pending_since: Option<Instant>,
+    sent_at: Option<Instant>,
     in_flight: Option<InFlight>,
     effects: Vec<Effect>,
 }
@@ -203,6 +262,18 @@
             last_epoch: Epoch(0),
             lease_until: None,
             owner_revision: 0,
+            step: None,
+            step_retry_at: None,
+            pointer: None,
+            pointer_revision: None,
+            snapshotting: None,
+            log_bytes: 0,
+            gaps: 0,
+            is_resigning: false,
+            has_resigned: false,
+            claim_delay: Duration::ZERO,
+            free_since: None,
+            wall_ms: 0,
             renew_at: now,
             try_at: now,
             awaited: IndexMap::new(),
@@ -210,6 +281,7 @@
             next_ticket: 0,
             pending: VecDeque::new(),
             pending_since: None,
+            sent_at: None,
             in_flight: None,
             effects: Vec::new(),
         }
@@ -233,15 +305,74 @@
         self.epoch().is_some() && self.lease_until.is_some_and(|until| now < until)
     }
 
-    /// Proposes a change; [`Effect::Committed`] or [`Effect::Unknown`] follows.
+    /// Returns when the lease ends at the earliest, by this process's clock.
+    pub fn lease_until(&self) -> Option<Instant> {
+        self.lease_until
+    }
+
+    /// Proposes a change; [`Effect::Committed`], [`Effect::Unknown`] or [`Effect::Dropped`] follows.
     pub fn propose(&mut self, now: Instant, change: Change) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.pending.push_back(Proposal { ticket, change });
+        let bytes = change.encoded_len();
+        let is_open = self.epoch().is_some() && !self.is_resigning;
+        if bytes > commit::MAX_CHANGE_BYTES || !is_open {
+            self.effects.push(Effect::Dropped(ticket));
+            return ticket;
+        }
+        self.pending.push_back(Proposal {
+            ticket,
+            change,
+            bytes,
+        });
         self.pending_since.get_or_insert(now);
         ticket
     }
 
+    /// Tells how many proposed changes are not committed yet.
+    pub fn backlog(&self) -> usize {
+        let in_flight = self.in_flight.as_ref().map_or(0, |f| f.proposals.len());
+        in_flight + self.pending.len()
+    }
+
+    /// Returns why the shard cannot be recovered, if it cannot.
+    pub fn stuck(&self) -> Option<&Error> {
+        match &self.phase {
+            Phase::Stuck(e) => Some(e),
+            _ => None,
+        }
+    }
+
+    /// Sets the time of day, in milliseconds since 1970, that the next records carry.
+    pub fn set_wall(&mut self, wall_ms: u64) {
+        self.wall_ms = wall_ms;
+    }
+
+    /// Sets how long a shard without an owner is left to others before it is claimed.
+    pub fn set_claim_delay(&mut self, delay: Duration) {
+        self.claim_delay = delay;
+    }
+
+    /// Commits what is proposed, then gives the shard up and claims none again.
+    ///
+    /// `is_sole` says that no owner before this one can still keep tasks, so that the
+    /// next one need not wait for any.
+    pub fn resign(&mut self, now: Instant, is_sole: bool) {
+        self.has_resigned = true;
+        if self.epoch().is_none() {
+            return self.depose(now, DeposedBy::Resignation);
+        }
+        if is_sole {
+            self.propose(now, Change::HandedOver);
+        }
+        self.is_resigning = true;
+    }
+
+    /// Tells whether a shard that was given up is given up for good.
+    pub fn has_resigned(&self) -> bool {
+        self.has_resigned && matches!(self.phase, Phase::Idle) && self.awaited.is_empty()
+    }
+
     /// Returns the proposed changes that are not committed yet, oldest first.
     pub fn proposed(&self) -> impl Iterator<Item = &Change> {
         let in_flight = self
@@ -261,13 +392,20 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Instant) {
         match self.phase {
-            Phase::Idle if now >= self.try_at && self.awaited.is_empty() => self.begin(now),
-            Phase::Idle | Phase::Stuck => {}
-            Phase::Granting | Phase::Claiming { .. } | Phase::Reading { .. } => {}
-            Phase::Barrier { .. } | Phase::Active { .. } => {
+            Phase::Idle | Phase::Stuck(_) => self.look_if_due(now),
+            Phase::Looking | Phase::Granting => {}
+            Phase::Claiming { .. } | Phase::Reading { .. } | Phase::Barrier { .. } => {
+                self.renew_if_due(now);
+                self.retry_step_if_due(now);
+            }
+            Phase::Active { .. } => {
                 self.renew_if_due(now);
                 self.retry_if_due(now);
                 self.commit_if_due(now);
+                self.snapshot_if_due(now);
+                if self.is_resigning && self.backlog() == 0 {
+                    self.depose(now, DeposedBy::Resignation);
+                }
             }
         }
         self.check_lease(now);
@@ -282,7 +420,9 @@
             Purpose::Step => self.step_done(now, awaited.sent, reply),
             Purpose::Renew => self.renewed(now, awaited.sent, reply),
             Purpose::Commit => self.commit_done(now, id, reply),
-            Purpose::Publish => self.published(reply),
+            Purpose::Publish => self.published(now, reply),
+            Purpose::Snapshot => self.snapshot_done(now, reply),
+            Purpose::Revoke => {}
         }
         self.check_lease(now);
     }
@@ -294,7 +434,9 @@
         self.awaited.insert(id, Awaited { purpose, sent: now });
         let urgency = match purpose {
             Purpose::Renew => Urgency::Lease,
+            Purpose::Revoke => Urgency::Lease,
             Purpose::Step | Purpose::Commit | Purpose::Publish => Urgency::Commit,
+            Purpose::Snapshot => Urgency::Snapshot,
         };
         self.effects.push(Effect::Store { id, urgency, call });
         id
@@ -304,20 +446,52 @@
         Nonce(self.rng.random())
     }
 
-    /// Gives up ownership: proposals on their way are of unknown outcome.
-    fn depose(&mut self, now: Instant) {
+    /// Returns the lease that this entry holds or held last.
+    fn lease(&self) -> Option<LeaseId> {
+        match self.phase {
+            Phase::Claiming { lease }
+            | Phase::Reading { lease, .. }
+            | Phase::Barrier { lease, .. }
+            | Phase::Active { lease, .. } => Some(lease),
+            Phase::Idle | Phase::Looking | Phase::Granting | Phase::Stuck(_) => None,
+        }
+    }
+
+    /// Gives up ownership: the record on its way is of unknown outcome, the rest is dropped.
+    fn depose(&mut self, now: Instant, by: DeposedBy) {
         let was_active = self.epoch().is_some();
+        let lease = self.lease();
         self.phase = Phase::Idle;
         self.lease_until = None;
         self.try_at = now + self.cfg.retry_after;
         self.awaited.clear();
+        self.step = None;
+        self.step_retry_at = None;
+        self.snapshotting = None;
         self.pending_since = None;
+        self.is_resigning = false;
         let in_flight = self.in_flight.take().into_iter().flat_map(|f| f.proposals);
-        for proposal in in_flight.chain(self.pending.drain(..)) {
+        for proposal in in_flight {
             self.effects.push(Effect::Unknown(proposal.ticket));
         }
+        for proposal in self.pending.drain(..) {
+            self.effects.push(Effect::Dropped(proposal.ticket));
+        }
         if was_active {
-            self.effects.push(Effect::Deposed);
+            self.effects.push(Effect::Deposed(by));
+        }
+        // The key goes with the lease, so that nobody waits for it to lapse. Where
+        // the lease ended by itself the store may be down, and has nothing to end.
+        if let Some(lease) = lease.filter(|_| by != DeposedBy::LeaseEnd) {
+            self.call(now, Purpose::Revoke, StoreCall::LeaseRevoke { lease });
         }
     }
+
+    /// Reports that the shard cannot be recovered; it is tried again later.
+    fn stick(&mut self, now: Instant, e: Error) {
+        self.depose(now, DeposedBy::Another);
+        self.try_at = now + STUCK_RETRY;
+        self.phase = Phase::Stuck(e.clone());
+        self.effects.push(Effect::Stuck(e));
+    }
 }
--- a/crates/journal/src/owner/commit.rs
+++ b/crates/journal/src/owner/commit.rs
@@ -3,47 +3,70 @@
 use base::prelude::*;
 use platform::store::{Expect, StoreCall, StoreReply};
 
-use super::{Effect, InFlight, Owner, Phase, Proposal, Purpose};
-use crate::{Record, RecordBody};
+use super::{DeposedBy, Effect, InFlight, Owner, Phase, Proposal, Purpose};
+use crate::{Change, Record, RecordBody};
 
 /// How many changes one record holds at most.
-const MAX_CHANGES: usize = 2_000;
+const MAX_CHANGES: usize = 5_000;
+
+/// How large the changes of one record are together, in bytes; the store's limit is above it.
+const MAX_RECORD_BYTES: usize = 900 * 1024;
+
+/// How large one change may be, in bytes.
+pub(super) const MAX_CHANGE_BYTES: usize = 128 * 1024;
 
 impl Owner {
+    /// Commits what is proposed, at once where the last record is old enough.
     pub(super) fn commit_if_due(&mut self, now: Instant) {
-        let is_due = self
-            .pending_since
-            .is_some_and(|at| now >= at + self.cfg.commit_window);
-        if !is_due || self.in_flight.is_some() {
+        let is_idle = self
+            .sent_at
+            .is_none_or(|at| now >= at + self.cfg.commit_window);
+        if self.pending.is_empty() || self.in_flight.is_some() || !is_idle {
             return;
         }
         let Phase::Active { epoch, .. } = self.phase else {
             return;
         };
-        let count = self.pending.len().min(MAX_CHANGES);
-        let proposals: Vec<Proposal> = self.pending.drain(..count).collect();
+        let proposals = self.next_group();
         self.pending_since = (!self.pending.is_empty()).then_some(now);
         let nonce = self.draw_nonce();
+        let header = vec![Change::Clock {
+            at_ms: self.wall_ms,
+        }];
+        let changes = proposals.iter().map(|p| p.change.clone());
         let record = Record {
             epoch,
             seq: self.last_seq.next(),
             writer: self.cfg.entry.clone(),
             nonce,
-            body: RecordBody::Changes(proposals.iter().map(|p| p.change.clone()).collect()),
+            body: RecordBody::Changes(header.iter().cloned().chain(changes).collect()),
         };
         let Ok(value) = record.encode() else {
-            return self.depose(now);
+            return self.depose(now, DeposedBy::Another);
         };
+        self.sent_at = Some(now);
         self.in_flight = Some(InFlight {
             id: 0,
             nonce,
             value,
             proposals,
+            header,
             retry_at: None,
         });
         self.write_in_flight(now);
     }
 
+    /// Takes the proposals of the next record off the queue.
+    fn next_group(&mut self) -> Vec<Proposal> {
+        let mut bytes = 0;
+        let fitting = self.pending.iter().take(MAX_CHANGES).take_while(|p| {
+            bytes += p.bytes;
+            bytes <= MAX_RECORD_BYTES
+        });
+        let count = fitting.count();
+        self.pending.drain(..count).collect()
+    }
+
     /// Sends the record in flight; sending it again is safe, since its nonce names it.
     fn write_in_flight(&mut self, now: Instant) {
         let Some(in_flight) = &self.in_flight else {
@@ -90,21 +113,34 @@
             Ok(StoreReply::Conflict { current: Some(kv) }) => {
                 let is_own = Record::decode(&kv.value).is_ok_and(|r| r.nonce == in_flight.nonce);
                 if is_own {
-                    self.committed()
+                    self.committed();
                 } else {
-                    self.depose(now)
+                    self.superseded(now);
                 }
             }
-            Ok(_) => self.depose(now),
+            Ok(_) => self.depose(now, DeposedBy::Another),
             Err(_) => self.retry_commit_at(now + self.cfg.retry_after),
         }
     }
 
+    /// Stands down because the place of the record in flight holds another's record.
+    ///
+    /// No record of ours is there and none can be, so its changes are dropped for good.
+    fn superseded(&mut self, now: Instant) {
+        let in_flight = self.in_flight.take().into_iter().flat_map(|f| f.proposals);
+        for proposal in in_flight {
+            self.effects.push(Effect::Dropped(proposal.ticket));
+        }
+        self.depose(now, DeposedBy::Another);
+    }
+
     fn committed(&mut self) {
         let Some(in_flight) = self.in_flight.take() else {
             return;
         };
         self.last_seq = self.last_seq.next();
+        self.log_bytes += in_flight.value.len() as u64;
+        in_flight.header.iter().for_each(|c| self.state.apply(c));
         for proposal in in_flight.proposals {
             self.state.apply(&proposal.change);
             self.effects
--- a/crates/journal/src/owner/lease.rs
+++ b/crates/journal/src/owner/lease.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use platform::store::{StoreCall, StoreReply};
 
-use super::{Owner, Phase, Purpose};
+use super::{DeposedBy, Owner, Purpose};
 
 /// The lease is renewed this many times in its life.
 const RENEWALS_PER_TTL: u32 = 4;
@@ -20,16 +20,15 @@
         if now < self.renew_at || is_renewing {
             return;
         }
-        let (Phase::Barrier { lease, .. } | Phase::Active { lease, .. }) = self.phase else {
-            return;
-        };
-        self.call(now, Purpose::Renew, StoreCall::LeaseRenew { lease });
+        if let Some(lease) = self.lease() {
+            self.call(now, Purpose::Renew, StoreCall::LeaseRenew { lease });
+        }
     }
 
     pub(super) fn renewed(&mut self, now: Instant, sent: Instant, reply: Result<StoreReply>) {
         match reply {
             Ok(StoreReply::Leased { ttl, .. }) => self.extend_lease(sent, ttl),
-            Ok(_) => self.depose(now),
+            Ok(_) => self.depose(now, DeposedBy::Another),
             Err(_) => self.renew_at = now + self.cfg.retry_after,
         }
     }
@@ -37,7 +36,7 @@
     /// Stands down once the lease may have ended.
     pub(super) fn check_lease(&mut self, now: Instant) {
         if self.lease_until.is_some_and(|until| now >= until) {
-            self.depose(now);
+            self.depose(now, DeposedBy::LeaseEnd);
         }
     }
 }
--- a/crates/journal/src/owner/takeover.rs
+++ b/crates/journal/src/owner/takeover.rs
@@ -1,99 +1,139 @@
-//! Taking over a shard: lease, owner key, the log, and the barrier.
+//! Taking over a shard: lease, owner key, and the barrier after the log was read.
 
 use base::prelude::*;
-use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
+use platform::store::{Expect, LeaseId, StoreCall, StoreReply};
 
-use super::{Effect, Owner, OwnerValue, Phase, Purpose};
+use super::recover::Reading;
+use super::{DeposedBy, Effect, Owner, OwnerValue, Phase, Purpose};
 use crate::{Record, RecordBody, ShardState};
 
-/// How many records one read of the log returns at most.
-const READ_PAGE: usize = 64;
+/// How often the owner key is read while another entry owns the shard.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
 
 impl Owner {
+    /// Reads the owner key, which costs no write, before anything is claimed.
+    pub(super) fn look_if_due(&mut self, now: Instant) {
+        if self.has_resigned || now < self.try_at || !self.awaited.is_empty() {
+            return;
+        }
+        self.phase = Phase::Looking;
+        let key = self.keys.owner();
+        self.call(now, Purpose::Step, StoreCall::Get { key });
+    }
+
+    fn looked(&mut self, now: Instant, reply: StoreReply) {
+        let StoreReply::Got(found) = reply else {
+            return self.depose(now, DeposedBy::Another);
+        };
+        if let Some(kv) = found {
+            self.free_since = None;
+            let other = OwnerValue::decode(&kv.value).filter(|v| v.entry != self.cfg.entry);
+            self.effects
+                .extend(other.map(Box::new).map(Effect::Elsewhere));
+            self.depose(now, DeposedBy::Another);
+            self.try_at = now + LOOK_EVERY;
+            return;
+        }
+        let free_since = *self.free_since.get_or_insert(now);
+        if now < free_since + self.claim_delay {
+            return self.depose(now, DeposedBy::Another);
+        }
+        self.free_since = None;
+        self.begin(now);
+    }
+
     /// Asks for a lease; the owner key tells whether the shard is free.
-    pub(super) fn begin(&mut self, now: Instant) {
-        self.state = ShardState::default();
-        self.last_seq = Seq(0);
-        self.last_epoch = Epoch(0);
+    fn begin(&mut self, now: Instant) {
         self.phase = Phase::Granting;
-        self.call(
-            now,
-            Purpose::Step,
-            StoreCall::LeaseGrant {
-                ttl: self.cfg.lease_ttl,
-            },
-        );
+        let ttl = self.cfg.lease_ttl;
+        self.call(now, Purpose::Step, StoreCall::LeaseGrant { ttl });
+    }
+
+    /// Makes a call of the take-over, which is repeated until it is answered.
+    pub(super) fn call_step(&mut self, now: Instant, call: StoreCall) {
+        self.step = Some(call.clone());
+        self.step_retry_at = None;
+        self.call(now, Purpose::Step, call);
+    }
+
+    /// Repeats a step whose answer was lost: each names its writer, so a repeat is safe.
+    pub(super) fn retry_step_if_due(&mut self, now: Instant) {
+        if self.step_retry_at.is_none_or(|at| now < at) {
+            return;
+        }
+        if let Some(call) = self.step.clone() {
+            self.call_step(now, call);
+        }
     }
 
     /// Takes the answer to a step of the take-over.
     pub(super) fn step_done(&mut self, now: Instant, sent: Instant, reply: Result<StoreReply>) {
         let reply = match reply {
             Ok(reply) => reply,
-            Err(_) => return self.depose(now),
+            Err(_) if matches!(self.phase, Phase::Looking | Phase::Granting) => {
+                return self.depose(now, DeposedBy::LeaseEnd);
+            }
+            Err(_) => {
+                self.step_retry_at = Some(now + self.cfg.retry_after);
+                return;
+            }
         };
         match self.phase.clone() {
+            Phase::Looking => self.looked(now, reply),
             Phase::Granting => self.granted(now, sent, &reply),
             Phase::Claiming { lease } => self.claimed(now, lease, &reply),
-            Phase::Reading { lease } => self.read(now, lease, reply),
+            Phase::Reading { lease, reading } => self.read(now, lease, reading, reply),
             Phase::Barrier { .. } => self.barrier_done(now, reply),
-            Phase::Idle | Phase::Active { .. } | Phase::Stuck => {}
+            Phase::Idle | Phase::Active { .. } | Phase::Stuck(_) => {}
         }
     }
 
     fn granted(&mut self, now: Instant, sent: Instant, reply: &StoreReply) {
         let StoreReply::Leased { lease, ttl } = *reply else {
-            return self.depose(now);
+            return self.depose(now, DeposedBy::Another);
         };
         self.extend_lease(sent, ttl);
         self.phase = Phase::Claiming { lease };
         let call = StoreCall::Put {
             key: self.keys.owner(),
-            value: self.owner_value(Epoch(0)),
+            value: self.owner_value(lease, Epoch(0)),
             expect: Expect::Absent,
             lease: Some(lease),
         };
-        self.call(now, Purpose::Step, call);
+        self.call_step(now, call);
     }
 
     fn claimed(&mut self, now: Instant, lease: LeaseId, reply: &StoreReply) {
-        let StoreReply::Done { revision } = *reply else {
-            self.depose(now);
-            return;
+        let revision = match reply {
+            StoreReply::Done { revision } => *revision,
+            // The value names the lease, so our own is known after a lost answer.
+            StoreReply::Conflict { current: Some(kv) }
+                if kv.value == self.owner_value(lease, Epoch(0)) =>
+            {
+                kv.revision
+            }
+            _ => return self.depose(now, DeposedBy::Another),
         };
         self.owner_revision = revision;
-        self.phase = Phase::Reading { lease };
-        self.read_page(now);
-    }
-
-    fn read_page(&mut self, now: Instant) {
-        let after = (self.last_seq > Seq(0)).then(|| self.keys.log(self.last_seq));
-        let prefix = self.keys.log_prefix();
-        self.call(
-            now,
-            Purpose::Step,
-            StoreCall::List {
-                prefix,
-                after,
-                limit: READ_PAGE,
-            },
-        );
-    }
-
-    fn read(&mut self, now: Instant, lease: LeaseId, reply: StoreReply) {
-        let StoreReply::Listed(page) = reply else {
-            return self.depose(now);
+        self.start_reading(now, lease);
+    }
+
+    /// Forgets what was read, and reads the snapshot's pointer.
+    pub(super) fn start_reading(&mut self, now: Instant, lease: LeaseId) {
+        self.state = ShardState::default();
+        self.last_seq = Seq(0);
+        self.last_epoch = Epoch(0);
+        self.log_bytes = 0;
+        self.phase = Phase::Reading {
+            lease,
+            reading: Reading::Pointer,
         };
-        let is_last = page.len() < READ_PAGE;
-        for kv in &page {
-            if let Err(e) = self.apply_record(kv) {
-                self.phase = Phase::Stuck;
-                self.effects.push(Effect::Stuck(e));
-                return;
-            }
-        }
-        if !is_last {
-            return self.read_page(now);
-        }
+        let key = self.keys.pointer();
+        self.call_step(now, StoreCall::Get { key });
+    }
+
+    /// Writes the barrier at the first free place of the log.
+    pub(super) fn write_barrier(&mut self, now: Instant, lease: LeaseId) {
         let epoch = self.last_epoch.next();
         let nonce = self.draw_nonce();
         self.phase = Phase::Barrier {
@@ -101,24 +141,6 @@
             epoch,
             nonce,
         };
-        self.write_barrier(now, epoch, nonce);
-    }
-
-    /// Applies a record read from the log, unless a barrier made it void.
-    fn apply_record(&mut self, kv: &KeyValue) -> Result<()> {
-        let record = Record::decode(&kv.value)?;
-        self.last_seq = record.seq;
-        if record.epoch < self.last_epoch {
-            return Ok(());
-        }
-        self.last_epoch = record.epoch;
-        if let RecordBody::Changes(changes) = &record.body {
-            changes.iter().for_each(|change| self.state.apply(change));
-        }
-        Ok(())
-    }
-
-    fn write_barrier(&mut self, now: Instant, epoch: Epoch, nonce: Nonce) {
         let seq = self.last_seq.next();
         let record = Record {
             epoch,
@@ -127,25 +149,26 @@
             nonce,
             body: RecordBody::Barrier,
         };
-        let Ok(value) = record.encode() else {
-            return self.depose(now);
+        let value = match record.encode() {
+            Ok(value) => value,
+            Err(e) => return self.stick(now, e),
         };
-        let key = self.keys.log(seq);
         let call = StoreCall::Put {
-            key,
+            key: self.keys.log(seq),
             value,
             expect: Expect::Absent,
             lease: None,
         };
-        self.call(now, Purpose::Step, call);
+        self.call_step(now, call);
     }
 
     fn barrier_done(&mut self, now: Instant, reply: StoreReply) {
+        // A barrier proves nothing once the lease has ended.
+        self.check_lease(now);
         let Phase::Barrier {
             lease,
             epoch,
             nonce,
-            ..
         } = self.phase
         else {
             return;
@@ -158,41 +181,58 @@
                     self.activate(now, lease, epoch);
                 } else {
                     // Someone wrote since the last page: read on, then try the next place.
-                    self.phase = Phase::Reading { lease };
-                    self.read_page(now);
+                    self.read_log(now, lease);
                 }
             }
-            _ => self.depose(now),
+            _ => self.depose(now, DeposedBy::Another),
         }
     }
 
     fn activate(&mut self, now: Instant, lease: LeaseId, epoch: Epoch) {
+        self.step = None;
         self.last_seq = self.last_seq.next();
         self.last_epoch = epoch;
+        self.sent_at = None;
         self.phase = Phase::Active { lease, epoch };
         self.effects.push(Effect::Activated(epoch));
+        self.publish(now, lease, epoch);
+    }
+
+    /// Tells in the owner key that the shard is owned from now on.
+    fn publish(&mut self, now: Instant, lease: LeaseId, epoch: Epoch) {
         let call = StoreCall::Put {
             key: self.keys.owner(),
-            value: self.owner_value(epoch),
+            value: self.owner_value(lease, epoch),
             expect: Expect::Revision(self.owner_revision),
             lease: Some(lease),
         };
         self.call(now, Purpose::Publish, call);
     }
 
-    pub(super) fn published(&mut self, reply: Result<StoreReply>) {
-        if let Ok(StoreReply::Done { revision }) = reply {
-            self.owner_revision = revision;
+    pub(super) fn published(&mut self, now: Instant, reply: Result<StoreReply>) {
+        let Phase::Active { lease, epoch } = self.phase else {
+            return;
+        };
+        match reply {
+            Ok(StoreReply::Done { revision }) => self.owner_revision = revision,
+            Ok(StoreReply::Conflict { current: Some(kv) })
+                if kv.value == self.owner_value(lease, epoch) =>
+            {
+                self.owner_revision = kv.revision;
+            }
+            Ok(_) => self.depose(now, DeposedBy::Another),
+            Err(_) => self.publish(now, lease, epoch),
         }
     }
 
-    fn owner_value(&self, epoch: Epoch) -> Arc<[u8]> {
+    fn owner_value(&self, lease: LeaseId, epoch: Epoch) -> Arc<[u8]> {
         let value = OwnerValue {
             shard: self.cfg.shard,
             pool: self.cfg.pool.clone(),
             entry: self.cfg.entry.clone(),
             rpc_addr: self.cfg.rpc_addr,
             epoch,
+            lease,
         };
         value.encode()
     }
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -76,6 +76,26 @@
         /// When, in milliseconds since 1970.
         at_ms: u64,
     },
+    /// The time of day at which the record was written; what is past its time is dropped.
+    Clock {
+        /// In milliseconds since 1970.
+        at_ms: u64,
+    },
+    /// How long an owner may keep tasks after its lease ended and the store is out of reach.
+    Grace {
+        /// The time from the end of the lease.
+        grace: Duration,
+    },
+    /// The owner gives the shard up: it keeps no task after this record.
+    HandedOver,
+}
+
+impl Change {
+    /// Returns the size of the encoded change, in bytes.
+    pub fn encoded_len(&self) -> usize {
+        // What cannot be encoded is larger than any bound.
+        postcard::experimental::serialized_size(self).unwrap_or(usize::MAX)
+    }
 }
 
 impl Record {
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -5,9 +5,16 @@
 use wire::{Claim, JobPhase, JobRef, JobSpec, JobStatus, TaskEnd};
 
 use crate::Change;
+use crate::retain::Retained;
+use crate::snapshot::Item;
+use serde::{Deserialize, Serialize};
+
+/// How much of a task's error is kept, in bytes.
+const MAX_ERROR_BYTES: usize = 1_024;
 
 /// Where a job stands in the log.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum JobState {
     /// It waits to be placed.
     Queued,
@@ -28,6 +35,7 @@
 
 /// A job with all that the log says of it.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Job {
     /// The job.
     pub id: JobId,
@@ -45,6 +53,8 @@
     pub errors: Vec<Name>,
     /// Where the next attempt resumes.
     pub checkpoint: Option<Checkpoint>,
+    /// When it ended, in milliseconds since 1970; 0 before.
+    pub ended_at_ms: u64,
 }
 
 /// The state of a shard: a pure function of its records.
@@ -52,7 +62,11 @@
 pub struct ShardState {
     jobs: IndexMap<JobId, Job>,
     keys: IndexMap<JobKey, JobId>,
-    claims: IndexMap<(RouteName, Name), Claim>,
+    claims: IndexMap<(RouteName, Name), (Claim, u64)>,
+    retained: Retained,
+    now_ms: u64,
+    grace: Duration,
+    is_handed_over: bool,
 }
 
 impl Job {
@@ -117,7 +131,8 @@
 
     /// Returns the claim on an idempotency key.
     pub fn claim(&self, route: &RouteName, key: &Name) -> Option<&Claim> {
-        self.claims.get(&(route.clone(), Arc::clone(key)))
+        let (claim, _) = self.claims.get(&(route.clone(), Arc::clone(key)))?;
+        Some(claim)
     }
 
     /// Tells whether a task is the current attempt of a job that a worker holds.
@@ -139,13 +154,92 @@
             Change::Ended { key, end } => self.ended(key, end),
             Change::Lost { key } => self.lost(key),
             Change::Cancelled { job } => self.cancelled(job),
-            Change::Claimed { claim, .. } => {
-                let at = (claim.route.clone(), Arc::clone(&claim.key));
-                self.claims.insert(at, (**claim).clone());
+            Change::Claimed { claim, at_ms } => self.claimed(claim, *at_ms),
+            Change::Clock { at_ms } => self.clock(*at_ms),
+            Change::Grace { grace } => self.grace = *grace,
+            Change::HandedOver => self.is_handed_over = true,
+        }
+    }
+
+    /// Returns how long a lost owner may have kept tasks after its lease ended.
+    pub fn grace(&self) -> Duration {
+        self.grace
+    }
+
+    /// Tells whether the owner before gave the shard up, so that it keeps nothing.
+    pub fn is_handed_over(&self) -> bool {
+        self.is_handed_over
+    }
+
+    /// Notes that a new owner began.
+    pub(crate) fn barrier(&mut self) {
+        self.is_handed_over = false;
+    }
+
+    /// Drops what is past its time; the same record drops the same everywhere.
+    fn clock(&mut self, at_ms: u64) {
+        self.now_ms = self.now_ms.max(at_ms);
+        while let Some(id) = self.retained.next_job(self.now_ms) {
+            if let Some(job) = self.jobs.swap_remove(&id) {
+                self.keys.swap_remove(&job.spec.key);
+            }
+        }
+        while let Some((at, made)) = self.retained.next_claim(self.now_ms) {
+            // A claim that moved since has a later entry of its own.
+            if self.claims.get(&at).is_some_and(|(_, ms)| *ms == made) {
+                self.claims.swap_remove(&at);
+            }
+        }
+    }
+
+    fn claimed(&mut self, claim: &Claim, at_ms: u64) {
+        let at = (claim.route.clone(), Arc::clone(&claim.key));
+        self.retained.claim_made(at.clone(), at_ms);
+        self.claims.insert(at, (claim.clone(), at_ms));
+    }
+
+    /// Returns the pieces of the state, from which [`ShardState::restore`] rebuilds it.
+    pub(crate) fn items(&self) -> impl Iterator<Item = Item> {
+        let head = [Item::Clock(self.now_ms), Item::Grace(self.grace)];
+        let open = self.jobs.values().filter(|job| !job.is_ended());
+        let ended = self.retained.jobs().filter_map(|id| self.jobs.get(id));
+        let jobs = open.chain(ended).cloned().map(Box::new).map(Item::Job);
+        let claims = self.retained.claims().filter_map(|(at, made)| {
+            let (claim, ms) = self.claims.get(at)?;
+            (ms == made).then(|| Item::Claim(Box::new(claim.clone()), *ms))
+        });
+        head.into_iter().chain(jobs).chain(claims)
+    }
+
+    /// Adds pieces of a snapshot.
+    pub(crate) fn restore(&mut self, items: Vec<Item>) {
+        for item in items {
+            match item {
+                Item::Job(job) => {
+                    if job.is_ended() {
+                        self.retained.job_ended(job.id.clone(), job.ended_at_ms);
+                    }
+                    self.keys.insert(job.spec.key.clone(), job.id.clone());
+                    self.jobs.insert(job.id.clone(), *job);
+                }
+                Item::Claim(claim, at_ms) => self.claimed(&claim, at_ms),
+                Item::Clock(at_ms) => self.now_ms = at_ms,
+                Item::Grace(grace) => self.grace = grace,
             }
         }
     }
 
+    /// Notes the end of a job, and keeps only what recognises it later.
+    fn note_end(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_ended()) else {
+            return;
+        };
+        job.ended_at_ms = self.now_ms;
+        job.checkpoint = None;
+        Arc::make_mut(&mut job.spec).payload = "".into();
+        self.retained.job_ended(id.clone(), self.now_ms);
+    }
+
     fn submitted(&mut self, id: &JobId, spec: &JobSpec, at_ms: u64) {
         if self.keys.contains_key(&spec.key) {
             return;
@@ -160,6 +254,7 @@
             evictions: 0,
             errors: Vec::new(),
             checkpoint: None,
+            ended_at_ms: 0,
         };
         self.jobs.insert(id.clone(), job);
     }
@@ -198,7 +293,7 @@
             // Standing work has no end of its own: one that ended is started again.
             TaskEnd::Finished => job.state = JobState::Queued,
             TaskEnd::Failed { error } => {
-                job.errors.push(Arc::clone(error));
+                job.errors.push(shortened(error));
                 let spent = job.errors.len() >= job.spec.max_failures.max(1) as usize;
                 let is_standing = job.spec.run_time.is_none();
                 job.state = if spent && !is_standing {
@@ -214,6 +309,7 @@
             }
             TaskEnd::Lost => job.state = JobState::Queued,
         }
+        self.note_end(&key.job);
     }
 
     fn lost(&mut self, key: &TaskKey) {
@@ -228,6 +324,16 @@
     fn cancelled(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_ended()) {
             job.state = JobState::Cancelled;
+            self.note_end(id);
         }
     }
 }
+
+/// Cuts an error to a size that many attempts can keep.
+fn shortened(error: &Name) -> Name {
+    let mut end = error.len().min(MAX_ERROR_BYTES);
+    while !error.is_char_boundary(end) {
+        end -= 1;
+    }
+    error[..end].into()
+}
--- a/crates/wire/src/timing.rs
+++ b/crates/wire/src/timing.rs
@@ -8,8 +8,11 @@
 /// "W": a companion takes the answer to a poll within this time of issuing it.
 pub const GRANT_WINDOW: Duration = Duration::from_secs(4);
 
-/// "L": how long a task goes on after the last answer that kept it.
-pub const KEEP_FOR: Duration = Duration::from_secs(6);
+/// "L": how long a task goes on after the issue of the last poll whose answer kept it.
+///
+/// It outlasts the loss of an owner: its lease, the next one's recovery, and the time
+/// in which companions learn of it. A lost worker costs it too.
+pub const KEEP_FOR: Duration = Duration::from_secs(10);
 
 /// The allowance for clocks that run at different rates, over the times above.
 pub const DRIFT: Duration = Duration::from_millis(500);
