--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -7,8 +7,10 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use tables::TablesDoc;
 use tokio::sync::oneshot;
-use wire::{CompanionApiServer, Reply, RevokeReply};
+use tower::ServiceBuilder;
+use wire::{CompanionApiServer, Reply, RevokeReply, Token, TokenLayer};
 
 use crate::event::Event;
 
@@ -45,6 +47,16 @@
         rx.await.map_err(|_closed| dropped())
     }
 
+    async fn tables(&self) -> RpcResult<Option<TablesDoc>> {
+        let (tx, rx) = oneshot::channel();
+        // The receiver is gone where the caller gave up: nobody wants the answer.
+        let reply = Reply::new(move |answer| drop(tx.send(answer)));
+        if self.events.send(Event::Tables(reply)).is_err() {
+            return Err(dropped());
+        }
+        rx.await.map_err(|_closed| dropped())
+    }
+
     async fn drain(&self) -> RpcResult<()> {
         self.events.send(Event::Drain).map_err(|_closed| dropped())
     }
@@ -54,6 +66,7 @@
 pub(crate) async fn serve(
     addr: SocketAddr,
     events: Sender<Event>,
+    token: Option<Token>,
 ) -> Result<(SocketAddr, ServerHandle)> {
     let bind_error = |e: std::io::Error| {
         Error::new(
@@ -70,6 +83,7 @@
         .build();
     let server = Server::builder()
         .set_config(cfg)
+        .set_http_middleware(ServiceBuilder::new().layer(TokenLayer(token)))
         .build(addr)
         .await
         .map_err(bind_error)?;
--- a/crates/entry/src/cfg.rs
+++ b/crates/entry/src/cfg.rs
@@ -4,6 +4,8 @@
 
 use base::prelude::*;
 use bpaf::{Parser, construct, long};
+use report::LogFormat;
+use wire::{TokenFlags, token_flags};
 
 /// Flags and environment variables as given.
 #[derive(Clone, Debug)]
@@ -22,6 +24,10 @@
     pub peers: Vec<SocketAddr>,
     /// How many threads serve requests.
     pub threads: usize,
+    /// The form of the log.
+    pub log_format: LogFormat,
+    /// Where the shared secret comes from.
+    pub token: TokenFlags,
 }
 
 /// The checked settings of an entry.
@@ -79,6 +85,13 @@
         .argument::<usize>("COUNT")
         .fallback(DEFAULT_THREADS)
         .display_fallback();
+    let log_format = long("log")
+        .env("MONSOONTRESTLE_LOG")
+        .help("Form of the log: text or json")
+        .argument::<LogFormat>("FORMAT")
+        .fallback(LogFormat::Text)
+        .display_fallback();
+    let token = token_flags();
     construct!(EntryFlags {
         name,
         zone,
@@ -86,7 +99,9 @@
         rpc,
         store,
         peers,
-        threads
+        threads,
+        log_format,
+        token
     })
 }
 
--- /dev/null
+++ b/crates/place/src/choose.rs
@@ -0,0 +1,291 @@
+//! The choice of a worker for one job.
+
+use base::prelude::*;
+use rand::Rng;
+use tables::Priority;
+
+use crate::cfg::Choice;
+use crate::harm::ClassId;
+use crate::health::Access;
+use crate::ledger::WorkerRow;
+use crate::placer::Placer;
+use crate::queue::Waiting;
+
+/// Why a job has no place now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Blocked {
+    /// No worker has room.
+    NoRoom,
+    /// It would slow services on every worker with room.
+    Harm,
+    /// Its team is at its quota.
+    Quota,
+}
+
+/// A job as the choice sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) job: JobId,
+    pub(crate) class: ClassId,
+    pub(crate) granted: Resources,
+    pub(crate) urgent: bool,
+    pub(crate) standing: bool,
+    pub(crate) large: bool,
+    /// Whether it may be held back for the sake of services.
+    patient: bool,
+    /// Whether it may serve as a probe of a quarantined worker.
+    probe: bool,
+    /// Whether it may wait for a worker that suits its class.
+    pub(crate) choosy: bool,
+    /// How long it is expected to run; `None` for standing work.
+    pub(crate) run_time: Option<Duration>,
+    /// How many workers it has failed on.
+    failed_on: usize,
+}
+
+/// The weight of the free room left over, which settles near ties.
+const PACKING: f64 = 0.01;
+/// By how much a worker's score may be worse and still suit.
+const SUIT_MARGIN: f64 = 0.02;
+/// The load of a job by which workers are ranked for a class.
+const NOMINAL_LOAD: f64 = 0.1;
+/// The weight of the random tie-breaker.
+const TIE: f64 = 1e-6;
+/// The score in favour of probing a quarantined worker.
+const PROBE_BONUS: f64 = 0.5;
+/// The share of the accepted extra time that a task may add to an already harmed service.
+const HARMLESS_SHARE: f64 = 0.1;
+
+impl Placer {
+    /// Describes a waiting job to the choice.
+    pub(crate) fn candidate(&self, now: Instant, waiting: &Waiting) -> Candidate {
+        let ask = &waiting.ask;
+        let granted = self.grant(waiting);
+        let held_back = waiting
+            .held_back
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let hold_back = self.cfg.queue.hold_back.mul_f64(self.weights.tail);
+        let urgent = waiting.priority == Priority::Urgent;
+        let standing = ask.run_time.is_none();
+        let run_time = self.rest_of(waiting.class, ask.run_time, ask.work_done);
+        let due = waiting.due.0.saturating_duration_since(now);
+        let pressed = run_time.is_some_and(|run_time| due <= run_time * 2);
+        Candidate {
+            job: ask.job.clone(),
+            class: waiting.class,
+            granted,
+            urgent,
+            standing,
+            large: self.is_large(&granted),
+            patient: !urgent && !standing && held_back < hold_back,
+            probe: !urgent && !standing && ask.failures == 0,
+            choosy: !urgent && !standing && !pressed,
+            run_time,
+            failed_on: self.health.failed_on_count(&ask.job),
+        }
+    }
+
+    /// Returns what to grant a job: its declared size, corrected by what its like use.
+    fn grant(&self, waiting: &Waiting) -> Resources {
+        let declared = waiting.ask.resources;
+        let (floor, ceiling) = (self.cfg.grant_floor, self.cfg.grant_ceiling);
+        let mut granted = self.usage.grant(waiting.class, declared, floor, ceiling);
+        if let Some(&memory) = self.grown.get(&waiting.ask.job) {
+            granted.memory_mib = granted.memory_mib.max(memory);
+        }
+        // A correction never makes a job too large for every worker.
+        let largest = self.ledger.largest;
+        granted.cpu_milli = granted
+            .cpu_milli
+            .min(largest.cpu_milli.max(declared.cpu_milli));
+        granted.memory_mib = granted
+            .memory_mib
+            .min(largest.memory_mib.max(declared.memory_mib));
+        granted
+    }
+
+    fn is_large(&self, granted: &Resources) -> bool {
+        let share = self.cfg.large_share;
+        let largest = self.ledger.largest;
+        granted.cpu_milli as f64 >= largest.cpu_milli as f64 * share
+            || granted.memory_mib as f64 >= largest.memory_mib as f64 * share
+    }
+
+    /// Chooses a worker with room for a job; if `choosy`, one that suits its class.
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        choosy: bool,
+    ) -> Result<WorkerId, Blocked> {
+        let drawn = self
+            .ledger
+            .rooms
+            .draw(&job.granted, self.cfg.candidates, &mut self.rng);
+        let mut best: Option<(f64, WorkerId)> = None;
+        let mut harmful = false;
+        for worker in drawn {
+            let Some(row) = self.ledger.workers.get(&worker) else {
+                continue;
+            };
+            if !self.has_room(now, row, job) || !self.may_run(now, &worker, row, job) {
+                continue;
+            }
+            if self.would_harm(now, row, job) || (choosy && !self.suits(now, row, job)) {
+                harmful = true;
+                continue;
+            }
+            let tie = self.rng.random::<f64>() * TIE;
+            let score = self.score(now, row, job, tie);
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                best = Some((score, worker));
+            }
+        }
+        match best {
+            Some((_, worker)) => Ok(worker),
+            None if harmful => Err(Blocked::Harm),
+            None => Err(Blocked::NoRoom),
+        }
+    }
+
+    fn has_room(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let free = self.ledger.free_for_any(row);
+        job.granted.fits(&free) && self.keeps.allows(now, row, &free, job)
+    }
+
+    /// Tells whether a worker's health lets it have the job.
+    fn may_run(&self, now: Instant, worker: &WorkerId, row: &WorkerRow, job: &Candidate) -> bool {
+        let few_left = job.failed_on * 2 >= self.ledger.workers.len();
+        if job.failed_on > 0 && !few_left && self.health.has_failed_on(&job.job, worker) {
+            return false;
+        }
+        match self.health.access(now, worker) {
+            Access::Open => true,
+            Access::Probe => job.probe && row.pending.is_empty(),
+            Access::Shut => false,
+        }
+    }
+
+    /// Tells whether a job should rather wait than go to a worker.
+    fn would_harm(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let aware = self.cfg.choice == Choice::HarmAware;
+        if !aware || !self.cfg.parts.hold_back || !job.patient {
+            return false;
+        }
+        let limit = self.extra_limit();
+        let load = load_of(row, job);
+        let halted = self.cfg.parts.ladder && self.ladder.is_halted(&row.view.worker);
+        row.services.keys().any(|&victim| {
+            let added = self.harm.estimate(victim, job.class, now).mean * load;
+            if added <= limit * HARMLESS_SHARE {
+                return false;
+            }
+            let before = self.harm.predict_safely(victim, &row.mix, now);
+            halted || before + added > limit
+        })
+    }
+
+    /// Tells whether a worker is among the best for a class.
+    fn suits(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
+        let Some(best) = self.suiting.get(&job.class) else {
+            return true;
+        };
+        self.harm_score(now, row, job.class, load_of(row, job)) <= best + SUIT_MARGIN
+    }
+
+    /// Works out anew which score makes a worker suit each waiting class.
+    pub(crate) fn update_suiting(&mut self, now: Instant) {
+        if self.cfg.choice != Choice::HarmAware || !self.cfg.parts.suit {
+            return;
+        }
+        let classes: IndexSet<_> = self.queue.classes().collect();
+        let drawn = self
+            .ledger
+            .rooms
+            .draw_any(self.cfg.candidates, &mut self.rng);
+        self.suiting.clear();
+        for class in classes {
+            let mut scores: Vec<f64> = drawn
+                .iter()
+                .filter_map(|worker| self.ledger.workers.get(worker))
+                .map(|row| self.harm_score(now, row, class, NOMINAL_LOAD))
+                .collect();
+            scores.sort_by(f64::total_cmp);
+            let at = (scores.len() as f64 * self.cfg.suiting_share) as usize;
+            if let Some(score) = scores.get(at) {
+                self.suiting.insert(class, *score);
+            }
+        }
+    }
+
+    /// Returns how bad a worker is for a job; lower is better.
+    fn score(&self, now: Instant, row: &WorkerRow, job: &Candidate, tie: f64) -> f64 {
+        let offer = self.ledger.offer(row).cpu_milli.max(1) as f64;
+        let free = self.ledger.free(row).cpu_milli as f64 / offer;
+        let probe = if self.health.is_quarantined(&row.view.worker) {
+            PROBE_BONUS
+        } else {
+            0.0
+        };
+        let base = match self.cfg.choice {
+            Choice::LeastLoaded => -free,
+            Choice::BestFit => free,
+            Choice::Random => tie / TIE,
+            Choice::HarmAware => {
+                self.harm_score(now, row, job.class, load_of(row, job)) + PACKING * free
+            }
+        };
+        base + self.spread_score(row, job) + tie - probe
+    }
+
+    /// Returns the harm that a job would do and suffer, as the pool weighs it.
+    fn harm_score(&self, now: Instant, row: &WorkerRow, class: ClassId, load: f64) -> f64 {
+        let accepted = self.extra_limit() * self.cfg.ladder.rise;
+        let mut tail = 0.0;
+        let mut evictions = 0.0;
+        for &victim in row.services.keys() {
+            let before = self.harm.predict_safely(victim, &row.mix, now);
+            let after = before + self.harm.estimate(victim, class, now).mean * load;
+            tail += tail_cost(after) - tail_cost(before);
+            evictions += (after - accepted).max(0.0);
+        }
+        let mut throughput = 0.0;
+        if self.cfg.parts.batch_victims {
+            throughput += load * self.harm.predict(class, &row.mix, now);
+            for &(other, other_load) in &row.mix {
+                throughput += other_load * self.harm.estimate(other, class, now).mean * load;
+            }
+        }
+        // Per unit of load, so that small jobs are not indifferent to where they go.
+        let cost = self.weights.tail * tail
+            + self.weights.throughput * throughput
+            + self.weights.evictions * evictions;
+        cost / load.max(f64::EPSILON)
+    }
+
+    /// Returns what speaks for another rack or availability zone.
+    fn spread_score(&self, row: &WorkerRow, job: &Candidate) -> f64 {
+        if !job.standing && !job.large {
+            return 0.0;
+        }
+        let (rack, zone) = self.ledger.neighbours(row, job.class);
+        f64::from(rack) * self.cfg.spread_rack + f64::from(zone) * self.cfg.spread_zone
+    }
+
+    /// Returns the extra time of services that the pool accepts.
+    pub(crate) fn extra_limit(&self) -> f64 {
+        self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT).sqrt()
+    }
+}
+
+/// The weight of the tail below which it makes no difference.
+const LEAST_TAIL_WEIGHT: f64 = 0.05;
+
+/// Weighs extra time: the tail grows faster than the mean.
+fn tail_cost(extra: f64) -> f64 {
+    extra + extra * extra
+}
+
+fn load_of(row: &WorkerRow, job: &Candidate) -> f64 {
+    job.granted.cpu_milli as f64 / row.view.capacity.cpu_milli.max(1) as f64
+}
