--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -560,7 +560,7 @@
         Call::Claim(shard, claim, old) => {
             entry::Event::Claim(shard, claim, old, into(slot, Answer::Claim))
         }
-        Call::Revoke(..) | Call::Drain => unimplemented!("companions are not called here"),
+        other => unimplemented!("{other:?} is not called here"),
     }
 }
 
