Tell the generation that each entry applies in its presence

Presence was written once, before any tables: 'status' showed generation 0 for the other entries. One write per entry and change. Regression test.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -111,6 +111,10 @@
     pub(crate) fn set_tables(&mut self, _cx: CX![], tables: Arc<Tables>, doc: TablesDoc) {
         self.generation = tables.generation;
         self.doc = Some(doc);
+        // Others read the generation that this entry applies from its presence.
+        if let Some(lease) = self.lease {
+            self.announce_self(lease);
+        }
     }
 
     fn info(&self) -> EntryInfo {
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -225,3 +225,20 @@
     assert!(matches!(control, Err(ureq::Error::StatusCode(401))));
     entry.kill();
 }
+
+#[test]
+fn each_entry_tells_the_generation_that_the_others_apply() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let second = desk.entry("second", &[]);
+
+    let applied = desk.apply(3);
+
+    wait_until(|| {
+        let status = client(first.http_addr()).status().expect("status");
+        let told = status.entries.iter().map(|entry| entry.generation);
+        status.entries.len() == 2 && told.min() == Some(applied)
+    });
+    first.kill();
+    second.kill();
+}
