--- a/crates/place/src/cfg.rs
+++ b/crates/place/src/cfg.rs
@@ -62,12 +62,14 @@
     pub parts: Parts,
     /// How many workers with room are weighed for one job.
     pub candidates: usize,
-    /// The share of the workers that count as suiting a class, 0 to 1.
-    pub suiting_share: f64,
+    /// The shares of the workers that count as suiting a class best and well, 0 to 1.
+    pub suiting_shares: [f64; 2],
     /// How many groups of like jobs without a place one call looks at.
     pub scan_limit: usize,
     /// The settings of harm estimates.
     pub harm: HarmCfg,
+    /// The weight of services' extra time that is within what the pool accepts; beyond, it is 1.
+    pub accepted_weight: f64,
     /// The settings of throttling and eviction for the sake of services.
     pub ladder: LadderCfg,
     /// The settings of quarantine.
@@ -121,6 +123,10 @@
     pub fall: f64,
     /// How much more extra time an eviction takes, for each unit of the pool's weight of evictions.
     pub eviction_restraint: f64,
+    /// The share of the eviction budget that may be spent on moving tasks before throttling them further.
+    pub pace: f64,
+    /// How long a task may stay throttled before it is moved, while the pace allows.
+    pub throttled_for: Duration,
     /// How long after a step its effect is waited for, on top of the measurement lag.
     pub settle: Duration,
     /// How many samples of a service a step rests on.
@@ -165,7 +171,7 @@
     pub room_tries: usize,
     /// How long a team that is owed its quota waits before others' tasks are evicted.
     pub give_back_after: Duration,
-    /// How long a job without room waits before a worker is reserved for it.
+    /// How long a large job has no room before a worker is reserved for it.
     pub reserve_after: Duration,
     /// How long a reservation lasts at most.
     pub reserve_for: Duration,
@@ -183,9 +189,10 @@
             choice: Choice::HarmAware,
             parts: Parts::ALL,
             candidates: 32,
-            suiting_share: 0.3,
+            suiting_shares: [0.0, 0.3],
             scan_limit: 256,
             harm: HarmCfg::default(),
+            accepted_weight: 0.5,
             ladder: LadderCfg::default(),
             health: HealthCfg::default(),
             queue: QueueCfg::default(),
@@ -217,13 +224,15 @@
 impl Default for LadderCfg {
     fn default() -> Self {
         Self {
-            limit: 0.16,
-            rise: 1.5,
+            limit: 0.3,
+            rise: 2.0,
             fall: 0.8,
             eviction_restraint: 2.0,
+            pace: 0.25,
+            throttled_for: Duration::from_secs(30),
             settle: Duration::from_secs(4),
             samples: 3,
-            shares: [0.5, 0.25],
+            shares: [0.7, 0.5],
             near_end: 0.1,
             blind_after: Duration::from_secs(120),
             evictions_per_hour: 30,
@@ -252,8 +261,8 @@
             hold_back: Duration::from_secs(600),
             room_tries: 8,
             give_back_after: Duration::from_secs(30),
-            reserve_after: Duration::from_secs(30),
-            reserve_for: Duration::from_secs(900),
+            reserve_after: Duration::from_secs(300),
+            reserve_for: Duration::from_secs(3600),
             most_reserved: 0.1,
             earmark_for: Duration::from_secs(15),
             evict_again: Duration::from_secs(10),
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -11,6 +11,24 @@
 use crate::placer::Placer;
 use crate::queue::Waiting;
 
+/// How well a worker must suit a job's class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fit {
+    /// It is among the very best.
+    Best,
+    /// It is among the better ones.
+    Good,
+    /// Any will do.
+    Any,
+}
+
+/// The scores that make a worker suit a class.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suiting {
+    best: f64,
+    good: f64,
+}
+
 /// Why a job has no place now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Blocked {
@@ -111,12 +129,12 @@
             || granted.memory_mib as f64 >= largest.memory_mib as f64 * share
     }
 
-    /// Chooses a worker with room for a job; if `choosy`, one that suits its class.
+    /// Chooses a worker with room for a job; one that suits its class as `fit` asks.
     pub(crate) fn choose(
         &mut self,
         now: Instant,
         job: &Candidate,
-        choosy: bool,
+        fit: Fit,
     ) -> Result<WorkerId, Blocked> {
         let drawn = self
             .ledger
@@ -131,7 +149,7 @@
             if !self.has_room(now, row, job) || !self.may_run(now, &worker, row, job) {
                 continue;
             }
-            if self.would_harm(now, row, job) || (choosy && !self.suits(now, row, job)) {
+            if self.would_harm(now, row, job) || !self.suits(now, row, job, fit) {
                 harmful = true;
                 continue;
             }
@@ -185,12 +203,17 @@
         })
     }
 
-    /// Tells whether a worker is among the best for a class.
-    fn suits(&self, now: Instant, row: &WorkerRow, job: &Candidate) -> bool {
-        let Some(best) = self.suiting.get(&job.class) else {
+    /// Tells whether a worker suits a class.
+    fn suits(&self, now: Instant, row: &WorkerRow, job: &Candidate, fit: Fit) -> bool {
+        let Some(suiting) = self.suiting.get(&job.class) else {
             return true;
         };
-        self.harm_score(now, row, job.class, load_of(row, job)) <= best + SUIT_MARGIN
+        let most = match fit {
+            Fit::Best => suiting.best,
+            Fit::Good => suiting.good,
+            Fit::Any => return true,
+        };
+        self.harm_score(now, row, job.class, load_of(row, job)) <= most + SUIT_MARGIN
     }
 
     /// Works out anew which score makes a worker suit each waiting class.
@@ -211,9 +234,10 @@
                 .map(|row| self.harm_score(now, row, class, NOMINAL_LOAD))
                 .collect();
             scores.sort_by(f64::total_cmp);
-            let at = (scores.len() as f64 * self.cfg.suiting_share) as usize;
-            if let Some(score) = scores.get(at) {
-                self.suiting.insert(class, *score);
+            let at = |share: f64| scores.get((scores.len() as f64 * share) as usize).copied();
+            let [best, good] = self.cfg.suiting_shares;
+            if let (Some(best), Some(good)) = (at(best), at(good)) {
+                self.suiting.insert(class, Suiting { best, good });
             }
         }
     }
@@ -246,7 +270,7 @@
         for &victim in row.services.keys() {
             let before = self.harm.predict_safely(victim, &row.mix, now);
             let after = before + self.harm.estimate(victim, class, now).mean * load;
-            tail += tail_cost(after) - tail_cost(before);
+            tail += self.tail_cost(after) - self.tail_cost(before);
             evictions += (after - accepted).max(0.0);
         }
         let mut throughput = 0.0;
@@ -272,6 +296,12 @@
         f64::from(rack) * self.cfg.spread_rack + f64::from(zone) * self.cfg.spread_zone
     }
 
+    /// Weighs extra time: what the pool accepts counts for less.
+    fn tail_cost(&self, extra: f64) -> f64 {
+        let beyond = (extra - self.extra_limit()).max(0.0);
+        self.cfg.accepted_weight * extra + beyond * (1.0 + beyond)
+    }
+
     /// Returns the extra time of services that the pool accepts.
     pub(crate) fn extra_limit(&self) -> f64 {
         self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT).sqrt()
@@ -281,11 +311,6 @@
 /// The weight of the tail below which it makes no difference.
 const LEAST_TAIL_WEIGHT: f64 = 0.05;
 
-/// Weighs extra time: the tail grows faster than the mean.
-fn tail_cost(extra: f64) -> f64 {
-    extra + extra * extra
-}
-
 fn load_of(row: &WorkerRow, job: &Candidate) -> f64 {
     job.granted.cpu_milli as f64 / row.view.capacity.cpu_milli.max(1) as f64
 }
--- a/crates/place/src/common.rs
+++ b/crates/place/src/common.rs
@@ -18,10 +18,8 @@
 const LEAST_SERVICES: usize = 4;
 /// How many samples the estimates need before their surprise means anything.
 const LEARNED: u64 = 500;
-/// The share of a common slowdown that is kept from the estimates.
-const KEPT_SHARE: f64 = 0.9;
 /// How long a slowdown may last and still count as common; then the estimates take it up.
-const LONGEST: Duration = Duration::from_secs(900);
+const LONGEST: Duration = Duration::from_secs(300);
 
 impl Common {
     pub(crate) fn new(cfg: &HarmCfg) -> Self {
@@ -40,9 +38,7 @@
     /// Returns the extra time of services that no neighbour is to blame for.
     pub(crate) fn extra(&self, now: Instant) -> f64 {
         match self.since {
-            Some(since) if now.saturating_duration_since(since) < LONGEST => {
-                self.extra * KEPT_SHARE
-            }
+            Some(since) if now.saturating_duration_since(since) < LONGEST => self.extra,
             _ => 0.0,
         }
     }
@@ -63,10 +59,8 @@
         // Two thirds must see it: a harmful pair on half of the workers is not common.
         let seen = residuals.get(residuals.len() / 3).copied();
         let enough = residuals.len() >= LEAST_SERVICES;
-        let extra = seen
-            .filter(|_| enough)
-            .map_or(0.0, |seen| seen - self.floor);
-        self.extra = extra.max(0.0);
+        let clear = seen.filter(|seen| enough && *seen > self.floor);
+        self.extra = clear.unwrap_or(0.0);
         self.since = (self.extra > 0.0).then(|| self.since.unwrap_or(now));
     }
 }
--- a/crates/place/src/ladder.rs
+++ b/crates/place/src/ladder.rs
@@ -155,6 +155,14 @@
         row.evidence.clear();
     }
 
+    /// Tells whether a worker has kept tasks throttled for at least `time`.
+    pub(crate) fn is_throttled_for(&self, now: Instant, worker: &WorkerId, time: Duration) -> bool {
+        self.rows.get(worker).is_some_and(|row| {
+            let since = row.changed.unwrap_or(now);
+            row.step >= Step::Throttled && now.saturating_duration_since(since) >= time
+        })
+    }
+
     /// Returns the workers off `Calm` that have sent no sample for long.
     pub(crate) fn blind(&self, now: Instant) -> Vec<WorkerId> {
         let long = self.cfg.blind_after;
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -47,7 +47,7 @@
 pub(crate) struct ServiceRow {
     /// When its latest sample was taken.
     pub(crate) sampled: Instant,
-    /// Its smoothed extra time that the estimates do not explain.
+    /// The extra time of that sample that the estimates do not explain.
     pub(crate) residual: f64,
 }
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -6,6 +6,7 @@
 use tables::{Pool, Weights};
 
 use crate::cfg::PlacerCfg;
+use crate::choose::Suiting;
 use crate::common::Common;
 use crate::harm::{ClassId, Harm, HarmOracle};
 use crate::health::{Access, Health};
@@ -15,6 +16,7 @@
 use crate::queue::{Queue, WaitPlace};
 use crate::quota::Quotas;
 use crate::rounds::Cursors;
+use crate::sample::Lesson;
 use crate::types::{
     Decision, Ended, EvictWhy, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
 };
@@ -51,9 +53,11 @@
     away: IndexSet<WorkerId>,
     /// Whether something changed that may let a waiting job start.
     pub(crate) dirty: bool,
+    /// Samples of services since the last tick.
+    pub(crate) lessons: Vec<Lesson>,
     pub(crate) cursors: Cursors,
     /// The score up to which a worker suits each class.
-    pub(crate) suiting: IndexMap<ClassId, f64>,
+    pub(crate) suiting: IndexMap<ClassId, Suiting>,
     /// For how many more jobs this round makes room.
     pub(crate) room_tries: usize,
     pub(crate) ticked: Option<Instant>,
@@ -92,6 +96,7 @@
             leaving: IndexSet::new(),
             away: IndexSet::new(),
             dirty: true,
+            lessons: Vec::new(),
             cursors: Cursors::default(),
             suiting: IndexMap::new(),
             room_tries: 0,
@@ -377,7 +382,7 @@
 
     /// Returns why a job waits, for a person.
     pub fn why_waiting(&self, job: &JobId) -> Option<Name> {
-        self.queue.jobs.get(job)?.why.clone()
+        self.queue.why(job)
     }
 
     /// Returns the workers that get no work because their tasks fail.
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -34,6 +34,8 @@
     pub(crate) since: Instant,
     /// Since when it is held back for the sake of services.
     pub(crate) held_back: Option<Instant>,
+    /// Since when it is first in turn and has no room.
+    pub(crate) blocked: Option<Instant>,
     /// Why it waits, for a person.
     pub(crate) why: Option<Name>,
     /// Where it stands.
@@ -140,6 +142,7 @@
             due: (due, self.arrivals),
             since: now,
             held_back: None,
+            blocked: None,
             why: None,
             place: WaitPlace::Pending,
             ask,
@@ -280,6 +283,13 @@
         &self.parked
     }
 
+    /// Returns for how long a job has had no room, from now on if it never lacked it.
+    pub(crate) fn blocked_for(&mut self, now: Instant, job: &JobId) -> Duration {
+        let waiting = self.jobs.get_mut(job);
+        let since = waiting.map(|waiting| *waiting.blocked.get_or_insert(now));
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Notes that a job is held back for the sake of services.
     pub(crate) fn note_held_back(&mut self, now: Instant, job: &JobId) {
         if let Some(waiting) = self.jobs.get_mut(job) {
@@ -287,6 +297,16 @@
         }
     }
 
+    /// Returns why a job waits: for its own reason, or for that of the first of its kind.
+    pub(crate) fn why(&self, job: &JobId) -> Option<Name> {
+        let waiting = self.jobs.get(job)?;
+        if waiting.why.is_some() || waiting.place != WaitPlace::Lane {
+            return waiting.why.clone();
+        }
+        let first = self.lane_of(job, 1).pop()?;
+        self.jobs.get(&first)?.why.clone()
+    }
+
     /// Notes why a job waits.
     pub(crate) fn set_why(&mut self, job: &JobId, why: Name) {
         if let Some(waiting) = self.jobs.get_mut(job) {
--- a/crates/place/src/relieve.rs
+++ b/crates/place/src/relieve.rs
@@ -53,7 +53,7 @@
         let limit = self.extra_limit();
         let due = self.ladder.due_move(now, worker, lag, extra, limit);
         match (due, self.cfg.choice) {
-            (Move::Stay, _) => {}
+            (Move::Stay, _) => self.move_throttled(now, worker, out),
             (Move::Down, _) => self.step_down(now, worker, out),
             (Move::Up, Choice::HarmAware) => self.step_up(now, worker, victim, extra, out),
             (Move::Up, _) => self.evict_newest(now, worker, out),
@@ -79,6 +79,7 @@
                 self.throttle_worst(now, worker, &suspects, extra, out);
                 self.ladder.moved(now, worker, Step::Throttled);
             }
+            Step::Throttled if self.evict_worst(now, worker, &suspects, extra, true, out) => {}
             Step::Throttled => {
                 self.throttle_worst(now, worker, &suspects, extra, out);
                 self.ladder.moved(now, worker, Step::Squeezed);
@@ -88,7 +89,7 @@
                 self.ladder.moved(now, worker, Step::Squeezed);
             }
             Step::Halted | Step::Squeezed => {
-                self.evict_worst(now, worker, &suspects, extra, out);
+                self.evict_worst(now, worker, &suspects, extra, false, out);
             }
         }
     }
@@ -179,12 +180,13 @@
         worker: &WorkerId,
         suspects: &[Suspect],
         extra: f64,
+        paced: bool,
         out: &mut Vec<Decision>,
-    ) {
+    ) -> bool {
         let limit = self.extra_limit();
         let restraint = 1.0 + self.cfg.ladder.eviction_restraint * self.weights.evictions;
-        if extra <= limit * self.cfg.ladder.rise * restraint || !self.may_evict(now) {
-            return;
+        if extra <= limit * self.cfg.ladder.rise * restraint || !self.may_evict(now, paced) {
+            return false;
         }
         let least = (extra - limit) * LEAST_RELIEF;
         let worst = suspects
@@ -196,18 +198,46 @@
                 last.then(value(a).total_cmp(&value(b)))
             });
         let Some(worst) = worst else {
-            return;
+            return false;
         };
         let key = worst.key.clone();
         self.ladder.note_eviction(now);
         let step = self.ladder.step(worker);
         self.ladder.moved(now, worker, step);
         self.evict(now, &key, EvictWhy::Harm, out);
+        true
+    }
+
+    /// Moves the task that would stay throttled longest, rather than let it hold room half used.
+    fn move_throttled(&mut self, now: Instant, worker: &WorkerId, out: &mut Vec<Decision>) {
+        let long = self
+            .ladder
+            .is_throttled_for(now, worker, self.cfg.ladder.throttled_for);
+        if !long || !self.may_evict(now, true) {
+            return;
+        }
+        let lag = self
+            .ledger
+            .workers
+            .get(worker)
+            .map_or(Duration::ZERO, |row| row.lag);
+        let longest = self
+            .tasks_on(worker)
+            .filter(|task| task.throttle < 1.0 && task.is_movable() && !task.is_standing())
+            .filter(|task| !self.is_ending(now, task, lag))
+            .max_by_key(|task| self.time_left(now, task))
+            .map(|task| task.task.key.clone());
+        if let Some(key) = longest {
+            let step = self.ladder.step(worker);
+            self.ladder.note_eviction(now);
+            self.ladder.moved(now, worker, step);
+            self.evict(now, &key, EvictWhy::Harm, out);
+        }
     }
 
     /// Evicts the newest task, as a scheduler does that knows nothing of pairs.
     fn evict_newest(&mut self, now: Instant, worker: &WorkerId, out: &mut Vec<Decision>) {
-        if !self.may_evict(now) {
+        if !self.may_evict(now, false) {
             return;
         }
         let newest = self
@@ -222,8 +252,11 @@
         }
     }
 
-    fn may_evict(&self, now: Instant) -> bool {
-        self.ladder.evictions_last_hour(now) < self.evictions_per_hour
+    /// Tells whether the budget allows an eviction; a `paced` one leaves most of it untouched.
+    fn may_evict(&self, now: Instant, paced: bool) -> bool {
+        let share = if paced { self.cfg.ladder.pace } else { 1.0 };
+        let most = f64::from(self.evictions_per_hour) * share;
+        f64::from(self.ladder.evictions_last_hour(now)) < most
     }
 
     /// Returns the tasks that slow a service, the worst first.
--- a/crates/place/src/rounds.rs
+++ b/crates/place/src/rounds.rs
@@ -4,7 +4,7 @@
 use tables::Priority;
 
 use crate::cfg::Choice;
-use crate::choose::{Blocked, Candidate};
+use crate::choose::{Blocked, Candidate, Fit};
 use crate::ledger::Pending;
 use crate::placer::Placer;
 use crate::queue::{Due, WaitPlace};
@@ -85,6 +85,7 @@
             self.reindex(now, &worker);
         }
         self.common.update(now, &self.ledger, COMMON_FRESH);
+        self.learn_services(now);
         self.evict_again(now, out);
         self.relieve_memory(now, out);
         self.evacuate(now, out);
@@ -159,9 +160,13 @@
         let suit = self.cfg.choice == Choice::HarmAware && self.cfg.parts.suit;
         for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
             // First each job to where it suits, then the room left over to any.
-            let passes: &[bool] = if suit { &[true, false] } else { &[false] };
-            for &choosy in passes {
-                self.place_priority(now, priority, choosy, limit, &mut looks, out);
+            let passes: &[Fit] = if suit {
+                &[Fit::Best, Fit::Good, Fit::Any]
+            } else {
+                &[Fit::Any]
+            };
+            for &fit in passes {
+                self.place_priority(now, priority, fit, limit, &mut looks, out);
                 if out.len() >= limit {
                     self.dirty = true;
                     return;
@@ -174,7 +179,7 @@
         &mut self,
         now: Instant,
         priority: Priority,
-        choosy: bool,
+        fit: Fit,
         limit: usize,
         looks: &mut usize,
         out: &mut Vec<Decision>,
@@ -198,7 +203,7 @@
                 return;
             }
             turn.after = Some(due);
-            if self.place_job(now, &job, choosy, out) {
+            if self.place_job(now, &job, fit, out) {
                 turn.ratio = self.quotas.ratio(&self.ledger, &turn.team, Resources::ZERO);
             } else {
                 *looks -= 1;
@@ -225,21 +230,15 @@
     }
 
     /// Places a job, or notes why it waits and makes room where it has the right to.
-    fn place_job(
-        &mut self,
-        now: Instant,
-        job: &JobId,
-        choosy: bool,
-        out: &mut Vec<Decision>,
-    ) -> bool {
+    fn place_job(&mut self, now: Instant, job: &JobId, fit: Fit, out: &mut Vec<Decision>) -> bool {
         let Some(waiting) = self.queue.jobs.get(job) else {
             return false;
         };
         let team = waiting.ask.team.clone();
-        let waited = now.saturating_duration_since(waiting.since);
         let candidate = self.candidate(now, waiting);
         let chosen = if self.quotas.allows(&self.ledger, &team, candidate.granted) {
-            self.choose(now, &candidate, choosy && candidate.choosy)
+            let fit = if candidate.choosy { fit } else { Fit::Any };
+            self.choose(now, &candidate, fit)
         } else {
             Err(Blocked::Quota)
         };
@@ -249,14 +248,14 @@
                 self.place_on(now, &candidate, worker, out);
                 true
             }
-            Err(_) if choosy && !candidate.urgent => false,
+            Err(_) if fit != Fit::Any && !candidate.urgent => false,
             Err(blocked) => {
                 if blocked == Blocked::Harm {
                     self.queue.note_held_back(now, job);
                 }
                 self.queue.set_why(job, reason(blocked, &candidate, &team));
                 if blocked == Blocked::NoRoom && self.room_tries > 0 {
-                    self.find_room(now, &candidate, &team, waited, out);
+                    self.find_room(now, &candidate, &team, out);
                 }
                 false
             }
@@ -269,7 +268,6 @@
         now: Instant,
         job: &Candidate,
         team: &TeamName,
-        waited: Duration,
         out: &mut Vec<Decision>,
     ) {
         self.room_tries -= 1;
@@ -281,7 +279,8 @@
         if may_take_back && self.make_room(now, job, team, EvictWhy::Quota, out) {
             return;
         }
-        if self.cfg.parts.reserve && waited >= self.cfg.queue.reserve_after {
+        let blocked = self.queue.blocked_for(now, &job.job);
+        if self.cfg.parts.reserve && job.large && blocked >= self.cfg.queue.reserve_after {
             self.reserve(now, job);
         }
     }
--- a/crates/place/src/sample.rs
+++ b/crates/place/src/sample.rs
@@ -14,8 +14,6 @@
 const MOST_EXTRA: f64 = 20.0;
 /// The speed that a sample is taken for where it tells none.
 const LEAST_SPEED: f64 = 0.01;
-/// The share by which one sample moves a service's residual.
-const RESIDUAL_GAIN: f64 = 0.3;
 /// The share by which one sample moves a task's speed.
 const SPEED_GAIN: f64 = 0.3;
 /// How many jobs that outgrew their memory are remembered.
@@ -23,6 +21,17 @@
 /// The share above its memory grant from which on a task counts as outgrown.
 const OUTGROWN_SHARE: f64 = 1.05;
 
+/// A sample of a service that is still to be learnt from.
+#[derive(Debug)]
+pub(crate) struct Lesson {
+    worker: WorkerId,
+    service: ClassId,
+    extra: f64,
+    /// What ran when it was taken, where that is still known.
+    mix: Option<Mix>,
+    taken: Instant,
+}
+
 impl Placer {
     /// Takes one lagging measurement of a worker.
     pub fn sample(&mut self, now: Instant, worker: &WorkerId, sample: &UsageSample) {
@@ -52,14 +61,11 @@
         if known.is_some_and(|known| taken <= known.sampled + SAME_SAMPLE) {
             return;
         }
-        let mut residual = known.map_or(0.0, |known| known.residual);
+        let mut residual = 0.0;
         let extra = extra_of(sample.speed);
-        let common = self.common.extra(now);
-        let common = if self.cfg.parts.common { common } else { 0.0 };
-        if let Some(mix) = self.mix_for(row, taken).cloned() {
-            let expected = self.harm.predict(class, &mix, now);
-            residual += (extra - expected - residual) * RESIDUAL_GAIN;
-            self.harm.learn(class, &mix, (extra - common).max(0.0), now);
+        let mix = self.mix_for(row, taken).cloned();
+        if let Some(mix) = &mix {
+            residual = extra - self.harm.predict(class, mix, now);
             self.common.note_sample();
         }
         let service = ServiceRow {
@@ -69,7 +75,34 @@
         if let Some(row) = self.ledger.workers.get_mut(worker) {
             row.services.insert(class, service);
         }
-        self.ladder.note(worker, class, extra - common, taken);
+        self.lessons.push(Lesson {
+            worker: worker.clone(),
+            service: class,
+            extra,
+            mix,
+            taken,
+        });
+    }
+
+    /// Learns from the services' samples since the last tick, now that it is known what
+    /// of their extra time is common to all.
+    pub(crate) fn learn_services(&mut self, now: Instant) {
+        let common = if self.cfg.parts.common {
+            self.common.extra(now)
+        } else {
+            0.0
+        };
+        for lesson in std::mem::take(&mut self.lessons) {
+            let extra = lesson.extra - common;
+            // A slowdown that all share says nothing of neighbours.
+            if let Some(mix) = &lesson.mix
+                && common == 0.0
+            {
+                self.harm.learn(lesson.service, mix, extra, now);
+            }
+            self.ladder
+                .note(&lesson.worker, lesson.service, extra, lesson.taken);
+        }
     }
 
     /// Returns what ran on a worker when a sample was taken.
