--- a/crates/companion/src/admit.rs
+++ b/crates/companion/src/admit.rs
@@ -1,23 +1,16 @@
 //! Requests at the target: admitted by slots, remembered by id.
 
 mod actor;
+mod queue;
 mod table;
 
 use base::prelude::*;
 
 pub(crate) use self::actor::AdmitActor;
-pub use self::table::RequestTable;
+pub use self::table::{RequestTable, TableLimits};
 
 /// A target's whole answer, kept until it was fetched or expired.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredAnswer {
-    /// The status.
-    pub status: u16,
-    /// The content type.
-    pub content_type: Option<Name>,
-    /// The body.
-    pub body: Vec<u8>,
-}
+pub type StoredAnswer = wire::hop::HopAnswer;
 
 /// What the thread that serves a request does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/companion/src/admit/actor.rs
+++ b/crates/companion/src/admit/actor.rs
@@ -4,13 +4,16 @@
 use stakker::{CX, after};
 use wire::{Reply, RevokeReply};
 
-use super::RequestTable;
+use super::{RequestTable, TableLimits};
 use crate::CompanionCfg;
 use crate::event::AdmitEvent;
 
 /// How often ended ids are forgotten.
 const SWEEP_EVERY: Duration = Duration::from_secs(5);
 
+/// How often requests past their deadline are answered.
+const EXPIRE_EVERY: Duration = Duration::from_millis(20);
+
 /// Decides which requests run at the target.
 pub(crate) struct AdmitActor {
     table: RequestTable,
@@ -18,10 +21,12 @@
 
 impl AdmitActor {
     pub(crate) fn init(cx: CX![], cfg: Arc<CompanionCfg>) -> Option<Self> {
+        let limits = TableLimits::new(cfg.slots, cfg.connections);
         let this = Self {
-            table: RequestTable::new(cfg.incarnation, cfg.slots),
+            table: RequestTable::new(cfg.incarnation, limits),
         };
         this.sweep_later(cx);
+        this.expire_later(cx);
         Some(this)
     }
 
@@ -32,6 +37,13 @@
         });
     }
 
+    fn expire_later(&self, cx: CX![]) {
+        after!(EXPIRE_EVERY, [cx], |this, cx| {
+            this.table.expire(cx.now());
+            this.expire_later(cx);
+        });
+    }
+
     pub(crate) fn event(&mut self, cx: CX![], event: AdmitEvent) {
         match event {
             AdmitEvent::Begin(meta, reply) => self.table.begin(cx.now(), &meta, reply),
@@ -49,12 +61,12 @@
         reply.send(self.table.revoke(cx.now(), &id, incarnation));
     }
 
-    pub(crate) fn leave(&mut self, _cx: CX![]) {
-        self.table.leave();
+    pub(crate) fn leave(&mut self, cx: CX![]) {
+        self.table.leave(cx.now());
     }
 
-    /// Returns how many requests run.
+    /// Returns how many requests run or wait for a slot.
     pub(crate) fn in_flight(&self, _cx: CX![]) -> u32 {
-        self.table.running()
+        self.table.load()
     }
 }
--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -29,6 +29,9 @@
 /// How many threads carry control calls.
 const RPC_THREADS: usize = 1;
 
+/// How many threads refuse requests, or join runs, while all connections are in use.
+const SPARE_THREADS: usize = 16;
+
 /// How long a planned stop waits for requests in progress.
 const STOP_GRACE: Duration = Duration::from_secs(30);
 
@@ -70,8 +73,14 @@
             })?;
         let (events, rx) = unbounded();
         let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
-        let door = Door::new(events.clone(), cfg.target_addr, cfg.connections);
-        let threads = cfg.connections as usize;
+        let in_flight = Arc::new(AtomicU32::new(0));
+        let door = Door::new(
+            events.clone(),
+            cfg.target_addr,
+            cfg.connections,
+            Arc::clone(&in_flight),
+        );
+        let threads = cfg.connections as usize + SPARE_THREADS;
         let http = HttpPool::start(cfg.http_addr, threads, move |req| door.serve(req))?;
         let cfg = Arc::new(CompanionCfg {
             http_addr: http.addr(),
@@ -100,7 +109,6 @@
             log: log.clone(),
         };
         let stopping = Arc::new(AtomicBool::new(false));
-        let in_flight = Arc::new(AtomicU32::new(0));
         let actors = std::thread::spawn({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
--- a/crates/companion/src/event.rs
+++ b/crates/companion/src/event.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use platform::worker::WorkerReply;
+use tables::Priority;
 use wire::{Answer, CallToken, Reply, RevokeReply};
 
 use crate::admit::{AdmitStep, StoredAnswer};
@@ -30,6 +31,10 @@
     pub incarnation: Incarnation,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Who goes first.
+    pub priority: Priority,
+    /// Whether other copies may arrive, so that a refusal has to last.
+    pub is_repeat: bool,
 }
 
 /// Progress of a request at the companion.
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -12,7 +12,7 @@
 mod tasks;
 mod worker_io;
 
-pub use admit::{AdmitStep, RequestTable, StoredAnswer};
+pub use admit::{AdmitStep, RequestTable, StoredAnswer, TableLimits};
 pub use app::{App, run};
 pub use cfg::{CompanionCfg, CompanionFlags, companion_flags};
 pub use event::{AdmitEvent, AdmitMeta, Event};
--- /dev/null
+++ b/crates/companion/tests/request_table.rs
@@ -0,0 +1,269 @@
+//! The table of request ids at a companion.
+
+use std::sync::Mutex;
+
+use base::prelude::*;
+use companion::{AdmitMeta, AdmitStep, RequestTable, StoredAnswer, TableLimits};
+use tables::Priority;
+use wire::{Reply, RevokeReply};
+
+const LIFE: Incarnation = Incarnation(7);
+const DEADLINE: Duration = Duration::from_secs(2);
+
+#[test]
+fn duplicate_joins_the_run_and_gets_its_answer() {
+    let (mut table, now) = table(1, 2);
+    let first = begin(&mut table, now, &meta("a", now));
+    let second = begin(&mut table, now, &repeat("a", now));
+
+    table.finished(now, &"a".into(), Some(answer(3)));
+
+    assert_eq!(first.take(), Some(AdmitStep::Run));
+    assert!(
+        matches!(second.take(), Some(AdmitStep::Answer { answer, .. }) if answer.body.len() == 3)
+    );
+}
+
+#[test]
+fn late_answer_is_fetched_by_id() {
+    let (mut table, now) = table(1, 1);
+    begin(&mut table, now, &meta("a", now));
+    table.finished(now, &"a".into(), Some(answer(3)));
+
+    let late = begin(&mut table, now + DEADLINE, &repeat("a", now));
+
+    assert!(matches!(late.take(), Some(AdmitStep::Answer { .. })));
+}
+
+#[test]
+fn revoked_id_never_starts() {
+    let (mut table, now) = table(1, 1);
+
+    let reply = table.revoke(now, &"a".into(), LIFE);
+
+    assert_eq!(reply, RevokeReply::NeverStarted);
+    let copy = begin(&mut table, now, &meta("a", now));
+    assert_eq!(copy.take(), Some(AdmitStep::NotRun { reason: "revoked" }));
+}
+
+#[test]
+fn revoke_takes_a_request_out_of_the_queue() {
+    let (mut table, now) = table(1, 2);
+    begin(&mut table, now, &meta("a", now));
+    let queued = begin(&mut table, now, &meta("b", now));
+
+    let reply = table.revoke(now, &"b".into(), LIFE);
+    table.finished(now, &"a".into(), None);
+
+    assert_eq!(reply, RevokeReply::NeverStarted);
+    assert_eq!(queued.take(), Some(AdmitStep::NotRun { reason: "revoked" }));
+    assert_eq!(table.running(), 0);
+}
+
+#[test]
+fn revoke_of_a_running_id_is_too_late() {
+    let (mut table, now) = table(1, 1);
+    begin(&mut table, now, &meta("a", now));
+
+    let reply = table.revoke(now, &"a".into(), LIFE);
+
+    assert_eq!(reply, RevokeReply::Running);
+}
+
+#[test]
+fn refused_resend_keeps_the_first_copy_from_running_later() {
+    let (mut table, now) = table(1, 1);
+    begin(&mut table, now, &meta("busy", now));
+    let resent = begin(&mut table, now, &repeat("a", now));
+    table.finished(now, &"busy".into(), None);
+
+    let first_copy = begin(&mut table, now, &meta("a", now));
+
+    assert_eq!(resent.take(), Some(AdmitStep::NotRun { reason: "no-slot" }));
+    assert_eq!(
+        first_copy.take(),
+        Some(AdmitStep::NotRun { reason: "revoked" })
+    );
+}
+
+#[test]
+fn other_life_proves_nothing_about_a_resent_request() {
+    let (mut table, now) = table(1, 1);
+    let elsewhere = |meta: AdmitMeta| AdmitMeta {
+        incarnation: Incarnation(8),
+        ..meta
+    };
+
+    let only_copy = begin(&mut table, now, &elsewhere(meta("a", now)));
+    let resent = begin(&mut table, now, &elsewhere(repeat("b", now)));
+
+    assert!(matches!(only_copy.take(), Some(AdmitStep::NotRun { .. })));
+    assert!(matches!(resent.take(), Some(AdmitStep::Lost { .. })));
+}
+
+#[test]
+fn slots_and_connections_are_never_exceeded() {
+    let (mut table, now) = table(2, 3);
+
+    let steps: Vec<Told> = (0..5)
+        .map(|n| begin(&mut table, now, &meta(&format!("r{n}"), now)))
+        .collect();
+
+    assert_eq!(table.running(), 2);
+    assert_eq!(table.load(), 3);
+    let refused = AdmitStep::NotRun { reason: "no-slot" };
+    let told: Vec<Option<AdmitStep>> = steps.iter().map(Told::take).collect();
+    let run = Some(AdmitStep::Run);
+    assert_eq!(
+        told,
+        [run.clone(), run, None, Some(refused.clone()), Some(refused)]
+    );
+}
+
+#[test]
+fn expired_request_leaves_the_queue_unrun() {
+    let (mut table, now) = table(1, 2);
+    begin(&mut table, now, &meta("a", now));
+    let queued = begin(&mut table, now, &meta("b", now));
+
+    table.expire(now + DEADLINE);
+
+    assert_eq!(queued.take(), Some(AdmitStep::NotRun { reason: "expired" }));
+}
+
+#[test]
+fn urgent_request_takes_the_place_of_a_low_one() {
+    let (mut table, now) = table(1, 2);
+    begin(&mut table, now, &meta("a", now));
+    let low = AdmitMeta {
+        priority: Priority::Low,
+        ..meta("low", now)
+    };
+    let urgent = AdmitMeta {
+        priority: Priority::Urgent,
+        ..meta("urgent", now)
+    };
+    let shed = begin(&mut table, now, &low);
+
+    let waiting = begin(&mut table, now, &urgent);
+
+    assert_eq!(shed.take(), Some(AdmitStep::NotRun { reason: "no-slot" }));
+    assert_eq!(waiting.take(), None);
+}
+
+#[test]
+fn leaving_refuses_new_and_queued_requests_and_lets_running_ones_finish() {
+    let (mut table, now) = table(1, 2);
+    begin(&mut table, now, &meta("running", now));
+    let queued = begin(&mut table, now, &meta("queued", now));
+
+    table.leave(now);
+    let new = begin(&mut table, now, &meta("new", now));
+    let joined = begin(&mut table, now, &repeat("running", now));
+    table.finished(now, &"running".into(), Some(answer(1)));
+
+    let leaving = Some(AdmitStep::NotRun { reason: "leaving" });
+    assert_eq!(queued.take(), leaving);
+    assert_eq!(new.take(), leaving);
+    assert!(matches!(joined.take(), Some(AdmitStep::Answer { .. })));
+}
+
+#[test]
+fn oldest_answers_are_dropped_beyond_the_limit_of_bytes() {
+    let limits = TableLimits {
+        answer_bytes: 10,
+        ..TableLimits::new(1, 1)
+    };
+    let now = Instant::now();
+    let mut table = RequestTable::new(LIFE, limits);
+    for id in ["a", "b", "c"] {
+        begin(&mut table, now, &meta(id, now));
+        table.finished(now, &id.into(), Some(answer(5)));
+    }
+
+    let oldest = begin(&mut table, now, &repeat("a", now));
+    let newest = begin(&mut table, now, &repeat("c", now));
+
+    assert_eq!(table.kept_bytes(), 10);
+    assert_eq!(
+        oldest.take(),
+        Some(AdmitStep::Lost {
+            reason: "no-answer"
+        })
+    );
+    assert!(matches!(newest.take(), Some(AdmitStep::Answer { .. })));
+}
+
+#[test]
+fn full_table_refuses_new_ids_and_proves_nothing_about_resent_ones() {
+    let limits = TableLimits {
+        ids: 1,
+        ..TableLimits::new(8, 8)
+    };
+    let now = Instant::now();
+    let mut table = RequestTable::new(LIFE, limits);
+    begin(&mut table, now, &meta("a", now));
+
+    let new = begin(&mut table, now, &meta("b", now));
+    let resent = begin(&mut table, now, &repeat("c", now));
+
+    assert_eq!(
+        new.take(),
+        Some(AdmitStep::NotRun {
+            reason: "table-full"
+        })
+    );
+    assert_eq!(
+        resent.take(),
+        Some(AdmitStep::Lost {
+            reason: "table-full"
+        })
+    );
+}
+
+/// What a request was told, once it was.
+struct Told(Arc<Mutex<Option<AdmitStep>>>);
+
+impl Told {
+    fn take(&self) -> Option<AdmitStep> {
+        self.0.lock().expect("no test panics here").take()
+    }
+}
+
+fn begin(table: &mut RequestTable, now: Instant, meta: &AdmitMeta) -> Told {
+    let told = Arc::default();
+    let sink: Arc<Mutex<Option<AdmitStep>>> = Arc::clone(&told);
+    let reply = Reply::new(move |step| *sink.lock().expect("no test panics here") = Some(step));
+    table.begin(now, meta, reply);
+    Told(told)
+}
+
+fn table(slots: u32, connections: u32) -> (RequestTable, Instant) {
+    let limits = TableLimits::new(slots, connections);
+    (RequestTable::new(LIFE, limits), Instant::now())
+}
+
+fn meta(id: &str, now: Instant) -> AdmitMeta {
+    AdmitMeta {
+        id: id.into(),
+        incarnation: LIFE,
+        deadline: now + DEADLINE,
+        priority: Priority::Normal,
+        is_repeat: false,
+    }
+}
+
+fn repeat(id: &str, now: Instant) -> AdmitMeta {
+    AdmitMeta {
+        is_repeat: true,
+        ..meta(id, now)
+    }
+}
+
+fn answer(bytes: usize) -> Arc<StoredAnswer> {
+    Arc::new(StoredAnswer {
+        status: 200,
+        headers: ureq::http::HeaderMap::new(),
+        body: vec![b'.'; bytes],
+    })
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -16,7 +16,7 @@
 
 use crate::http::Front;
 use crate::store_io::StoreIo;
-use crate::{EntryCfg, Event, Node, Ports, rpc};
+use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
@@ -63,7 +63,8 @@
             })?;
         let (events, rx) = unbounded();
         let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
-        let front = Front::new(events.clone(), log.clone());
+        let snapshot = Arc::new(TablesSnapshot::default());
+        let front = Front::new(events.clone(), Arc::clone(&snapshot), log.clone());
         let http = HttpPool::start(cfg.http_addr, cfg.threads, move |req| front.serve(req))?;
         let cfg = Arc::new(EntryCfg {
             http_addr: http.addr(),
@@ -99,7 +100,7 @@
         let actors = std::thread::spawn({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
-            move || run_actors(&cfg, &ports, &rx, &stopping)
+            move || run_actors(&cfg, &ports, snapshot, &rx, &stopping)
         });
         Ok(Self {
             cfg,
@@ -159,8 +160,15 @@
 }
 
 /// Runs the actors until the process stops.
-fn run_actors(cfg: &Arc<EntryCfg>, ports: &Ports, rx: &Receiver<Event>, stopping: &AtomicBool) {
+fn run_actors(
+    cfg: &Arc<EntryCfg>,
+    ports: &Ports,
+    snapshot: Arc<TablesSnapshot>,
+    rx: &Receiver<Event>,
+    stopping: &AtomicBool,
+) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.publish_to(snapshot);
     node.run(ports.clock.now());
     while !stopping.load(Ordering::Acquire) {
         let now = ports.clock.now();
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -13,6 +13,7 @@
 use crate::ports::{Ports, StorePriority};
 use crate::request::RequestActor;
 use crate::shard::ShardActor;
+use crate::snapshot::TablesSnapshot;
 
 /// How often the tables are read from the store.
 const READ_EVERY: Duration = Duration::from_millis(500);
@@ -25,6 +26,7 @@
     request: Actor<RequestActor>,
     shard: Actor<ShardActor>,
     member: Actor<MemberActor>,
+    snapshot: Arc<TablesSnapshot>,
 }
 
 impl ConfigActor {
@@ -44,6 +46,7 @@
             request,
             shard,
             member,
+            snapshot: Arc::default(),
         };
         this.read(cx);
         Some(this)
@@ -102,7 +105,15 @@
         self.publish(cx, &tables, doc);
     }
 
+    pub(crate) fn set_snapshot(&mut self, _cx: CX![], snapshot: Arc<TablesSnapshot>) {
+        if let Some(tables) = &self.tables {
+            snapshot.set(Arc::clone(tables));
+        }
+        self.snapshot = snapshot;
+    }
+
     fn publish(&self, cx: CX![], tables: &Arc<Tables>, doc: TablesDoc) {
+        self.snapshot.set(Arc::clone(tables));
         call!([self.request, cx], set_tables(Arc::clone(tables)));
         call!([self.shard, cx], set_tables(Arc::clone(tables)));
         call!([self.member, cx], set_tables(Arc::clone(tables), doc));
@@ -111,8 +122,4 @@
     pub(crate) fn tables(&mut self, _cx: CX![], reply: Reply<Option<TablesDoc>>) {
         reply.send(self.doc.clone());
     }
-
-    pub(crate) fn parsed(&mut self, _cx: CX![], reply: Reply<Option<Arc<Tables>>>) {
-        reply.send(self.tables.clone());
-    }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use platform::store::StoreReply;
 use route::{AttemptEnd, RequestMeta, RequestStep};
-use tables::{Tables, TablesDoc};
+use tables::TablesDoc;
 use wire::{
     AnnounceReply, Announcement, Answer, CallToken, Claim, ClaimReply, DoneAck, DoneReport, Gossip,
     JobRef, JobSpec, JobStatus, Part, Poll, PollReply, Reply, SubmitReply,
@@ -56,6 +56,8 @@
     Admit(RequestMeta, Reply<RequestStep>),
     /// The attempt that the last step asked for ended.
     Ended(RequestId, AttemptEnd, Reply<RequestStep>),
+    /// The whole answer arrived, and its thread passes it on.
+    Answered(RequestId, AttemptEnd),
 }
 
 /// A call of a caller or operator that the actors answer themselves.
@@ -69,8 +71,6 @@
     Cancel(PoolName, Vec<JobRef>, Reply<Vec<JobStatus>>),
     /// Asks for the tables in force here.
     Tables(Reply<Option<TablesDoc>>),
-    /// Asks for the tables in force here, checked and joined.
-    Parsed(Reply<Option<Arc<Tables>>>),
     /// Asks for everything this entry knows, as JSON.
     Status(Reply<serde_json::Value>),
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP front: callers' requests, jobs and operator calls.
 
 mod admin;
+mod paths;
 mod proxy;
 
 use std::io::Cursor;
@@ -13,6 +14,7 @@
 
 use self::proxy::Proxy;
 use crate::event::{AdminEvent, Event};
+use crate::snapshot::TablesSnapshot;
 
 /// How long an operator call waits for the actors.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(6);
@@ -21,12 +23,14 @@
 pub(crate) struct Front {
     events: Sender<Event>,
     proxy: Proxy,
+    tables: Arc<TablesSnapshot>,
     log: Logger,
 }
 
 impl Front {
-    pub(crate) fn new(events: Sender<Event>, log: Logger) -> Self {
+    pub(crate) fn new(events: Sender<Event>, tables: Arc<TablesSnapshot>, log: Logger) -> Self {
         Self {
+            tables,
             proxy: Proxy::new(events.clone()),
             events,
             log,
@@ -52,14 +56,6 @@
     }
 }
 
-/// Returns the value of a header.
-fn header_of<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
-    req.headers()
-        .iter()
-        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|h| h.value.as_str())
-}
-
 /// Builds a header from text that is known to be valid.
 fn header(name: &str, value: &str) -> Option<Header> {
     Header::from_bytes(name, value).ok()
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -8,10 +8,11 @@
 use slog::debug;
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
+use wire::hop::header_of;
 use wire::{JobRef, JobSpec, Outcome, SubmitReply, header};
 
 use super::proxy::respond;
-use super::{Front, header_of, refusal};
+use super::{Front, refusal};
 use crate::event::AdminEvent;
 
 /// The largest body of an operator call, in bytes.
--- a/crates/entry/src/http/proxy.rs
+++ b/crates/entry/src/http/proxy.rs
@@ -1,35 +1,35 @@
 //! Serving a caller's request through companions and their targets.
 
-use std::io::{Cursor, Read};
-use std::net::SocketAddr;
+use std::io::Cursor;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use base::prelude::*;
 use crossbeam_channel::{Sender, bounded};
-use route::{AttemptEnd, RequestMeta, RequestStep};
-use tables::{Route, RouteKind, Tables};
+use route::{AttemptEnd, RequestMeta, RequestStep, SendStep};
+use tables::{Route, RouteKind};
 use tiny_http::{Request, Response};
-use ureq::Agent;
-use ureq::http::{self, HeaderMap};
+use ureq::http::{HeaderMap, HeaderName, HeaderValue};
+use wire::hop::{self, BodyError, HopAnswer, HopError, HopRequest, header_of};
 use wire::{Outcome, Reply, header};
 
-use super::{Front, header_of, refusal};
-use crate::event::{AdminEvent, Event, RequestEvent};
+use super::paths::Paths;
+use super::{Front, refusal};
+use crate::event::{Event, RequestEvent};
 
-/// How long a thread waits for the actors to decide on a request.
-const DECISION_TIMEOUT: Duration = Duration::from_secs(10);
+/// How much longer than the deadline a thread waits for the actors to decide.
+const DECISION_MARGIN: Duration = Duration::from_secs(5);
 
-/// How long a connection may take to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
-/// How many idle connections to one companion are kept.
-const IDLE_PER_COMPANION: usize = 64;
+/// When a caller that found no tables may try again.
+const NO_TABLES_RETRY: Duration = Duration::from_secs(1);
 
 /// Sends requests to companions.
 pub(super) struct Proxy {
     events: Sender<Event>,
-    agent: Agent,
-    prefix: u32,
+    paths: Paths,
+    prefix: u64,
     next_id: AtomicU64,
 }
 
@@ -37,22 +37,21 @@
 struct Incoming {
     method: String,
     url: String,
-    content_type: Option<String>,
+    headers: HeaderMap,
     body: Vec<u8>,
 }
 
-/// A target's whole answer.
-struct TargetAnswer {
-    status: u16,
-    content_type: Option<String>,
-    body: Vec<u8>,
+/// A whole answer, with what it was sent for.
+struct Received {
+    answer: HopAnswer,
+    sent_as: RequestId,
 }
 
 impl Proxy {
     pub(super) fn new(events: Sender<Event>) -> Self {
         Self {
             events,
-            agent: agent(),
+            paths: Paths::default(),
             prefix: rand::random(),
             next_id: AtomicU64::new(0),
         }
@@ -60,171 +59,142 @@
 
     fn draw_id(&self) -> RequestId {
         let n = self.next_id.fetch_add(1, Ordering::Relaxed);
-        RequestId::new(format!("{:08x}-{n:x}", self.prefix))
+        RequestId::new(format!("{:016x}-{n:x}", self.prefix))
     }
 
-    fn ask(&self, event: impl FnOnce(Reply<RequestStep>) -> RequestEvent) -> RequestStep {
+    fn ask(
+        &self,
+        deadline: Instant,
+        event: impl FnOnce(Reply<RequestStep>) -> RequestEvent,
+    ) -> RequestStep {
         let (tx, rx) = bounded(1);
         let reply = Reply::new(move |step| drop(tx.send(step)));
         let sent = self.events.send(Event::Request(event(reply)));
         let step = sent
             .ok()
-            .and_then(|()| rx.recv_timeout(DECISION_TIMEOUT).ok());
+            .and_then(|()| rx.recv_deadline(deadline + DECISION_MARGIN).ok());
         step.unwrap_or(RequestStep::Unknown { reason: "stopping" })
     }
 
     /// Makes one attempt.
     fn attempt(
         &self,
-        id: &RequestId,
         meta: &RequestMeta,
         incoming: &Incoming,
         send: &SendStep,
-    ) -> (AttemptEnd, Option<TargetAnswer>) {
+    ) -> (AttemptEnd, Option<Received>) {
         let started = Instant::now();
-        let fresh_agent = send.fresh.then(agent);
-        let agent = fresh_agent.as_ref().unwrap_or(&self.agent);
-        let left = meta.deadline.saturating_duration_since(started);
-        let req = http::Request::builder()
-            .method(incoming.method.as_str())
-            .uri(format!("http://{}{}", send.addr, incoming.url))
-            .header(header::REQUEST_ID, id.as_str())
-            .header(header::ROUTE, meta.route.as_str())
-            .header(header::ATTEMPT, send.attempt)
-            .header(header::INCARNATION, send.incarnation.0)
-            .header(header::DEADLINE_MS, left.as_millis() as u64);
-        let req = match &incoming.content_type {
-            Some(value) => req.header("Content-Type", value),
-            None => req,
-        };
-        let Ok(req) = req.body(incoming.body.as_slice()) else {
-            return (AttemptEnd::NotSent, None);
+        let path = self.paths.to(send.addr);
+        let req = HopRequest {
+            method: &incoming.method,
+            addr: send.addr,
+            url: &incoming.url,
+            headers: headers_for(meta, incoming, send, started),
+            body: &incoming.body,
+            timeout: send.timeout,
         };
-        let req = agent
-            .configure_request(req)
-            .timeout_global(Some(send.timeout))
-            .http_status_as_error(false)
-            .build();
-        match agent.run(req) {
-            Ok(response) => read_answer(response, started),
-            Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => {
-                (AttemptEnd::NotSent, None)
+        match hop::hop(&path.agent, req, MAX_ANSWER_BYTES) {
+            Ok(answer) => judge(answer, &send.id, started.elapsed()),
+            Err(HopError::NotSent) => (AttemptEnd::NotSent, None),
+            Err(HopError::Short) => (AttemptEnd::Short, None),
+            Err(HopError::Silent) => {
+                self.paths.retire(send.addr, &path);
+                (AttemptEnd::Silent, None)
             }
-            Err(ureq::Error::Io(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
-                (AttemptEnd::NotSent, None)
-            }
-            Err(ureq::Error::Timeout(ureq::Timeout::Connect)) => (AttemptEnd::NotSent, None),
-            Err(_) => (AttemptEnd::Silent, None),
         }
     }
 }
 
-/// The parts of [`RequestStep::Send`].
-struct SendStep {
-    addr: SocketAddr,
-    incarnation: Incarnation,
-    attempt: u32,
-    timeout: Duration,
-    fresh: bool,
-}
-
-fn agent() -> Agent {
-    Agent::config_builder()
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        .max_idle_connections_per_host(IDLE_PER_COMPANION)
-        .max_idle_connections(IDLE_PER_COMPANION * 64)
-        .http_status_as_error(false)
-        .build()
-        .new_agent()
+/// Returns the headers of an attempt.
+fn headers_for(
+    meta: &RequestMeta,
+    incoming: &Incoming,
+    send: &SendStep,
+    now: Instant,
+) -> HeaderMap {
+    let left = meta.deadline.saturating_duration_since(now).as_millis() as u64;
+    let mut headers = incoming.headers.clone();
+    let mut set = |name: &str, value: &str| {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.insert(name, value);
+        }
+    };
+    set(header::REQUEST_ID, send.id.as_str());
+    set(header::ROUTE, meta.route.as_str());
+    set(header::TEAM, meta.team.as_str());
+    set(header::ATTEMPT, &send.attempt.to_string());
+    set(header::INCARNATION, &send.incarnation.to_string());
+    set(header::PRIORITY, wire::priority_text(meta.priority));
+    set(header::DEADLINE_MS, &left.to_string());
+    if send.is_repeat {
+        set(header::REPEAT, "1");
+    }
+    headers
 }
 
-/// Reads a companion's response whole and tells what it proves.
-fn read_answer(
-    mut response: http::Response<ureq::Body>,
-    started: Instant,
-) -> (AttemptEnd, Option<TargetAnswer>) {
-    let outcome = text(response.headers(), header::OUTCOME).and_then(|s| s.parse().ok());
-    let reason: Name = text(response.headers(), header::REASON)
-        .unwrap_or_else(|| "none".to_owned())
-        .into();
+/// Tells what a companion's response proves.
+fn judge(answer: HopAnswer, sent_as: &RequestId, took: Duration) -> (AttemptEnd, Option<Received>) {
+    let outcome = text(&answer.headers, header::OUTCOME).and_then(|s| s.parse().ok());
+    let reason = || Name::from(text(&answer.headers, header::REASON).unwrap_or("none"));
     match outcome {
-        Some(Outcome::RefusedNotRun) => return (AttemptEnd::NotRun { reason }, None),
-        Some(Outcome::Unknown) => return (AttemptEnd::Lost { reason }, None),
+        Some(Outcome::RefusedNotRun) => return (AttemptEnd::NotRun { reason: reason() }, None),
+        Some(Outcome::Unknown) => return (AttemptEnd::Lost { reason: reason() }, None),
         Some(Outcome::Answered) => {}
+        // Something else than a companion answered.
         None => return (AttemptEnd::Short, None),
     }
-    let status = response.status().as_u16();
-    let load = text(response.headers(), header::LOAD)
-        .and_then(|s| s.parse().ok())
-        .unwrap_or(0);
-    let content_type = text(response.headers(), "Content-Type");
-    let announced =
-        text(response.headers(), "Content-Length").and_then(|s| s.parse::<usize>().ok());
-    let mut body = Vec::with_capacity(announced.unwrap_or(0).min(1 << 20));
-    let read = response.body_mut().as_reader().read_to_end(&mut body);
-    if read.is_err() || announced.is_some_and(|length| length != body.len()) {
+    if text(&answer.headers, header::REQUEST_ID) != Some(sent_as.as_str()) {
         return (AttemptEnd::Short, None);
     }
+    let load = text(&answer.headers, header::LOAD).and_then(|s| s.parse().ok());
     let end = AttemptEnd::Answered {
-        took: started.elapsed(),
-        load,
-        status,
+        took,
+        load: load.unwrap_or(0),
+        status: answer.status,
     };
-    (
-        end,
-        Some(TargetAnswer {
-            status,
-            content_type,
-            body,
-        }),
-    )
+    let received = Received {
+        answer,
+        sent_as: sent_as.clone(),
+    };
+    (end, Some(received))
 }
 
-fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
 }
 
 impl Front {
     /// Serves a request that falls under a route.
     pub(super) fn serve_route(&self, mut req: Request) {
-        let Some(tables) = self.tables() else {
-            return respond(
-                req,
-                refusal(
-                    503,
-                    Outcome::RefusedNotRun,
-                    "no-tables",
-                    Some(Duration::from_secs(1)),
-                ),
-            );
+        let refuse = |status, reason, retry_after| {
+            refusal(status, Outcome::RefusedNotRun, reason, retry_after)
+        };
+        let Some(tables) = self.tables.get() else {
+            return respond(req, refuse(503, "no-tables", Some(NO_TABLES_RETRY)));
         };
-        let Some(route) = tables.route_for_path(req.url()).map(Arc::clone) else {
-            return respond(req, refusal(404, Outcome::RefusedNotRun, "no-route", None));
+        let Some(route) = tables.route_for_path(req.url()) else {
+            return respond(req, refuse(404, "no-route", None));
         };
-        let Some(body) = read_body(&mut req, route.max_body_bytes) else {
-            return respond(
-                req,
-                refusal(413, Outcome::RefusedNotRun, "body-too-large", None),
-            );
+        let body = match hop::read_body(&mut req, route.max_body_bytes) {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => return respond(req, refuse(413, "body-too-large", None)),
+            Err(BodyError::CutOff) => return respond(req, refuse(400, "body-not-whole", None)),
         };
         if route.kind != RouteKind::Request {
-            return self.serve_submit(req, &route, &body);
+            return self.serve_submit(req, route, &body);
         }
-        let meta = self.meta(&req, &route);
+        let meta = self.meta(&req, route);
         let incoming = Incoming {
             method: req.method().to_string(),
             url: req.url().to_owned(),
-            content_type: header_of(&req, "Content-Type").map(str::to_owned),
+            headers: hop::end_to_end(&req),
             body,
         };
         let response = self.run_request(&meta, &incoming);
         respond(req, response);
     }
 
-    fn tables(&self) -> Option<Arc<Tables>> {
-        self.ask(AdminEvent::Parsed).flatten()
-    }
-
     fn meta(&self, req: &Request, route: &Route) -> RequestMeta {
         let asked = header_of(req, header::DEADLINE_MS).and_then(|s| s.parse().ok());
         let deadline = asked
@@ -243,34 +213,24 @@
 
     /// Makes attempts until the decisions end the request.
     fn run_request(&self, meta: &RequestMeta, incoming: &Incoming) -> Response<Cursor<Vec<u8>>> {
-        let mut step = self
-            .proxy
-            .ask(|reply| RequestEvent::Admit(meta.clone(), reply));
-        let mut answer = None;
+        let mut step = self.proxy.ask(meta.deadline, |reply| {
+            RequestEvent::Admit(meta.clone(), reply)
+        });
         loop {
             match step {
-                RequestStep::Send {
-                    addr,
-                    incarnation,
-                    attempt,
-                    timeout,
-                    fresh,
-                    ..
-                } => {
-                    let send = SendStep {
-                        addr,
-                        incarnation,
-                        attempt,
-                        timeout,
-                        fresh,
-                    };
-                    let (end, received) = self.proxy.attempt(&meta.id, meta, incoming, &send);
-                    answer = received;
-                    step = self
-                        .proxy
-                        .ask(|reply| RequestEvent::Ended(meta.id.clone(), end, reply));
+                RequestStep::Send(send) => {
+                    let (end, received) = self.proxy.attempt(meta, incoming, &send);
+                    if let Some(received) = received {
+                        // The decisions learn of it, and the caller need not wait for them.
+                        let event = RequestEvent::Answered(meta.id.clone(), end);
+                        drop(self.proxy.events.send(Event::Request(event)));
+                        return answered(meta, &send, received);
+                    }
+                    step = self.proxy.ask(meta.deadline, |reply| {
+                        RequestEvent::Ended(meta.id.clone(), end, reply)
+                    });
                 }
-                RequestStep::Answer => return answered(meta, answer),
+                RequestStep::Answer => return refusal(504, Outcome::Unknown, "no-answer", None),
                 RequestStep::Refuse {
                     reason,
                     retry_after,
@@ -285,17 +245,19 @@
     }
 }
 
-fn answered(meta: &RequestMeta, answer: Option<TargetAnswer>) -> Response<Cursor<Vec<u8>>> {
-    let Some(answer) = answer else {
-        return refusal(504, Outcome::Unknown, "no-answer", None);
-    };
-    let mut response = Response::from_data(answer.body).with_status_code(answer.status);
+/// Builds the caller's response from an answer that is whole and their own.
+fn answered(meta: &RequestMeta, send: &SendStep, received: Received) -> Response<Cursor<Vec<u8>>> {
+    let told = text(&received.answer.headers, header::REQUEST_ID);
+    let is_own = received.sent_as == send.id && told == Some(send.id.as_str());
+    let detail = || format!("{} got the answer of {told:?}", send.id);
+    if !Promise::WholeAnswer.check(is_own, detail) {
+        return refusal(504, Outcome::Unknown, "internal", None);
+    }
+    let answer = received.answer;
+    let mut response = hop::response(answer.status, &answer.headers, answer.body);
     let headers = [
         super::header(header::OUTCOME, Outcome::Answered.as_str()),
         super::header(header::REQUEST_ID, meta.id.as_str()),
-        answer
-            .content_type
-            .and_then(|value| super::header("Content-Type", &value)),
     ];
     for h in headers.into_iter().flatten() {
         response.add_header(h);
@@ -303,16 +265,6 @@
     response
 }
 
-/// Reads a body whole; `None` if it is larger than `limit`.
-fn read_body(req: &mut Request, limit: u64) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    req.as_reader()
-        .take(limit + 1)
-        .read_to_end(&mut body)
-        .ok()?;
-    (body.len() as u64 <= limit).then_some(body)
-}
-
 /// Sends a response; a caller that is gone needs none.
 pub(super) fn respond(req: Request, response: Response<Cursor<Vec<u8>>>) {
     drop(req.respond(response));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod request;
 mod rpc;
 mod shard;
+mod snapshot;
 mod store_io;
 
 pub use app::{App, run};
@@ -18,3 +19,4 @@
 pub use event::{AdminEvent, Event, RequestEvent, StoreToken};
 pub use node::Node;
 pub use ports::{Ports, StorePort, StorePriority};
+pub use snapshot::TablesSnapshot;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -203,6 +203,7 @@
             .map(|value| (value.shard, owner_of(value)))
             .collect();
         call!([self.shard, cx], set_owners(self.owners.clone()));
+        call!([self.request, cx], set_owners(self.owners.clone()));
     }
 
     pub(crate) fn announce(&mut self, cx: CX![], msg: Announcement, reply: Reply<AnnounceReply>) {
@@ -249,6 +250,9 @@
         if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
             call!([config, cx], offer(doc));
         }
+        for (target, incarnation) in msg.leaving {
+            call!([self.request, cx], target_leaving(target, incarnation));
+        }
         let tables = self
             .doc
             .clone()
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -11,6 +11,7 @@
 use crate::ports::Ports;
 use crate::request::RequestActor;
 use crate::shard::ShardActor;
+use crate::snapshot::TablesSnapshot;
 
 /// The actors of one entry.
 pub struct Node {
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Publishes the tables in force, now and later, to a snapshot that threads read.
+    pub fn publish_to(&mut self, snapshot: Arc<TablesSnapshot>) {
+        call!([self.config], set_snapshot(snapshot));
+    }
+
     /// Hands an event to the actor that it concerns.
     pub fn deliver(&mut self, event: Event) {
         match event {
@@ -114,7 +120,6 @@
                 call!([self.shard], cancel_here(pool, jobs, reply));
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
-            AdminEvent::Parsed(reply) => call!([self.config], parsed(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,10 +1,10 @@
 //! The actor that decides on requests.
 
 use base::prelude::*;
-use route::{RequestMeta, RequestStep, Router};
+use route::{Next, RequestStep, Router};
 use stakker::{CX, after};
 use tables::Tables;
-use wire::{Announcement, Answer};
+use wire::{Announcement, Answer, Call, CallToken, ClaimReply, Part, Reply, ShardOwner};
 
 use crate::EntryCfg;
 use crate::event::RequestEvent;
@@ -13,15 +13,30 @@
 /// How often requests past their deadline are dropped from the table.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
+/// A request whose thread waits for the answer to a control call.
+struct Waiting {
+    id: RequestId,
+    is_claim: bool,
+    reply: Reply<RequestStep>,
+}
+
 /// Decides where requests go and what becomes of them.
 pub(crate) struct RequestActor {
+    ports: Ports,
     router: Router,
+    owners: IndexMap<ShardId, ShardOwner>,
+    waiting: IndexMap<u64, Waiting>,
+    next_call: u64,
 }
 
 impl RequestActor {
-    pub(crate) fn init(cx: CX![], cfg: Arc<EntryCfg>, _ports: Ports, seed: u64) -> Option<Self> {
+    pub(crate) fn init(cx: CX![], cfg: Arc<EntryCfg>, ports: Ports, seed: u64) -> Option<Self> {
         let this = Self {
+            ports,
             router: Router::new(cfg.zone.clone(), seed),
+            owners: IndexMap::new(),
+            waiting: IndexMap::new(),
+            next_call: 0,
         };
         this.sweep_later(cx);
         Some(this)
@@ -38,28 +53,113 @@
         self.router.set_tables(tables);
     }
 
+    pub(crate) fn set_owners(&mut self, _cx: CX![], owners: IndexMap<ShardId, ShardOwner>) {
+        self.owners = owners;
+    }
+
     pub(crate) fn target(&mut self, _cx: CX![], msg: Announcement) {
         self.router.target(msg);
     }
 
+    pub(crate) fn target_leaving(
+        &mut self,
+        _cx: CX![],
+        target: TargetId,
+        incarnation: Incarnation,
+    ) {
+        self.router.target_leaving(&target, incarnation);
+    }
+
     pub(crate) fn target_gone(&mut self, _cx: CX![], target: TargetId) {
         self.router.target_gone(&target);
     }
 
     pub(crate) fn event(&mut self, cx: CX![], event: RequestEvent) {
+        let now = cx.now();
         match event {
-            RequestEvent::Admit(meta, reply) => reply.send(self.admit(cx.now(), meta)),
+            RequestEvent::Admit(meta, reply) => {
+                let id = meta.id.clone();
+                let next = self.router.admit(now, meta);
+                self.go_on(now, id, next, reply);
+            }
             RequestEvent::Ended(id, end, reply) => {
-                reply.send(self.router.ended(cx.now(), &id, &end));
+                let next = self.router.ended(now, &id, &end);
+                self.go_on(now, id, next, reply);
+            }
+            RequestEvent::Answered(id, end) => {
+                // The thread has the whole answer and passes it on by itself.
+                self.router.ended(now, &id, &end);
             }
         }
     }
 
-    fn admit(&mut self, now: Instant, meta: RequestMeta) -> RequestStep {
-        self.router.admit(now, meta)
+    /// Hands a step to the request's thread, or makes the control call before it.
+    fn go_on(&mut self, now: Instant, id: RequestId, next: Next, reply: Reply<RequestStep>) {
+        match next {
+            Next::Step(step) => reply.send(step),
+            Next::Revoke {
+                to,
+                id: sent_as,
+                incarnation,
+                timeout,
+            } => {
+                let token = self.wait(id, false, reply);
+                let call = Call::Revoke(sent_as, incarnation);
+                self.ports.calls.submit(to, token, timeout, call);
+            }
+            Next::Claim {
+                shard,
+                claim,
+                replaces,
+                timeout,
+            } => {
+                let Some(owner) = self.owners.get(&shard) else {
+                    let next = self.router.claimed(now, &id, Ok(ClaimReply::NotOwner));
+                    return self.go_on(now, id, next, reply);
+                };
+                let to = owner.rpc_addr;
+                let token = self.wait(id, true, reply);
+                let call = Call::Claim(shard, claim, replaces);
+                self.ports.calls.submit(to, token, timeout, call);
+            }
+        }
+    }
+
+    fn wait(&mut self, id: RequestId, is_claim: bool, reply: Reply<RequestStep>) -> CallToken {
+        self.next_call += 1;
+        self.waiting.insert(
+            self.next_call,
+            Waiting {
+                id,
+                is_claim,
+                reply,
+            },
+        );
+        CallToken {
+            part: Part::Request,
+            id: self.next_call,
+        }
     }
 
-    pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
+    pub(crate) fn answer(&mut self, cx: CX![], id: u64, answer: Result<Answer>) {
+        let Some(Waiting {
+            id,
+            is_claim,
+            reply,
+        }) = self.waiting.swap_remove(&id)
+        else {
+            return;
+        };
+        let now = cx.now();
+        let next = match answer {
+            Ok(Answer::Claim(claim)) => self.router.claimed(now, &id, Ok(claim)),
+            Ok(Answer::Revoke(revoke)) => self.router.revoked(now, &id, &Ok(revoke)),
+            Ok(_) => Next::Step(RequestStep::Unknown { reason: "internal" }),
+            Err(e) if is_claim => self.router.claimed(now, &id, Err(e)),
+            Err(e) => self.router.revoked(now, &id, &Err(e)),
+        };
+        self.go_on(now, id, next, reply);
+    }
 
     pub(crate) fn stop(&mut self, _cx: CX![]) {}
 }
--- /dev/null
+++ b/crates/route/src/active.rs
@@ -0,0 +1,104 @@
+//! A request in progress at this entry.
+
+use base::prelude::*;
+use tables::Route;
+use wire::{Claim, shard_of_pool};
+
+use crate::fleet::Place;
+use crate::step::{Next, RequestMeta};
+
+/// A request in progress.
+pub(crate) struct Active {
+    pub(crate) meta: RequestMeta,
+    pub(crate) route: Arc<Route>,
+    /// The id that companions see: the request's own, or that of the run it joined.
+    pub(crate) sent_as: RequestId,
+    /// Where it is being sent.
+    pub(crate) place: Place,
+    /// The targets that it was at before.
+    pub(crate) tried: Vec<TargetId>,
+    pub(crate) attempt: u32,
+    pub(crate) resends: u32,
+    /// Whether a copy may have reached the current target without proof of the contrary.
+    pub(crate) is_doubtful: bool,
+    /// Whether it may have run at an earlier target, or under another caller's claim.
+    pub(crate) may_have_run: bool,
+    /// Whether the companion told that it holds the run.
+    pub(crate) is_held: bool,
+    /// Whether an attempt is on its way.
+    pub(crate) is_sent: bool,
+    /// The claim on the caller's key, once granted.
+    pub(crate) claim: Option<Box<Claim>>,
+}
+
+impl Active {
+    pub(crate) fn new(meta: RequestMeta, route: Arc<Route>, place: Place) -> Self {
+        Self {
+            sent_as: meta.id.clone(),
+            meta,
+            route,
+            place,
+            tried: Vec::new(),
+            attempt: 1,
+            resends: 0,
+            is_doubtful: false,
+            may_have_run: false,
+            is_held: false,
+            is_sent: false,
+            claim: None,
+        }
+    }
+
+    /// Tells whether the request runs at most once by the caller's key.
+    pub(crate) fn is_keyed(&self) -> bool {
+        !self.route.idempotent && self.meta.key.is_some()
+    }
+
+    /// Returns the time left.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.meta.deadline.saturating_duration_since(now)
+    }
+
+    /// Leaves the current target for another.
+    pub(crate) fn move_to(&mut self, place: Place) {
+        let left = std::mem::replace(&mut self.place, place);
+        self.tried.push(left.target);
+        self.may_have_run |= self.is_doubtful;
+        self.is_doubtful = false;
+        self.is_held = false;
+        self.attempt += 1;
+        self.resends = 0;
+    }
+
+    /// Joins the run that another request with the same key began.
+    pub(crate) fn join(&mut self, held: Claim) {
+        self.sent_as = held.request.clone();
+        self.place = Place {
+            target: held.target.clone(),
+            incarnation: held.incarnation,
+            http_addr: held.http_addr,
+            rpc_addr: None,
+        };
+        self.is_doubtful = true;
+        self.claim = Some(Box::new(held));
+    }
+
+    /// Returns the call that claims the caller's key for the current target.
+    pub(crate) fn ask_claim(&self, timeout: Duration) -> Option<Next> {
+        let key = self.meta.key.clone()?;
+        let claim = Claim {
+            route: self.route.name.clone(),
+            key,
+            request: self.sent_as.clone(),
+            target: self.place.target.clone(),
+            incarnation: self.place.incarnation,
+            http_addr: self.place.http_addr,
+        };
+        Some(Next::Claim {
+            shard: shard_of_pool(&self.route.pool),
+            claim: Box::new(claim),
+            replaces: self.claim.clone(),
+            timeout,
+        })
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,14 +1,17 @@
 //! Decides where a request goes, and what becomes of it when an attempt ends.
 
 use base::prelude::*;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use tables::{Route, Tables};
-use wire::{Announcement, TargetState};
+use tables::Tables;
+use wire::{Announcement, ClaimReply, RevokeReply};
 
-use crate::step::{AttemptEnd, RequestMeta, RequestStep};
+use crate::active::Active;
+use crate::budget::RetryBudget;
+use crate::fleet::{Evidence, Fleet};
+use crate::step::{AttemptEnd, Next, RequestMeta, RequestStep, SendStep};
 
-/// How many attempts a request gets at most.
+/// How many targets a request is sent to at most.
 const MAX_ATTEMPTS: u32 = 4;
 
 /// How often a silent attempt is repeated at the same target.
@@ -17,35 +20,27 @@
 /// The shortest time that an attempt is given.
 const MIN_ATTEMPT: Duration = Duration::from_millis(20);
 
-/// When a caller that found no target may try again.
-const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+/// The part of the time left that an attempt is given, as a divisor.
+const ATTEMPT_PART: u32 = 3;
 
-/// A target as this entry sees it.
-struct Target {
-    announcement: Announcement,
-    /// Attempts of this entry in progress there.
-    in_flight: u32,
-    /// Smoothed latency in seconds.
-    latency: f64,
-}
+/// How long a companion may take to answer a revocation.
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A request in progress.
-struct Active {
-    meta: RequestMeta,
-    route: Arc<Route>,
-    target: TargetId,
-    attempt: u32,
-    resends: u32,
-    /// Whether an attempt may have run without its answer having arrived.
-    may_have_run: bool,
-}
+/// How long the owner of a shard may take to commit a claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// When a caller that found no target, or no way to claim its key, may try again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How long a request is kept after its deadline for a thread that still reports.
+const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(30);
 
 /// The decisions on all requests of one entry.
 pub struct Router {
-    zone: ZoneName,
     rng: StdRng,
     tables: Arc<Tables>,
-    targets: IndexMap<TargetId, Target>,
+    fleet: Fleet,
+    budgets: IndexMap<RouteName, RetryBudget>,
     active: IndexMap<RequestId, Active>,
 }
 
@@ -53,230 +48,316 @@
     /// Creates a router without targets.
     pub fn new(zone: ZoneName, seed: u64) -> Self {
         Self {
-            zone,
             rng: StdRng::seed_from_u64(seed),
             tables: Arc::default(),
-            targets: IndexMap::new(),
+            fleet: Fleet::new(zone),
+            budgets: IndexMap::new(),
             active: IndexMap::new(),
         }
     }
 
     /// Puts tables in force.
     pub fn set_tables(&mut self, tables: Arc<Tables>) {
+        self.budgets
+            .retain(|route, _| tables.routes.contains_key(route));
         self.tables = tables;
     }
 
     /// Takes a target's announcement.
     pub fn target(&mut self, announcement: Announcement) {
-        match self.targets.get_mut(&announcement.target) {
-            Some(target) => target.announcement = announcement,
-            None => {
-                let name = announcement.target.clone();
-                self.targets.insert(
-                    name,
-                    Target {
-                        announcement,
-                        in_flight: 0,
-                        latency: 0.01,
-                    },
-                );
-            }
-        }
+        self.fleet.announced(announcement);
+    }
+
+    /// Sends no new work to a life of a target from now on.
+    pub fn target_leaving(&mut self, target: &TargetId, incarnation: Incarnation) {
+        self.fleet.leaving(target, incarnation);
     }
 
     /// Forgets a target that fell silent.
     pub fn target_gone(&mut self, target: &TargetId) {
-        self.targets.swap_remove(target);
+        self.fleet.gone(target);
+    }
+
+    /// Returns how many requests are in progress.
+    pub fn in_progress(&self) -> usize {
+        self.active.len()
     }
 
     /// Forgets requests whose serving thread is gone.
     pub fn sweep(&mut self, now: Instant) {
-        const GRACE: Duration = Duration::from_secs(30);
         self.active
-            .retain(|_, active| now < active.meta.deadline + GRACE);
+            .retain(|_, active| now < active.meta.deadline + KEEP_AFTER_DEADLINE);
     }
 
     /// Admits a request or refuses it.
-    pub fn admit(&mut self, now: Instant, meta: RequestMeta) -> RequestStep {
+    pub fn admit(&mut self, now: Instant, meta: RequestMeta) -> Next {
         let Some(route) = self.tables.routes.get(&meta.route).map(Arc::clone) else {
-            return RequestStep::Refuse {
-                reason: "no-route",
-                retry_after: None,
-            };
+            return refuse("no-route", None);
         };
         if now + MIN_ATTEMPT > meta.deadline {
-            return RequestStep::Refuse {
-                reason: "expired",
-                retry_after: None,
-            };
+            return refuse("expired", None);
         }
-        let Some(target) = self.choose(&route, None) else {
-            return RequestStep::Refuse {
-                reason: "no-target",
-                retry_after: Some(NO_TARGET_RETRY),
-            };
+        let Some(pool) = self.tables.pools.get(&route.pool) else {
+            return refuse("no-pool", None);
         };
-        let id = meta.id.clone();
-        let active = Active {
-            meta,
-            route,
-            target,
-            attempt: 1,
-            resends: 0,
-            may_have_run: false,
+        let may_probe = route.idempotent;
+        let place = self.fleet.choose(now, &mut self.rng, pool, &[], may_probe);
+        let Some(place) = place else {
+            return refuse("no-target", Some(RETRY_AFTER));
         };
-        self.active.insert(id.clone(), active);
-        self.send(now, &id, false)
+        self.budgets
+            .entry(route.name.clone())
+            .or_insert_with(RetryBudget::new)
+            .first_attempt(route.retry_budget);
+        let active = Active::new(meta, route, place);
+        self.dispatch(now, active)
     }
 
     /// Decides what follows the end of an attempt.
-    pub fn ended(&mut self, now: Instant, id: &RequestId, end: &AttemptEnd) -> RequestStep {
-        let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown {
-                reason: "forgotten",
-            };
+    pub fn ended(&mut self, now: Instant, id: &RequestId, end: &AttemptEnd) -> Next {
+        let Some(mut active) = self.active.swap_remove(id) else {
+            return unknown("forgotten");
         };
-        let was_sent = !matches!(end, AttemptEnd::NotRun { .. } | AttemptEnd::NotSent);
-        active.may_have_run |= was_sent;
-        if let Some(target) = self.targets.get_mut(&active.target) {
-            target.in_flight = target.in_flight.saturating_sub(1);
-            if let AttemptEnd::Answered { took, .. } = end {
-                target.latency = target.latency * 0.8 + took.as_secs_f64() * 0.2;
-            }
-        }
-        let idempotent = active.route.idempotent;
+        active.is_sent = false;
+        self.fleet.ended(now, &active.place, evidence_of(end));
         match end {
-            AttemptEnd::Answered { .. } => {
-                self.active.swap_remove(id);
-                RequestStep::Answer
+            AttemptEnd::Answered { .. } => Next::Step(RequestStep::Answer),
+            AttemptEnd::NotRun { reason } => self.not_run(now, active, reason),
+            // Whoever holds the same key may have reached the target meanwhile.
+            AttemptEnd::NotSent if active.is_doubtful || active.is_keyed() => {
+                self.in_doubt(now, active)
+            }
+            AttemptEnd::NotSent => self.move_on(now, active, "target-unreachable", true),
+            AttemptEnd::Lost { .. } => self.lost(now, active),
+            AttemptEnd::Silent | AttemptEnd::Short => {
+                active.is_doubtful = true;
+                self.resend(now, active)
             }
-            AttemptEnd::NotRun { .. } | AttemptEnd::NotSent => self.move_on(now, id),
-            AttemptEnd::Lost { .. } if idempotent => self.move_on(now, id),
-            AttemptEnd::Lost { .. } => self.give_up(id, "lost"),
-            AttemptEnd::Silent | AttemptEnd::Short => self.resend(now, id),
         }
     }
 
-    /// Sends the same request to the same target again, over a new connection.
-    fn resend(&mut self, now: Instant, id: &RequestId) -> RequestStep {
-        let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown {
-                reason: "forgotten",
-            };
+    /// Takes a companion's proof that the request has not run there and will not.
+    fn not_run(&mut self, now: Instant, mut active: Active, reason: &str) -> Next {
+        active.is_doubtful = false;
+        let (reason, is_free) = match reason {
+            "leaving" => {
+                let place = &active.place;
+                self.fleet.leaving(&place.target, place.incarnation);
+                ("target-leaving", true)
+            }
+            "other-incarnation" => ("target-restarted", true),
+            "expired" => ("expired", false),
+            "no-slot" => ("no-slot", false),
+            "revoked" => ("revoked", false),
+            _ => ("target-refused", false),
         };
-        let may_resend = active.resends < MAX_RESENDS && now + MIN_ATTEMPT < active.meta.deadline;
-        if may_resend {
+        self.move_on(now, active, reason, is_free)
+    }
+
+    /// Goes on after a companion said that a request may have run without an answer.
+    fn lost(&mut self, now: Instant, mut active: Active) -> Next {
+        active.is_doubtful = true;
+        if active.route.idempotent {
+            return self.move_on(now, active, "lost", false);
+        }
+        unknown("lost")
+    }
+
+    /// Sends the same request to the same life of the target again.
+    fn resend(&mut self, now: Instant, mut active: Active) -> Next {
+        let is_in_time = now + MIN_ATTEMPT < active.meta.deadline;
+        if is_in_time && active.resends < MAX_RESENDS {
             active.resends += 1;
-            return self.send(now, id, true);
+            return self.send(now, active);
         }
+        self.in_doubt(now, active)
+    }
+
+    /// Goes on where a copy may have reached a target that does not answer.
+    fn in_doubt(&mut self, now: Instant, active: Active) -> Next {
         if active.route.idempotent {
-            return self.move_on(now, id);
+            return self.move_on(now, active, "silent", false);
         }
-        self.give_up(id, "silent")
+        let is_in_time = now + MIN_ATTEMPT < active.meta.deadline;
+        let to = active
+            .place
+            .rpc_addr
+            .or_else(|| self.fleet.rpc_addr(&active.place.target));
+        let Some(to) = to.filter(|_| is_in_time && !active.is_held) else {
+            return unknown("silent");
+        };
+        let next = Next::Revoke {
+            to,
+            id: active.sent_as.clone(),
+            incarnation: active.place.incarnation,
+            timeout: active.left(now).min(REVOKE_TIMEOUT),
+        };
+        self.active.insert(active.meta.id.clone(), active);
+        next
     }
 
-    /// Moves a request to another target.
-    fn move_on(&mut self, now: Instant, id: &RequestId) -> RequestStep {
-        let Some(active) = self.active.get(id) else {
-            return RequestStep::Unknown {
-                reason: "forgotten",
-            };
+    /// Decides what follows the answer to a revocation.
+    pub fn revoked(&mut self, now: Instant, id: &RequestId, reply: &Result<RevokeReply>) -> Next {
+        let Some(mut active) = self.active.swap_remove(id) else {
+            return unknown("forgotten");
         };
-        let route = Arc::clone(&active.route);
-        let left = active.target.clone();
-        let in_time = now + MIN_ATTEMPT < active.meta.deadline;
-        let next = self.choose(&route, Some(&left));
-        let Some(active) = self.active.get_mut(id) else {
-            return RequestStep::Unknown {
-                reason: "forgotten",
-            };
-        };
-        match next {
-            Some(target) if in_time && active.attempt < MAX_ATTEMPTS => {
-                active.target = target;
-                active.attempt += 1;
-                active.resends = 0;
-                self.send(now, id, false)
+        match reply {
+            Ok(RevokeReply::NeverStarted) => {
+                active.is_doubtful = false;
+                self.move_on(now, active, "revoked", false)
             }
-            _ if !active.may_have_run => {
-                self.active.swap_remove(id);
-                RequestStep::Refuse {
-                    reason: "no-target",
-                    retry_after: Some(NO_TARGET_RETRY),
-                }
+            Ok(RevokeReply::Running | RevokeReply::Done) => {
+                // The run is there: wait for its answer as long as the caller does.
+                active.is_held = true;
+                active.resends += 1;
+                self.send(now, active)
             }
-            _ => self.give_up(id, "attempts-spent"),
+            Ok(RevokeReply::WrongIncarnation) => unknown("target-restarted"),
+            Err(_) => unknown("silent"),
         }
     }
 
-    fn give_up(&mut self, id: &RequestId, reason: &'static str) -> RequestStep {
-        self.active.swap_remove(id);
-        RequestStep::Unknown { reason }
-    }
-
-    fn send(&mut self, now: Instant, id: &RequestId, fresh: bool) -> RequestStep {
-        let Some(active) = self.active.get(id) else {
-            return RequestStep::Unknown {
-                reason: "forgotten",
-            };
+    /// Moves a request to another target.
+    ///
+    /// `is_free` tells that the move costs no target anything, so that no budget is charged.
+    fn move_on(
+        &mut self,
+        now: Instant,
+        mut active: Active,
+        reason: &'static str,
+        is_free: bool,
+    ) -> Next {
+        let proved = !active.is_doubtful && !active.may_have_run;
+        let once = active.route.idempotent || proved;
+        if !Promise::AtMostOnce.check(once, || format!("{} would move", active.meta.id)) {
+            return unknown("internal");
+        }
+        let is_in_time = now + MIN_ATTEMPT < active.meta.deadline;
+        if !is_in_time || active.attempt >= MAX_ATTEMPTS {
+            return give_up(&active, if is_in_time { reason } else { "expired" });
+        }
+        let Some(pool) = self.tables.pools.get(&active.route.pool) else {
+            return give_up(&active, "no-pool");
         };
-        let Some(target) = self.targets.get_mut(&active.target) else {
-            return self.give_up(id, "target-gone");
+        let mut except = active.tried.clone();
+        except.push(active.place.target.clone());
+        let next = self.fleet.choose(now, &mut self.rng, pool, &except, false);
+        let Some(place) = next else {
+            return give_up(&active, reason);
         };
-        target.in_flight += 1;
-        let left = active.meta.deadline.saturating_duration_since(now);
-        RequestStep::Send {
-            addr: target.announcement.http_addr,
-            target: active.target.clone(),
-            incarnation: target.announcement.incarnation,
-            attempt: active.attempt,
-            timeout: (left / 3).max(MIN_ATTEMPT),
-            fresh,
+        let budget = self
+            .budgets
+            .entry(active.route.name.clone())
+            .or_insert_with(RetryBudget::new);
+        if !is_free && !budget.take() {
+            return give_up(&active, "retry-budget");
         }
+        active.move_to(place);
+        self.dispatch(now, active)
     }
 
-    /// Draws two candidates and returns the one that promises the shorter wait.
-    fn choose(&mut self, route: &Route, except: Option<&TargetId>) -> Option<TargetId> {
-        let pool = self.tables.pools.get(&route.pool)?;
-        let candidates: Vec<&Target> = self
-            .targets
-            .values()
-            .filter(|target| {
-                let a = &target.announcement;
-                a.state == TargetState::Serving
-                    && Some(&a.target) != except
-                    && pool.has_worker(&a.worker, &a.zone)
-            })
-            .collect();
-        if candidates.is_empty() {
-            return None;
+    /// Sends a request to a target that it has not been at, with its key claimed first.
+    fn dispatch(&mut self, now: Instant, active: Active) -> Next {
+        if !active.is_keyed() {
+            return self.send(now, active);
         }
-        let first = candidates[self.rng.random_range(0..candidates.len())];
-        let second = candidates[self.rng.random_range(0..candidates.len())];
-        let best = if self.cost(second) < self.cost(first) {
-            second
-        } else {
-            first
+        match active.ask_claim(active.left(now).min(CLAIM_TIMEOUT)) {
+            Some(next) => {
+                self.active.insert(active.meta.id.clone(), active);
+                next
+            }
+            None => refuse("internal", None),
+        }
+    }
+
+    /// Decides what follows the answer to a claim.
+    ///
+    /// Nothing was sent under a claim that was not granted, so that it is refused as not run.
+    pub fn claimed(&mut self, now: Instant, id: &RequestId, reply: Result<ClaimReply>) -> Next {
+        let Some(mut active) = self.active.swap_remove(id) else {
+            return unknown("forgotten");
         };
-        Some(best.announcement.target.clone())
+        if now + MIN_ATTEMPT > active.meta.deadline {
+            return give_up(&active, "expired");
+        }
+        match reply {
+            Ok(ClaimReply::Granted) => {
+                if let Some(Next::Claim { claim, .. }) = active.ask_claim(Duration::ZERO) {
+                    active.claim = Some(claim);
+                }
+                self.send(now, active)
+            }
+            Ok(ClaimReply::Held(held)) => {
+                active.join(held);
+                active.resends += 1;
+                self.send(now, active)
+            }
+            Ok(ClaimReply::NotOwner) => give_up(&active, "no-owner"),
+            // Another request with this key is being placed, and may run.
+            Ok(ClaimReply::Refused { .. }) => unknown("key-in-progress"),
+            Ok(ClaimReply::Unknown) | Err(_) => give_up(&active, "key-not-claimed"),
+        }
     }
 
-    fn cost(&self, target: &Target) -> f64 {
-        const OTHER_ZONE_PENALTY: f64 = 1.5;
-        let load = f64::from(target.in_flight.max(target.announcement.in_flight) + 1);
-        let zone = if target.announcement.zone == self.zone {
-            1.0
+    fn send(&mut self, now: Instant, mut active: Active) -> Next {
+        let left = active.left(now);
+        let timeout = if active.is_held {
+            left
         } else {
-            OTHER_ZONE_PENALTY
+            (left / ATTEMPT_PART).max(MIN_ATTEMPT)
+        };
+        self.fleet.started(&active.place);
+        active.is_sent = true;
+        let step = SendStep {
+            id: active.sent_as.clone(),
+            addr: active.place.http_addr,
+            target: active.place.target.clone(),
+            incarnation: active.place.incarnation,
+            attempt: active.attempt,
+            is_repeat: active.resends > 0 || active.is_keyed(),
+            timeout,
         };
-        load * target.latency * zone
+        self.active.insert(active.meta.id.clone(), active);
+        Next::Step(RequestStep::Send(step))
     }
 }
 
+/// Returns what the end of an attempt says about its target.
+fn evidence_of(end: &AttemptEnd) -> Evidence {
+    match end {
+        AttemptEnd::Answered { took, load, .. } => Evidence::Answered(*took, *load),
+        AttemptEnd::NotRun { .. } => Evidence::Refused,
+        AttemptEnd::Lost { .. } | AttemptEnd::NotSent => Evidence::Failed,
+        AttemptEnd::Silent | AttemptEnd::Short => Evidence::Failed,
+    }
+}
+
+/// Ends a request that goes nowhere else: as not run only where that is proved.
+fn give_up(active: &Active, reason: &'static str) -> Next {
+    if active.is_doubtful || active.may_have_run {
+        return unknown(reason);
+    }
+    Promise::RefusedNotRun.check(!active.is_sent, || {
+        format!("{} is on its way", active.meta.id)
+    });
+    refuse(reason, Some(RETRY_AFTER))
+}
+
+fn refuse(reason: &'static str, retry_after: Option<Duration>) -> Next {
+    Next::Step(RequestStep::Refuse {
+        reason,
+        retry_after,
+    })
+}
+
+fn unknown(reason: &'static str) -> Next {
+    Next::Step(RequestStep::Unknown { reason })
+}
+
 impl std::fmt::Debug for Router {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Router")
-            .field("targets", &self.targets.len())
+            .field("targets", &self.fleet.len())
             .finish_non_exhaustive()
     }
 }
--- a/crates/route/src/step.rs
+++ b/crates/route/src/step.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use tables::Priority;
+use wire::Claim;
 
 /// What a request needs to be admitted.
 #[derive(Clone, Debug)]
@@ -22,24 +23,40 @@
     pub key: Option<Name>,
 }
 
-/// What the thread that serves a request does next.
+/// What a decision asks for: a step of the serving thread, or a control call before it.
 #[derive(Clone, Debug, PartialEq)]
-pub enum RequestStep {
-    /// Send the request to a companion and report how it ended.
-    Send {
-        /// Where the companion takes requests.
-        addr: SocketAddr,
-        /// The target.
-        target: TargetId,
-        /// The life of the companion that the request is meant for.
+pub enum Next {
+    /// The thread that serves the request takes this step.
+    Step(RequestStep),
+    /// Revoke the request at a companion, then report to [`crate::Router::revoked`].
+    Revoke {
+        /// Where the companion takes control calls.
+        to: SocketAddr,
+        /// The id under which the request was sent.
+        id: RequestId,
+        /// The life of the companion that it was sent to.
         incarnation: Incarnation,
-        /// The attempt, from 1.
-        attempt: u32,
         /// How long to wait for the answer.
         timeout: Duration,
-        /// Whether kept connections are in doubt, so that a new one is needed.
-        fresh: bool,
     },
+    /// Claim the caller's key, then report to [`crate::Router::claimed`].
+    Claim {
+        /// The shard whose owner keeps the claim.
+        shard: ShardId,
+        /// The claim.
+        claim: Box<Claim>,
+        /// The claim that this one takes the place of.
+        replaces: Option<Box<Claim>>,
+        /// How long to wait for the answer.
+        timeout: Duration,
+    },
+}
+
+/// What the thread that serves a request does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RequestStep {
+    /// Send the request to a companion and report how it ended.
+    Send(SendStep),
     /// Pass the answer of the last attempt on to the caller.
     Answer,
     /// Tell the caller that the request was not run.
@@ -56,6 +73,25 @@
     },
 }
 
+/// One attempt to be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SendStep {
+    /// The id to send the request under.
+    pub id: RequestId,
+    /// Where the companion takes requests.
+    pub addr: SocketAddr,
+    /// The target.
+    pub target: TargetId,
+    /// The life of the companion that the request is meant for.
+    pub incarnation: Incarnation,
+    /// The attempt, from 1.
+    pub attempt: u32,
+    /// Whether other copies may reach the companion, so that a refusal has to last.
+    pub is_repeat: bool,
+    /// How long to wait for the answer.
+    pub timeout: Duration,
+}
+
 /// How an attempt ended, as seen by the thread that made it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AttemptEnd {
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use tables::Priority;
+
 /// How a request ended, as told to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
@@ -58,6 +60,10 @@
     pub const ATTEMPT: &str = "Monsoontrestle-Attempt";
     /// Entry to companion: the incarnation that the request is meant for.
     pub const INCARNATION: &str = "Monsoontrestle-Incarnation";
+    /// Entry to companion: set where other copies may arrive, so that a refusal has to last.
+    pub const REPEAT: &str = "Monsoontrestle-Repeat";
+    /// Entry to companion: who goes first.
+    pub const PRIORITY: &str = "Monsoontrestle-Priority";
     /// Entry to companion: the route.
     pub const ROUTE: &str = "Monsoontrestle-Route";
     /// From the caller: the team that the work counts against.
@@ -69,3 +75,21 @@
     /// Between our processes and on operator calls: the shared secret.
     pub const TOKEN: &str = "Monsoontrestle-Token";
 }
+
+/// Returns the text of a priority in [`header::PRIORITY`].
+pub fn priority_text(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Low => "low",
+        Priority::Normal => "normal",
+        Priority::Urgent => "urgent",
+    }
+}
+
+/// Reads the text of a priority; anything else is normal.
+pub fn priority_of(text: &str) -> Priority {
+    match text {
+        "low" => Priority::Low,
+        "urgent" => Priority::Urgent,
+        _ => Priority::Normal,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod call;
 mod client;
+pub mod hop;
 mod http;
 mod member;
 pub mod operator;
@@ -17,7 +18,7 @@
 };
 pub use call::{Answer, Call, CallPort, CallToken, Part, Reply};
 pub use client::{Client, ClientCfg};
-pub use http::{Outcome, header};
+pub use http::{Outcome, header, priority_of, priority_text};
 pub use member::{
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
 };
