--- a/crates/companion/src/event.rs
+++ b/crates/companion/src/event.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use platform::worker::WorkerReply;
-use tables::Priority;
+use tables::{Priority, TablesDoc};
 use wire::{Answer, CallToken, Reply, RevokeReply};
 
 use crate::admit::{AdmitStep, StoredAnswer};
@@ -18,6 +18,8 @@
     Worker(u64, Result<WorkerReply>),
     /// An entry answered.
     Call(CallToken, Result<Answer>),
+    /// An entry asks for the tables in force here.
+    Tables(Reply<Option<TablesDoc>>),
     /// A planned stop of the target begins.
     Drain,
 }
--- a/crates/companion/src/http.rs
+++ b/crates/companion/src/http.rs
@@ -10,7 +10,7 @@
 use ureq::Agent;
 use ureq::http::{HeaderMap, HeaderName, HeaderValue};
 use wire::hop::{self, BodyError, HopRequest, header_of};
-use wire::{Outcome, Reply, header, priority_of};
+use wire::{Outcome, Reply, Token, header, priority_of};
 
 use crate::admit::{AdmitStep, StoredAnswer};
 use crate::event::{AdmitEvent, AdmitMeta, Event};
@@ -26,6 +26,7 @@
     events: Sender<Event>,
     agent: Agent,
     target: SocketAddr,
+    token: Option<Token>,
     load: Arc<AtomicU32>,
 }
 
@@ -35,12 +36,14 @@
         events: Sender<Event>,
         target: SocketAddr,
         connections: u32,
+        token: Option<Token>,
         load: Arc<AtomicU32>,
     ) -> Self {
         Self {
             events,
             agent: hop::hop_agent(connections as usize),
             target,
+            token,
             load,
         }
     }
@@ -48,6 +51,15 @@
     /// Serves one request to its end.
     pub(crate) fn serve(&self, mut req: Request) {
         let body = hop::read_body(&mut req, MAX_BODY_BYTES);
+        let given = header_of(&req, header::TOKEN);
+        let is_admitted = self.token.as_ref().is_none_or(|token| token.admits(given));
+        if !is_admitted {
+            let is_repeat = header_of(&req, header::REPEAT).is_some();
+            return respond(
+                req,
+                refused(401, refusal_outcome(is_repeat), "wrong-secret"),
+            );
+        }
         let Some(meta) = meta_of(&req) else {
             return respond(req, refused(400, Outcome::RefusedNotRun, "malformed"));
         };
@@ -138,17 +150,22 @@
 
 /// Refuses a request whose body did not arrive whole; other copies may have run.
 fn refused_body(meta: &AdmitMeta, e: BodyError) -> Answered {
-    let outcome = if meta.is_repeat {
-        Outcome::Unknown
-    } else {
-        Outcome::RefusedNotRun
-    };
+    let outcome = refusal_outcome(meta.is_repeat);
     match e {
         BodyError::TooLarge => refused(413, outcome, "body-too-large"),
         BodyError::CutOff => refused(400, outcome, "body-not-whole"),
     }
 }
 
+/// Returns the outcome of a refusal that is not remembered: no proof where copies may have run.
+fn refusal_outcome(is_repeat: bool) -> Outcome {
+    if is_repeat {
+        Outcome::Unknown
+    } else {
+        Outcome::RefusedNotRun
+    }
+}
+
 fn response_of(meta: &AdmitMeta, step: AdmitStep) -> Answered {
     match step {
         AdmitStep::Answer { answer, load } => {
--- a/crates/entry/src/http/proxy.rs
+++ b/crates/entry/src/http/proxy.rs
@@ -10,7 +10,7 @@
 use tiny_http::{Request, Response};
 use ureq::http::{HeaderMap, HeaderName, HeaderValue};
 use wire::hop::{self, BodyError, HopAnswer, HopError, HopRequest, header_of};
-use wire::{Outcome, Reply, header};
+use wire::{Outcome, Reply, Token, header};
 
 use super::paths::Paths;
 use super::{Front, refusal};
@@ -29,6 +29,7 @@
 pub(super) struct Proxy {
     events: Sender<Event>,
     paths: Paths,
+    token: Option<Token>,
     prefix: u64,
     next_id: AtomicU64,
 }
@@ -48,10 +49,11 @@
 }
 
 impl Proxy {
-    pub(super) fn new(events: Sender<Event>) -> Self {
+    pub(super) fn new(events: Sender<Event>, token: Option<Token>) -> Self {
         Self {
             events,
             paths: Paths::default(),
+            token,
             prefix: rand::random(),
             next_id: AtomicU64::new(0),
         }
@@ -89,7 +91,7 @@
             method: &incoming.method,
             addr: send.addr,
             url: &incoming.url,
-            headers: headers_for(meta, incoming, send, started),
+            headers: self.headers_for(meta, incoming, send, started),
             body: &incoming.body,
             timeout: send.timeout,
         };
@@ -103,34 +105,38 @@
             }
         }
     }
-}
 
-/// Returns the headers of an attempt.
-fn headers_for(
-    meta: &RequestMeta,
-    incoming: &Incoming,
-    send: &SendStep,
-    now: Instant,
-) -> HeaderMap {
-    let left = meta.deadline.saturating_duration_since(now).as_millis() as u64;
-    let mut headers = incoming.headers.clone();
-    let mut set = |name: &str, value: &str| {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-            headers.insert(name, value);
+    /// Returns the headers of an attempt.
+    fn headers_for(
+        &self,
+        meta: &RequestMeta,
+        incoming: &Incoming,
+        send: &SendStep,
+        now: Instant,
+    ) -> HeaderMap {
+        let left = meta.deadline.saturating_duration_since(now).as_millis() as u64;
+        let mut headers = incoming.headers.clone();
+        let mut set = |name: &str, value: &str| {
+            let name = HeaderName::from_bytes(name.as_bytes());
+            if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+                headers.insert(name, value);
+            }
+        };
+        if let Some(token) = &self.token {
+            set(header::TOKEN, token.secret());
         }
-    };
-    set(header::REQUEST_ID, send.id.as_str());
-    set(header::ROUTE, meta.route.as_str());
-    set(header::TEAM, meta.team.as_str());
-    set(header::ATTEMPT, &send.attempt.to_string());
-    set(header::INCARNATION, &send.incarnation.to_string());
-    set(header::PRIORITY, wire::priority_text(meta.priority));
-    set(header::DEADLINE_MS, &left.to_string());
-    if send.is_repeat {
-        set(header::REPEAT, "1");
+        set(header::REQUEST_ID, send.id.as_str());
+        set(header::ROUTE, meta.route.as_str());
+        set(header::TEAM, meta.team.as_str());
+        set(header::ATTEMPT, &send.attempt.to_string());
+        set(header::INCARNATION, &send.incarnation.to_string());
+        set(header::PRIORITY, wire::priority_text(meta.priority));
+        set(header::DEADLINE_MS, &left.to_string());
+        if send.is_repeat {
+            set(header::REPEAT, "1");
+        }
+        headers
     }
-    headers
 }
 
 /// Tells what a companion's response proves.
@@ -191,7 +197,10 @@
             headers: hop::end_to_end(&req),
             body,
         };
+        self.telemetry.set_tables(&tables);
+        let began = Instant::now();
         let response = self.run_request(&meta, &incoming);
+        self.count(&route.name, began, &response);
         respond(req, response);
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod shard;
 mod snapshot;
 mod store_io;
+mod telemetry;
 
 pub use app::{App, run};
 pub use cfg::{EntryCfg, EntryFlags, entry_flags};
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -3,13 +3,14 @@
 use base::prelude::*;
 use journal::{Keys, OwnerValue};
 use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
-use serde_json::json;
 use slog::info;
 use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
+use wire::operator::Status;
 use wire::timing::ANNOUNCE_TTL;
 use wire::{
-    AnnounceReply, Announcement, Answer, EntryInfo, Gossip, Part, Reply, ShardOwner, TargetState,
+    AnnounceReply, Announcement, Answer, Call, CallToken, EntryInfo, Gossip, Part, Reply,
+    ShardOwner, TargetState,
 };
 
 use crate::EntryCfg;
@@ -25,6 +26,9 @@
 /// How long an entry counts as there after its last renewal.
 const PRESENCE_TTL: Duration = Duration::from_secs(5);
 
+/// How long the message of a planned stop may take.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The prefix of the keys under which entries are present.
 const PRESENCE_PREFIX: &str = "entry/";
 
@@ -216,6 +220,9 @@
             .doc
             .clone()
             .filter(|doc| doc.generation > msg.generation);
+        if let Some(config) = &self.config {
+            call!([config, cx], companion_at(msg.generation, msg.rpc_addr));
+        }
         if !stale {
             if !self.targets.contains_key(&msg.target) {
                 info!(
@@ -278,18 +285,34 @@
 
     pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
 
-    pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<serde_json::Value>) {
-        let targets: Vec<_> = self
-            .targets
-            .values()
-            .map(|heard| &heard.announcement)
-            .collect();
-        reply.send(json!({
-            "entry": self.info(),
-            "entries": self.entries.values().collect::<Vec<_>>(),
-            "owners": self.owners.values().collect::<Vec<_>>(),
-            "targets": targets,
-        }));
+    /// Tells a target's companion to begin a planned stop.
+    pub(crate) fn drain(&mut self, _cx: CX![], target: TargetId, reply: Reply<bool>) {
+        let heard = self.targets.get(&target);
+        if let Some(heard) = heard {
+            let token = CallToken {
+                part: Part::Config,
+                id: 0,
+            };
+            let to = heard.announcement.rpc_addr;
+            self.ports
+                .calls
+                .submit(to, token, DRAIN_TIMEOUT, Call::Drain);
+            info!(self.ports.log, "member: target {} is to leave", target);
+        }
+        reply.send(heard.is_some());
+    }
+
+    pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<Status>) {
+        let targets = self.targets.values();
+        reply.send(Status {
+            entry: self.info(),
+            entries: self.entries.values().cloned().collect(),
+            owners: self.owners.values().cloned().collect(),
+            targets: targets.map(|heard| heard.announcement.clone()).collect(),
+            store: None,
+            shards: Vec::new(),
+            promises: Vec::new(),
+        });
     }
 
     pub(crate) fn stop(&mut self, _cx: CX![]) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -99,7 +99,7 @@
                 Part::Request => {}
             },
             Event::Call(token, answer) => match token.part {
-                Part::Config => {}
+                Part::Config => call!([self.config], answer(answer)),
                 Part::Member => call!([self.member], answer(token.id, answer)),
                 Part::Batch => call!([self.shard], answer(token.id, answer)),
                 Part::Request => call!([self.request], answer(token.id, answer)),
@@ -120,6 +120,8 @@
                 call!([self.shard], cancel_here(pool, jobs, reply));
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
+            AdminEvent::Drain(target, reply) => call!([self.member], drain(target, reply)),
+            AdminEvent::StoreHealth(reply) => call!([self.config], store_health(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
         }
     }
