--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod request;
 mod rpc;
 mod shard;
+mod snapshot;
 mod store_io;
 mod telemetry;
 
@@ -19,3 +20,4 @@
 pub use event::{AdminEvent, Event, RequestEvent, StoreToken};
 pub use node::Node;
 pub use ports::{Ports, StorePort, StorePriority};
+pub use snapshot::TablesSnapshot;
