Let the randomised run send requests under the ids that decisions ask for

Cause: a retry with an idempotency key now joins the first run under its id, so that the run's own bookkeeping no longer matched the steps. Change: attempts carry the id of the step, and an answer counts as own only if that id is the request's or that of an earlier try with the same key: stricter than before.

--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use companion::{AdmitMeta, AdmitStep, StoredAnswer};
 use rand::Rng;
-use route::{AttemptEnd, RequestMeta, RequestStep};
+use route::{AttemptEnd, RequestMeta, RequestStep, SendStep};
 use tables::Priority;
 
 use crate::ports::Life;
@@ -84,38 +84,31 @@
     /// Does what the entry's decisions ask of the thread that serves a request.
     pub(crate) fn step(&mut self, request: usize, step: Option<RequestStep>) {
         match step {
-            Some(RequestStep::Send {
-                addr,
-                incarnation,
-                timeout,
-                ..
-            }) => self.send_attempt(request, proc_at(addr), incarnation, timeout),
+            Some(RequestStep::Send(send)) => self.send_attempt(request, &send),
             Some(RequestStep::Answer) => self.tell(request, Told::Answered),
             Some(RequestStep::Refuse { .. }) => self.tell(request, Told::RefusedNotRun),
             Some(RequestStep::Unknown { .. }) | None => self.tell(request, Told::Unknown),
         }
     }
 
-    fn send_attempt(
-        &mut self,
-        request: usize,
-        to: usize,
-        incarnation: Incarnation,
-        timeout: Duration,
-    ) {
+    fn send_attempt(&mut self, request: usize, send: &SendStep) {
+        let to = proc_at(send.addr);
+        let incarnation = send.incarnation;
         self.requests.next_attempt += 1;
         let attempt = self.requests.next_attempt;
         self.requests.all[request].attempt = attempt;
         self.note(format_args!("request {request} to {to}, {incarnation}"));
         let what = Caller::AttemptTimeout { request, attempt };
-        self.after(timeout, Happening::Caller(what));
+        self.after(send.timeout, Happening::Caller(what));
 
         let sent = &self.requests.all[request];
         let from = sent.life.proc;
         let meta = AdmitMeta {
-            id: sent.meta.id.clone(),
+            id: send.id.clone(),
             incarnation,
             deadline: sent.meta.deadline,
+            priority: sent.meta.priority,
+            is_repeat: send.is_repeat,
         };
         let fate = self.link(from, to).draw(&mut self.rng);
         for delay in fate.arrivals {
@@ -155,7 +148,8 @@
         let end = match step {
             AdmitStep::Run => return self.run_at_target(delivery, sent.request),
             AdmitStep::Answer { answer, load } => {
-                let own = *answer.body == *sent.meta.id.as_str().as_bytes();
+                let own = *answer.body == *sent.meta.id.as_str().as_bytes()
+                    && self.requests.is_own_work(sent.request, &sent.meta.id);
                 self.requests.all[sent.request].answer_is_own = own;
                 AttemptEnd::Answered {
                     took: Duration::from_millis(10),
@@ -193,7 +187,7 @@
         }
         let answer = Arc::new(StoredAnswer {
             status: 200,
-            content_type: None,
+            headers: Default::default(),
             body: meta.id.as_str().into(),
         });
         let finished = Arrival::Finished {
@@ -201,7 +195,9 @@
             answer: Some(answer),
         };
         self.arrive(companion, finished);
-        self.requests.all[sent.request].answer_is_own = true;
+        let id = &self.requests.deliveries[&delivery].meta.id;
+        let own = self.requests.is_own_work(sent.request, id);
+        self.requests.all[sent.request].answer_is_own = own;
         let end = AttemptEnd::Answered {
             took: Duration::from_millis(10),
             load: 0,
--- a/crates/soak/src/requests.rs
+++ b/crates/soak/src/requests.rs
@@ -59,6 +59,16 @@
         number
     }
 
+    /// Tells whether an id that a request was sent under stands for that request's own work:
+    /// it is its own id, or that of an earlier try with the same key.
+    pub(crate) fn is_own_work(&self, number: usize, id: &RequestId) -> bool {
+        let own = &self.all[number].meta;
+        let Some(other) = self.by_id.get(id).map(|at| &self.all[*at].meta) else {
+            return false;
+        };
+        other.id == own.id || (own.key.is_some() && other.key == own.key)
+    }
+
     /// Notes that a target runs a request; returns a breach.
     pub(crate) fn ran(&mut self, number: usize) -> std::result::Result<(), String> {
         let request = &mut self.all[number];
