Show the shards' work and count the ends of jobs against their objectives

status tells what waits, runs and is in quarantine in each shard, asked from every entry; metrics by pool; a job's end counts on the shard's owner when it is committed, from its submission. Test: jobs submitted, followed and cancelled through real processes, one end counted.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -10,6 +10,8 @@
     JobRef, JobSpec, JobStatus, Part, Poll, PollReply, Reply, SubmitReply,
 };
 
+use crate::shard::ShardsView;
+
 /// Matches the reply of a store call to the part that made it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StoreToken {
@@ -72,6 +74,8 @@
     Tables(Reply<Option<TablesDoc>>),
     /// Asks for the tables in force here, checked and joined.
     Parsed(Reply<Option<Arc<Tables>>>),
+    /// Asks for the shards owned here and takes over the ends of their jobs.
+    Shards(Reply<ShardsView>),
     /// Starts the planned stop of a target; tells whether the target is known.
     Drain(TargetId, Reply<bool>),
     /// Asks for what this entry sees of the store.
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -10,7 +10,7 @@
 use slog::debug;
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
-use wire::operator::{JobRequest, JobsNamed, PromiseStatus, Status, path};
+use wire::operator::{JobRequest, JobsNamed, PromiseStatus, ShardStatus, Status, path};
 use wire::{JobSpec, Outcome, SubmitReply, header};
 
 use super::proxy::{read_body, respond};
@@ -78,12 +78,13 @@
     fn status(&self) -> Option<Status> {
         let mut status = self.ask(AdminEvent::Status)?;
         status.store = self.ask(AdminEvent::StoreHealth);
+        status.shards = self.take_up_shards();
         status.promises = Promise::counts().iter().map(promise_status).collect();
         Some(status)
     }
 
     fn metrics(&self) -> Response<Cursor<Vec<u8>>> {
-        self.take_up_tables();
+        self.take_up_shards();
         if let Some(status) = self.ask(AdminEvent::Status) {
             self.telemetry.metrics().set_targets(status.targets.len());
         }
@@ -94,10 +95,18 @@
     }
 
     fn burn(&self) -> BurnSnapshot {
-        self.take_up_tables();
+        self.take_up_shards();
         self.telemetry.snapshot(Instant::now())
     }
 
+    /// Counts what the shards owned here hold and which of their jobs ended.
+    fn take_up_shards(&self) -> Vec<ShardStatus> {
+        self.take_up_tables();
+        let view = self.ask(AdminEvent::Shards).unwrap_or_default();
+        self.telemetry.shards(&view, Instant::now());
+        view.shards
+    }
+
     fn take_up_tables(&self) {
         if let Some(tables) = self.ask(AdminEvent::Parsed).flatten() {
             self.telemetry.set_tables(&tables);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -115,6 +115,7 @@
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
             AdminEvent::Parsed(reply) => call!([self.config], parsed(reply)),
+            AdminEvent::Shards(reply) => call!([self.shard], view(reply)),
             AdminEvent::Drain(target, reply) => call!([self.member], drain(target, reply)),
             AdminEvent::StoreHealth(reply) => call!([self.config], store_health(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -2,6 +2,7 @@
 
 mod forward;
 mod owned;
+mod view;
 
 use base::prelude::*;
 use journal::OwnerCfg;
@@ -16,6 +17,7 @@
 
 use self::forward::Forwarded;
 use self::owned::Shard;
+pub use self::view::{JobEnd, ShardsView};
 use crate::EntryCfg;
 use crate::ports::Ports;
 
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -15,6 +15,7 @@
 use wire::{ClaimReply, DoneAck, JobRef, JobStatus, Reply, SubmitReply, TaskEnd};
 
 use self::polls::HeldPoll;
+use super::view::Ends;
 use crate::ports::StorePriority;
 
 /// How many decisions one tick carries out at most.
@@ -66,11 +67,11 @@
 
 /// One shard, owned or stood by for.
 pub(super) struct Shard {
-    owner: Owner,
-    placer: Placer,
+    pub(super) owner: Owner,
+    pub(super) placer: Placer,
     placer_seed: u64,
-    pool: Option<Arc<Pool>>,
-    shard: ShardId,
+    pub(super) pool: Option<Arc<Pool>>,
+    pub(super) shard: ShardId,
     clock: Arc<dyn Clock>,
     log: Logger,
     workers: IndexMap<WorkerId, WorkerState>,
@@ -88,6 +89,7 @@
     next_group: u64,
     takeover_until: Instant,
     store_calls: Vec<ShardStoreCall>,
+    pub(super) ends: Ends,
 }
 
 impl Shard {
@@ -120,6 +122,7 @@
             next_group: 0,
             takeover_until: now,
             store_calls: Vec::new(),
+            ends: Ends::default(),
         }
     }
 
@@ -265,7 +268,7 @@
         }
     }
 
-    fn wall_ms(&self) -> u64 {
+    pub(super) fn wall_ms(&self) -> u64 {
         let since = self
             .clock
             .wall()
@@ -320,6 +323,7 @@
     }
 
     fn committed(&mut self, now: Instant, ticket: Ticket, change: &Change) {
+        self.note_end(change);
         match change {
             Change::Submitted { job, spec, .. } => {
                 self.submitting.swap_remove(&spec.key);
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -7,6 +7,8 @@
 use tables::Tables;
 use wire::Outcome;
 
+use crate::shard::ShardsView;
+
 /// Metrics and the burn of objectives.
 #[derive(Debug)]
 pub(crate) struct Telemetry {
@@ -59,6 +61,24 @@
         burn.record(now, &sample);
     }
 
+    /// Counts the ends of jobs, and what the shards owned here hold.
+    pub(crate) fn shards(&self, view: &ShardsView, now: Instant) {
+        for shard in &view.shards {
+            self.metrics
+                .set_jobs(&shard.pool, shard.queued, shard.running);
+        }
+        let mut burn = self.burn.lock();
+        for end in &view.ends {
+            let reason = if end.is_finished { "late" } else { "failed" };
+            let sample = Sample {
+                route: &end.route,
+                is_good: end.is_finished && burn.is_within(&end.route, end.took),
+                offender: &format!("{reason}: class {}", end.class),
+            };
+            burn.record(now, &sample);
+        }
+    }
+
     pub(crate) fn snapshot(&self, now: Instant) -> BurnSnapshot {
         self.burn.lock().snapshot(now)
     }
--- a/crates/ops/src/command/fleet.rs
+++ b/crates/ops/src/command/fleet.rs
@@ -23,7 +23,15 @@
 
 /// Shows what an entry knows of the fleet.
 pub(super) fn status(cx: &dyn Context, entry: &EntryFlags) -> Result<Outcome, Failure> {
-    let status = cx.entry(entry)?.status()?;
+    let mut status = cx.entry(entry)?.status()?;
+    let others = other_entries(&status).map(|other| at(entry, other));
+    for other in others.collect::<Vec<_>>() {
+        // What can't be asked is left out; its shards show without their counts.
+        let asked = cx.entry(&other).and_then(|entry| entry.status());
+        status
+            .shards
+            .extend(asked.map_or_else(|_| Vec::new(), |other| other.shards));
+    }
     let json =
         serde_json::to_value(&status).map_err(|e| Failure::new(Exit::Fault, e.to_string()))?;
     Ok(Outcome::done(status_text(&status), json))
--- /dev/null
+++ b/tests/config/jobs.rs
@@ -0,0 +1,68 @@
+//! Jobs as operators see them.
+
+use base::prelude::*;
+use ops::EntryPort;
+use wire::operator::{JobRequest, JobsNamed};
+use wire::{JobPhase, JobRef, SubmitReply};
+
+use crate::rig::{Desk, client, companion, wait_for_generation, wait_until};
+
+fn request(key: &str, run_time: Duration) -> JobRequest {
+    JobRequest {
+        route: RouteName::from("proof"),
+        key: JobKey::from(key),
+        team: None,
+        after: None,
+        resources: None,
+        run_time: Some(run_time),
+        payload: "".into(),
+    }
+}
+
+fn named(key: &str) -> JobsNamed {
+    let pool = PoolName::from("manuscript-desk");
+    JobsNamed {
+        jobs: vec![JobRef::Key(pool.clone(), JobKey::from(key))],
+        pool,
+    }
+}
+
+#[test]
+fn jobs_are_submitted_followed_and_cancelled_and_their_ends_count() {
+    let desk = Desk::start();
+    let app = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    let (target, worker) = (crate::target(), crate::worker());
+    let companion = companion(target.addr(), worker.addr(), &[app.cfg().rpc_addr]);
+    wait_for_generation(app.http_addr(), applied);
+    let entry = client(app.http_addr());
+    let phase = |key: &str| {
+        let found = entry.find(&named(key)).expect("find");
+        found.first().map(|status| status.phase.clone())
+    };
+    let submit = |key: &str, run_time| {
+        let submitted = entry.submit(&request(key, run_time));
+        matches!(submitted, Ok(SubmitReply::Accepted { .. }))
+    };
+
+    wait_until(|| submit("quick", Duration::from_millis(10)));
+    wait_until(|| submit("long", Duration::from_secs(3600)));
+    wait_until(|| phase("quick") == Some(JobPhase::Finished));
+    wait_until(|| matches!(phase("long"), Some(JobPhase::Running { .. })));
+    let running = entry.status().expect("status").shards[0].running;
+    wait_until(|| {
+        entry.cancel(&named("long")).is_ok() && phase("long") == Some(JobPhase::Cancelled)
+    });
+    let burn = entry.burn().expect("burn");
+
+    assert_eq!(running, 1);
+    assert_eq!(phase("unknown"), None);
+    let proof = burn
+        .routes
+        .iter()
+        .find(|route| route.route.as_str() == "proof");
+    let week = proof.expect("route with an objective").week;
+    assert_eq!((week.total, week.bad), (1, 0));
+    companion.kill();
+    app.kill();
+}
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -1,6 +1,7 @@
 //! The tables in force in real processes, under outages, stale reads and garbage.
 
 mod garbage;
+mod jobs;
 mod rig;
 
 use std::sync::Barrier;
