Ask only for changes of the tables each second, not for the tables

The read is a watch that does not wait, on the threads of other reads; the tables are read whole at the start, where the store forgot older changes, and where it counts from below.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -1,11 +1,13 @@
 //! The tables in force: read from the store, never taken back to a lower generation.
 
 mod sync;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::store::{KeyValue, StoreCall, StoreReply};
+use platform::store::{KeyValue, Revision, StoreCall, StoreReply};
 use slog::{error, info, warn};
 use stakker::{Actor, CX, after, call};
 use tables::{InForce, Offer, Tables, TablesDoc};
@@ -66,18 +68,19 @@
         Some(this)
     }
 
+    /// Reads the tables, or only what changed since, so that no tables travel in vain.
     fn read(&self) {
-        let key = TablesDoc::KEY.into();
-        self.call_store(READ, StoreCall::Get { key });
+        let call = if self.sync.must_read() {
+            let key = TablesDoc::KEY.into();
+            StoreCall::Get { key }
+        } else {
+            changes(self.sync.seen(), Duration::ZERO)
+        };
+        self.call_store(READ, call);
     }
 
     fn watch(&self) {
-        let call = StoreCall::Watch {
-            prefix: TablesDoc::KEY.into(),
-            after: self.sync.seen(),
-            wait: WATCH_WAIT,
-        };
-        self.call_store(WATCH, call);
+        self.call_store(WATCH, changes(self.sync.seen(), WATCH_WAIT));
     }
 
     fn call_store(&self, id: u64, call: StoreCall) {
@@ -91,14 +94,18 @@
         match reply {
             Ok(StoreReply::Got(found)) => {
                 let revision = found.as_ref().map_or(0, |kv| kv.revision);
+                self.sync.was_read();
                 self.sync.store_answered(cx.now(), revision);
                 if let Some(KeyValue { key, value, .. }) = found {
                     self.read_value(cx, &key, &value);
                 }
             }
             Ok(StoreReply::Watched {
-                events, revision, ..
+                events,
+                revision,
+                compacted,
             }) => {
+                self.sync.changes_told(revision, compacted);
                 self.sync.store_answered(cx.now(), revision);
                 for event in events {
                     if let Some(value) = event.value {
@@ -241,3 +248,12 @@
         });
     }
 }
+
+/// Asks for the changes of the tables after a revision.
+fn changes(after: Revision, wait: Duration) -> StoreCall {
+    StoreCall::Watch {
+        prefix: TablesDoc::KEY.into(),
+        after,
+        wait,
+    }
+}
--- a/crates/entry/src/config/sync.rs
+++ b/crates/entry/src/config/sync.rs
@@ -35,6 +35,7 @@
     /// The entries named in the settings.
     seeds: Vec<SocketAddr>,
     seen: Revision,
+    must_read: bool,
     answered: Option<Instant>,
     started: Instant,
     watch_pause: Duration,
@@ -45,17 +46,39 @@
         Self {
             seeds,
             seen: 0,
+            must_read: true,
             answered: None,
             started: now,
             watch_pause: FIRST_PAUSE,
         }
     }
 
-    /// Returns the revision after which the watch goes on.
+    /// Returns the revision after which changes are asked for.
     pub(crate) fn seen(&self) -> Revision {
         self.seen
     }
 
+    /// Tells whether the tables have to be read whole.
+    pub(crate) fn must_read(&self) -> bool {
+        self.must_read
+    }
+
+    /// Notes that the tables were read whole.
+    pub(crate) fn was_read(&mut self) {
+        self.must_read = false;
+    }
+
+    /// Notes the revision that a store told changes up to.
+    ///
+    /// Where the store forgot older changes, or counts from a lower revision than it did, the
+    /// tables have to be read whole.
+    pub(crate) fn changes_told(&mut self, revision: Revision, is_compacted: bool) {
+        if is_compacted || revision < self.seen {
+            self.must_read = true;
+            self.seen = revision;
+        }
+    }
+
     /// Notes an answer of the store that shows it at `revision`.
     pub(crate) fn store_answered(&mut self, now: Instant, revision: Revision) {
         self.answered = Some(now);
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -144,7 +144,7 @@
 impl StorePort for StoreIo {
     fn submit(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
         let shared = match call {
-            StoreCall::Watch { .. } => &self.watches,
+            StoreCall::Watch { wait, .. } if !wait.is_zero() => &self.watches,
             _ => &self.shared,
         };
         shared.push(priority, token, call);
