--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -16,6 +16,7 @@
 
 use self::polls::HeldPoll;
 use self::riding::{Riding, Term};
+use super::view::Ends;
 use crate::ports::StorePriority;
 
 /// How many decisions one tick carries out at most.
@@ -69,11 +70,11 @@
 
 /// One shard, owned or stood by for.
 pub(super) struct Shard {
-    owner: Owner,
-    placer: Placer,
+    pub(super) owner: Owner,
+    pub(super) placer: Placer,
     placer_seed: u64,
-    pool: Option<Arc<Pool>>,
-    shard: ShardId,
+    pub(super) pool: Option<Arc<Pool>>,
+    pub(super) shard: ShardId,
     clock: Arc<dyn Clock>,
     log: Logger,
     workers: IndexMap<WorkerId, WorkerState>,
@@ -95,6 +96,7 @@
     riding: Option<Riding>,
     term: Option<Term>,
     store_calls: Vec<ShardStoreCall>,
+    pub(super) ends: Ends,
 }
 
 impl Shard {
@@ -130,6 +132,7 @@
             riding: None,
             term: None,
             store_calls: Vec::new(),
+            ends: Ends::default(),
         }
     }
 
@@ -301,7 +304,7 @@
         }
     }
 
-    fn wall_ms(&self) -> u64 {
+    pub(super) fn wall_ms(&self) -> u64 {
         let since = self
             .clock
             .wall()
@@ -366,6 +369,7 @@
     }
 
     fn committed(&mut self, now: Instant, ticket: Ticket, change: &Change) {
+        self.note_end(change);
         match change {
             Change::Submitted { job, spec, .. } => {
                 self.submitting.swap_remove(&spec.key);
