Assign no job whose cancellation is being committed

Cause: a placement was proposed while the cancellation of its job stood proposed and uncommitted before it (both then land in the log in this order). The state refused it, so nothing ran, but the promise of one place was counted as broken, in every entry that read the log. Ruled out: a stale placer view (the job was queued when it decided). Mended where the proposal is made. The new test of the actors fails without it (one_place: assigned to vm-1 while Cancelled) and passes with it.

--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -346,7 +346,7 @@
             .owner
             .state()
             .job(job)
-            .filter(|j| j.state == JobState::Queued)
+            .filter(|j| j.state == JobState::Queued && !self.is_being_cancelled(&j.id))
         else {
             self.placer.placement_dropped(job);
             return;
@@ -365,6 +365,13 @@
         );
     }
 
+    /// Tells whether a cancellation of the job is proposed and not committed yet.
+    fn is_being_cancelled(&self, job: &JobId) -> bool {
+        self.owner
+            .proposed()
+            .any(|change| matches!(change, Change::Cancelled { job: other } if other == job))
+    }
+
     fn committed(&mut self, now: Instant, ticket: Ticket, change: &Change) {
         match change {
             Change::Submitted { job, spec, .. } => {
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use wire::timing::{DRIFT, KEEP_FOR};
-use wire::{JobPhase, SubmitReply};
+use wire::{JobPhase, JobSpec, SubmitReply};
 
 use world::{GRACE, SECOND, World, spec};
 
@@ -264,3 +264,29 @@
         "{again:?}"
     );
 }
+
+#[test]
+fn job_whose_cancellation_is_being_committed_is_not_assigned() {
+    let mut world = World::new(1, 2);
+    world.kill_companion(1);
+    world.run(SECOND * 8);
+    let most_of_a_worker = |name| JobSpec {
+        resources: Resources::new(40_000, 1_024, 0),
+        ..spec(name, HOUR)
+    };
+    world.submit(0, most_of_a_worker("runs"));
+    world.submit(0, most_of_a_worker("waits"));
+
+    // The cancellation cannot be committed yet when a worker with room appears.
+    world.set_store(false);
+    world.start_companion(1);
+    world.cancel(0, vec![world::key("waits")]);
+    world.run(SECOND);
+    world.set_store(true);
+    world.run(SECOND * 5);
+
+    // An assignment of the cancelled job would have broken a promise, which panics.
+    let status = world.status(0, "waits").map(|s| s.phase);
+    assert_eq!(status, Some(JobPhase::Cancelled));
+    assert_eq!(world.runs(), 1);
+}
