Hold the store to a budget, honour job dependencies, tell unknown from missing

Causes: every entry called the store as often as its parts liked, and kept calling while it was down; a job's `after` was ignored; a status asked while no owner could answer looked like a job that does not exist, and a cancellation like one of nothing.

Jobs wait for the one before them, or fail with the reason when that did not finish. Cancel and status without an owner give no answer (503 to operators), and submissions are refused above 20,000 changes in the backlog.

Contracts, additive: Change::Abandoned. http/admin.rs: the query tells 503. Tests: crates/entry/tests/{budget,outage}.rs, also cancel racing finish and standing tasks.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -95,10 +95,12 @@
         );
 
         let store_events = events.clone();
-        let store_io = Arc::new(StoreIo::start(&store, move |token, reply| {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let store_io = StoreIo::start(&store, &clock, &telemetry, move |token, reply| {
             // The actors may have ended first; then nobody wants the reply.
             drop(store_events.send(Event::Store(token, reply)));
-        }));
+        });
+        let store_io = Arc::new(store_io);
         let call_events = events.clone();
         let client_cfg = ClientCfg {
             runtime: runtime.handle().clone(),
@@ -108,7 +110,7 @@
         })
         .with_token(token.as_ref())?;
         let ports = Ports {
-            clock: Arc::new(SystemClock),
+            clock,
             store: Arc::clone(&store_io) as Arc<dyn crate::StorePort>,
             calls: Arc::new(calls),
             log: log.clone(),
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -148,11 +148,18 @@
             Ok(named) => named,
             Err(e) => return text(400, &format!("expected a pool and jobs: {e}\n")),
         };
-        let statuses = named.jobs.into_iter().map(|job| {
-            self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply))
-                .flatten()
-        });
-        json_response(200, &statuses.collect::<Vec<_>>())
+        let statuses = named
+            .jobs
+            .into_iter()
+            .map(|job| self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply)));
+        match statuses.collect::<Option<Vec<_>>>() {
+            Some(statuses) => json_response(200, &statuses),
+            // Not to be mistaken for jobs that do not exist.
+            None => text(
+                503,
+                "the owner of the pool cannot be asked now; ask again\n",
+            ),
+        }
     }
 
     fn cancel(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,3 +19,4 @@
 pub use event::{AdminEvent, Event, RequestEvent, StoreToken};
 pub use node::Node;
 pub use ports::{Ports, StorePort, StorePriority};
+pub use store_io::{Permit, StoreBudget};
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -189,10 +189,11 @@
         job: JobRef,
         reply: Reply<Option<JobStatus>>,
     ) {
-        let status = self
-            .owned(cx.now(), shard)
-            .and_then(|shard| shard.status(&job));
-        reply.send(status);
+        match self.owned(cx.now(), shard) {
+            Some(shard) => reply.send(shard.status(&job)),
+            // Whether there is such a job cannot be told here: no answer says so.
+            None => drop(reply),
+        }
     }
 
     pub(crate) fn cancel(
@@ -204,7 +205,7 @@
     ) {
         match self.owned(cx.now(), shard) {
             Some(owned) => owned.cancel(cx.now(), &jobs, reply),
-            None => reply.send(Vec::new()),
+            None => drop(reply),
         }
         self.commit(cx.now(), shard);
     }
--- a/crates/entry/src/shard/forward.rs
+++ b/crates/entry/src/shard/forward.rs
@@ -57,7 +57,8 @@
         }
         match self.owner_addr(shard) {
             Some(to) => self.forward(to, Call::Job(shard, job), Forwarded::Job(reply)),
-            None => reply.send(None),
+            // Dropped: "ask again" is not "no such job".
+            None => drop(reply),
         }
     }
 
@@ -74,7 +75,7 @@
         }
         match self.owner_addr(shard) {
             Some(to) => self.forward(to, Call::Cancel(shard, jobs), Forwarded::Cancel(reply)),
-            None => reply.send(Vec::new()),
+            None => drop(reply),
         }
     }
 
@@ -102,14 +103,16 @@
         };
         match owed {
             Forwarded::Submit(reply) => reply.send(submit_reply(answer)),
-            Forwarded::Job(reply) => reply.send(match answer {
-                Ok(Answer::Job(status)) => status,
-                _ => None,
-            }),
-            Forwarded::Cancel(reply) => reply.send(match answer {
-                Ok(Answer::Cancel(jobs)) => jobs,
-                _ => Vec::new(),
-            }),
+            Forwarded::Job(reply) => {
+                if let Ok(Answer::Job(status)) = answer {
+                    reply.send(status);
+                }
+            }
+            Forwarded::Cancel(reply) => {
+                if let Ok(Answer::Cancel(jobs)) = answer {
+                    reply.send(jobs);
+                }
+            }
         }
     }
 }
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -1,5 +1,6 @@
 //! One shard: its ownership, its placer, and the polls of its workers.
 
+mod after;
 mod calls;
 mod polls;
 mod riding;
@@ -83,6 +84,8 @@
     submitting: IndexMap<JobKey, Ticket>,
     ending: IndexSet<TaskKey>,
     claiming: IndexMap<(RouteName, Name), Ticket>,
+    /// Jobs that wait, by the key of the job that they wait for.
+    blocked: IndexMap<JobKey, IndexSet<JobId>>,
     evicting: IndexSet<TaskKey>,
     throttles: IndexMap<TaskKey, f64>,
     /// Workers that may have something to learn.
@@ -120,6 +123,7 @@
             submitting: IndexMap::new(),
             ending: IndexSet::new(),
             claiming: IndexMap::new(),
+            blocked: IndexMap::new(),
             evicting: IndexSet::new(),
             throttles: IndexMap::new(),
             changed: IndexSet::new(),
@@ -194,8 +198,8 @@
 
     fn status_of(&self, job: &Job) -> JobStatus {
         job.status(|| {
-            self.placer
-                .why_waiting(&job.id)
+            self.waits_for(job)
+                .or_else(|| self.placer.why_waiting(&job.id))
                 .unwrap_or_else(|| "queued".into())
         })
     }
@@ -240,7 +244,7 @@
                 JobState::Assigned { worker, granted } => {
                     self.adopt(now, &job, worker, *granted);
                 }
-                _ => self.placer.job_queued(now, self.ask_of(&job, now)),
+                _ => self.queue(now, &job),
             }
         }
     }
@@ -252,6 +256,7 @@
         }
         self.workers.clear();
         self.changed.clear();
+        self.blocked.clear();
         self.evicting.clear();
         self.throttles.clear();
         self.ordered.clear();
@@ -370,7 +375,7 @@
             Change::Submitted { job, spec, .. } => {
                 self.submitting.swap_remove(&spec.key);
                 if let Some(job) = self.owner.state().job(job).cloned() {
-                    self.placer.job_queued(now, self.ask_of(&job, now));
+                    self.queue(now, &job);
                 }
             }
             Change::Assigned {
@@ -393,6 +398,7 @@
                 let at = (claim.route.clone(), Arc::clone(&claim.key));
                 self.claiming.swap_remove(&at);
             }
+            Change::Abandoned { job, .. } => self.job_cancelled(now, job),
             Change::Clock { .. } | Change::Grace { .. } | Change::HandedOver => {}
         }
         self.tell_waiters(ticket);
@@ -427,8 +433,9 @@
             .job(&key.job)
             .filter(|job| job.state == JobState::Queued);
         if let Some(job) = job.cloned() {
-            self.placer.job_queued(now, self.ask_of(&job, now));
+            self.queue(now, &job);
         }
+        self.release_after(now, &key.job);
     }
 
     fn job_cancelled(&mut self, now: Instant, job: &JobId) {
@@ -468,9 +475,8 @@
         for (_, group) in self.done_groups.drain(..) {
             group.reply.send(DoneAck::default());
         }
-        for (_, group) in self.cancel_groups.drain(..) {
-            group.reply.send(Vec::new());
-        }
+        // What became of the cancellations is not known: no answer says so.
+        self.cancel_groups.clear();
         match by {
             DeposedBy::LeaseEnd => self.riding_begins(now),
             DeposedBy::Another | DeposedBy::Resignation => self.release_polls(None),
--- a/crates/entry/src/shard/owned/calls.rs
+++ b/crates/entry/src/shard/owned/calls.rs
@@ -9,6 +9,9 @@
 
 use super::{Group, Shard, Waiter};
 
+/// How many changes may wait to be committed before submissions are refused.
+const MAX_BACKLOG: usize = 20_000;
+
 impl Shard {
     pub(in crate::shard) fn submit(
         &mut self,
@@ -30,6 +33,14 @@
         if let Some(&ticket) = self.submitting.get(&spec.key) {
             return self.join_submission(ticket, reply);
         }
+        if self.owner.backlog() > MAX_BACKLOG {
+            let reason = "backlog".into();
+            return reply.send(SubmitReply::Refused { reason });
+        }
+        if spec.after.as_ref() == Some(&spec.key) {
+            let reason = "waits-for-itself".into();
+            return reply.send(SubmitReply::Refused { reason });
+        }
         let job = self.draw_job_id();
         if let Verdict::Never { reason } = self.placer.check(&ask_for(&job, &spec)) {
             reply.send(SubmitReply::Refused { reason });
@@ -169,7 +180,7 @@
             reply.send(ClaimReply::Held(held.clone()));
             return;
         }
-        if self.claiming.contains_key(&at) {
+        if self.claiming.contains_key(&at) || self.owner.backlog() > MAX_BACKLOG {
             reply.send(ClaimReply::Refused {
                 reason: "claim-in-progress".into(),
             });
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -1,5 +1,7 @@
 //! The adapter of the store port: threads that make blocking calls, most urgent first.
 
+mod budget;
+
 use std::collections::BinaryHeap;
 use std::fmt;
 use std::thread::JoinHandle;
@@ -8,12 +10,17 @@
 use parking_lot::{Condvar, Mutex};
 use platform::store::{Store, StoreCall, StoreReply};
 
+pub use self::budget::{Permit, StoreBudget};
 use crate::event::StoreToken;
 use crate::ports::{StorePort, StorePriority};
+use crate::telemetry::Telemetry;
 
 /// How many calls are made at once.
 const THREADS: usize = 4;
 
+/// How many calls for leases are made at once, whatever else waits for a slow store.
+const LEASE_THREADS: usize = 2;
+
 /// A call that waits for a thread.
 struct Queued {
     priority: StorePriority,
@@ -56,6 +63,50 @@
     ready: Condvar,
 }
 
+/// What a thread does with the next call.
+enum Next {
+    Make(Queued),
+    Refuse(Queued),
+    Close,
+}
+
+/// Makes the calls of one thread.
+struct Caller {
+    store: Arc<dyn Store>,
+    clock: Arc<dyn Clock>,
+    budget: Arc<Mutex<StoreBudget>>,
+    telemetry: Arc<Telemetry>,
+}
+
+impl Caller {
+    fn make(&self, call: &StoreCall) -> Result<StoreReply> {
+        let began = self.clock.now();
+        let reply = self.store.call(call);
+        let now = self.clock.now();
+        let took = now.saturating_duration_since(began);
+        let metrics = self.telemetry.metrics();
+        metrics.store_call(call.kind(), reply.is_ok(), took);
+        self.budget.lock().ended(now, is_reached(&reply));
+        reply
+    }
+}
+
+/// Tells whether the store answered, be it with a refusal of its own.
+fn is_reached(reply: &Result<StoreReply>) -> bool {
+    reply.as_ref().map_or_else(
+        |e| {
+            !e.kind().is_outcome_unknown()
+                && !matches!(e.kind(), ErrorKind::Unreachable | ErrorKind::Overloaded)
+        },
+        |_| true,
+    )
+}
+
+fn out_of_reach(call: &StoreCall) -> Error {
+    let message = "the store is out of reach; the call was not made";
+    Error::new(ErrorKind::Unreachable, call.kind(), "store", message)
+}
+
 impl Shared {
     fn push(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
         let mut queue = self.queue.lock();
@@ -82,9 +133,10 @@
 
 /// Makes store calls on a few threads and hands their replies to a sink.
 ///
-/// Watches have a thread of their own, so that their waits hold up nothing else.
+/// Watches and leases have threads of their own, so that nothing holds leases up.
 pub(crate) struct StoreIo {
     shared: Arc<Shared>,
+    leases: Arc<Shared>,
     watches: Arc<Shared>,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -92,26 +144,46 @@
 impl StoreIo {
     pub(crate) fn start(
         store: &Arc<dyn Store>,
+        clock: &Arc<dyn Clock>,
+        telemetry: &Arc<Telemetry>,
         sink: impl Fn(StoreToken, Result<StoreReply>) + Send + Sync + 'static,
     ) -> Self {
         let shared = Arc::new(Shared::default());
+        let leases = Arc::new(Shared::default());
         let watches = Arc::new(Shared::default());
         let sink = Arc::new(sink);
+        let budget = StoreBudget::new(clock.now(), rand::random());
+        let budget = Arc::new(Mutex::new(budget));
         let spawn = |shared: &Arc<Shared>| {
             let shared = Arc::clone(shared);
-            let store = Arc::clone(store);
+            let caller = Caller {
+                store: Arc::clone(store),
+                clock: Arc::clone(clock),
+                budget: Arc::clone(&budget),
+                telemetry: Arc::clone(telemetry),
+            };
             let sink = Arc::clone(&sink);
             std::thread::spawn(move || {
-                while let Some(queued) = next(&shared) {
-                    sink(queued.token, store.call(&queued.call));
+                loop {
+                    match next(&shared, &caller) {
+                        Next::Make(queued) => sink(queued.token, caller.make(&queued.call)),
+                        Next::Refuse(queued) => {
+                            sink(queued.token, Err(out_of_reach(&queued.call)));
+                        }
+                        Next::Close => return,
+                    }
                 }
             })
         };
-        let threads = (0..THREADS).map(|_| spawn(&shared)).collect();
+        let common = (0..THREADS).map(|_| spawn(&shared));
+        let threads = common
+            .chain((0..LEASE_THREADS).map(|_| spawn(&leases)))
+            .collect();
         // Nobody waits for this thread's end: its last watch may take long.
         drop(spawn(&watches));
         Self {
             shared,
+            leases,
             watches,
             threads: Mutex::new(threads),
         }
@@ -120,6 +192,7 @@
     /// Drops what waits and ends the threads after the calls in progress.
     pub(crate) fn stop(&self) {
         self.shared.close();
+        self.leases.close();
         self.watches.close();
         for thread in self.threads.lock().drain(..) {
             drop(thread.join());
@@ -127,17 +200,28 @@
     }
 }
 
-/// Waits for the next call; `None` once the queue is closed.
-fn next(shared: &Shared) -> Option<Queued> {
+/// Waits for the next call that may be made or must be refused.
+fn next(shared: &Shared, caller: &Caller) -> Next {
     let mut queue = shared.queue.lock();
     loop {
         if queue.is_closed {
-            return None;
+            return Next::Close;
         }
-        if let Some(queued) = queue.waiting.pop() {
-            return Some(queued);
+        let Some(first) = queue.waiting.pop() else {
+            shared.ready.wait(&mut queue);
+            continue;
+        };
+        let now = caller.clock.now();
+        let permit = caller.budget.lock().take(now, first.priority, &first.call);
+        match permit {
+            Permit::Now => return Next::Make(first),
+            Permit::Refused => return Next::Refuse(first),
+            Permit::At(at) => {
+                queue.waiting.push(first);
+                let wait = at.saturating_duration_since(now);
+                shared.ready.wait_for(&mut queue, wait);
+            }
         }
-        shared.ready.wait(&mut queue);
     }
 }
 
@@ -145,6 +229,7 @@
     fn submit(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
         let shared = match call {
             StoreCall::Watch { .. } => &self.watches,
+            _ if priority == StorePriority::Lease => &self.leases,
             _ => &self.shared,
         };
         shared.push(priority, token, call);
--- /dev/null
+++ b/crates/entry/tests/budget.rs
@@ -0,0 +1,135 @@
+//! What an entry asks of the store, at its rate and while the store is out of reach.
+
+use base::prelude::*;
+use entry::{Permit, StoreBudget, StorePriority};
+use platform::store::StoreCall;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn write() -> StoreCall {
+    StoreCall::LeaseRenew { lease: 1 }
+}
+
+fn read() -> StoreCall {
+    StoreCall::Get { key: "key".into() }
+}
+
+fn watch() -> StoreCall {
+    StoreCall::Watch {
+        prefix: "key".into(),
+        after: 0,
+        wait: SECOND * 30,
+    }
+}
+
+/// Makes as many commits as the budget permits over a time.
+fn commits(budget: &mut StoreBudget, from: Instant, time: Duration) -> u32 {
+    let mut made = 0;
+    let mut now = from;
+    while now < from + time {
+        match budget.take(now, StorePriority::Commit, &write()) {
+            Permit::Now => made += 1,
+            Permit::At(at) => now = at.max(now + Duration::from_millis(1)),
+            Permit::Refused => break,
+        }
+    }
+    made
+}
+
+/// Fails calls until the store counts as out of reach.
+fn opened(now: Instant) -> StoreBudget {
+    let mut budget = StoreBudget::new(now, 7);
+    while !budget.is_open() {
+        budget.take(now, StorePriority::Commit, &write());
+        budget.ended(now, false);
+    }
+    budget
+}
+
+#[test]
+fn three_busy_entries_stay_within_the_rate_of_the_store() {
+    let now = Instant::now();
+    let mut budget = StoreBudget::new(now, 1);
+    commits(&mut budget, now, SECOND * 10);
+
+    let steady = commits(&mut budget, now + SECOND * 10, SECOND * 10);
+
+    assert!(steady > 0);
+    assert!(3 * steady / 10 <= 300, "{steady} writes in 10 s");
+}
+
+#[test]
+fn lease_passes_where_commits_wait() {
+    let now = Instant::now();
+    let mut budget = StoreBudget::new(now, 1);
+    while budget.take(now, StorePriority::Commit, &write()) == Permit::Now {}
+
+    let lease = budget.take(now, StorePriority::Lease, &write());
+
+    assert_eq!(lease, Permit::Now);
+}
+
+#[test]
+fn reads_and_writes_have_rates_of_their_own() {
+    let now = Instant::now();
+    let mut budget = StoreBudget::new(now, 1);
+    while budget.take(now, StorePriority::Commit, &write()) == Permit::Now {}
+
+    let permit = budget.take(now, StorePriority::Commit, &read());
+
+    assert_eq!(permit, Permit::Now);
+}
+
+#[test]
+fn calls_are_refused_at_once_while_the_store_is_out_of_reach() {
+    let now = Instant::now();
+    let mut budget = opened(now);
+
+    let permit = budget.take(now, StorePriority::Commit, &write());
+
+    assert_eq!(permit, Permit::Refused);
+}
+
+#[test]
+fn one_call_at_a_time_probes_and_a_good_one_closes_the_circuit() {
+    let now = Instant::now();
+    let mut budget = opened(now);
+    let later = now + SECOND * 5;
+
+    let as_watch = budget.take(later, StorePriority::Config, &watch());
+    let probe = budget.take(later, StorePriority::Lease, &write());
+    let second = budget.take(later, StorePriority::Lease, &write());
+    budget.ended(later, true);
+    let after = budget.take(later, StorePriority::Commit, &write());
+
+    assert_eq!(as_watch, Permit::Refused);
+    assert_eq!((probe, second), (Permit::Now, Permit::Refused));
+    assert_eq!(after, Permit::Now);
+}
+
+#[test]
+fn failed_probes_wait_longer_each_time_and_differ_between_entries() {
+    let waits = |seed: u64| {
+        let mut now = Instant::now();
+        let start = now;
+        let mut budget = StoreBudget::new(now, seed);
+        let mut probes = Vec::new();
+        while probes.len() < 16 {
+            match budget.take(now, StorePriority::Lease, &write()) {
+                Permit::Now => {
+                    budget.ended(now, false);
+                    probes.push(now - start);
+                }
+                _ => now += Duration::from_millis(1),
+            }
+        }
+        probes
+    };
+
+    let (one, other) = (waits(1), waits(2));
+
+    let gap = |at: usize| one[at] - one[at - 1];
+    assert!(gap(12) > gap(6));
+    assert!(gap(15) <= SECOND * 5);
+    assert_ne!(one, other);
+}
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use wire::timing::{DRIFT, KEEP_FOR};
-use wire::{JobPhase, SubmitReply};
+use wire::{JobPhase, JobSpec, SubmitReply};
 
 use world::{GRACE, SECOND, World, spec};
 
@@ -264,3 +264,96 @@
         "{again:?}"
     );
 }
+
+#[test]
+fn job_waits_for_the_one_before_it() {
+    let mut world = World::new(2, 1);
+    world.run(SECOND * 4);
+    let second = JobSpec {
+        after: Some("first".into()),
+        ..spec("second", SECOND)
+    };
+
+    world.submit(0, second);
+    let waiting = world.status(1, "second").map(|s| s.phase);
+    world.submit(0, spec("first", SECOND * 3));
+    world.run(SECOND);
+    let still = world.runs();
+    world.run(SECOND * 8);
+
+    let reason = "waits for job first".into();
+    assert_eq!(waiting, Some(JobPhase::Queued { reason }));
+    assert_eq!(still, 1);
+    assert_eq!(
+        world.status(0, "second").map(|s| s.phase),
+        Some(JobPhase::Finished)
+    );
+}
+
+#[test]
+fn job_after_a_cancelled_one_fails_with_the_reason() {
+    let mut world = busy(2, 1, 1);
+    let next = JobSpec {
+        after: Some("job-0".into()),
+        ..spec("next", SECOND)
+    };
+    world.submit(0, next);
+
+    world.cancel(1, vec![world::key("job-0")]);
+    world.run(SECOND * 3);
+
+    let phase = world.status(0, "next").map(|s| s.phase);
+    assert!(matches!(phase, Some(JobPhase::Failed { .. })), "{phase:?}");
+    assert_eq!(world.runs(), 1);
+}
+
+#[test]
+fn cancel_that_races_the_finish_leaves_one_end() {
+    for wait in 0..8 {
+        let mut world = World::new(1, 1);
+        world.run(SECOND * 4);
+        world.submit(0, spec("a", SECOND + SECOND * wait / 8));
+
+        let statuses = world.cancel(0, vec![world::key("a")]).unwrap_or_default();
+        world.run(SECOND * 3);
+
+        let phase = world.status(0, "a").map(|s| s.phase);
+        let ended = [JobPhase::Finished, JobPhase::Cancelled].map(Some);
+        assert!(ended.contains(&phase), "{phase:?}");
+        assert_eq!(statuses.first().map(|s| s.phase.clone()), phase);
+        assert_eq!((world.running(), world.runs()), (0, 1));
+    }
+}
+
+#[test]
+fn unknown_status_is_told_apart_from_no_such_job() {
+    let mut world = busy(1, 1, 1);
+    let known = world.ask_status(0, "none");
+
+    world.set_store(false);
+    world.run(SECOND * 10);
+    let unknown = world.ask_status(0, "job-0");
+
+    assert_eq!(known, Some(None));
+    assert_eq!(unknown, None);
+}
+
+#[test]
+fn standing_task_is_started_again_whenever_it_ends() {
+    let mut world = World::new(2, 2);
+    world.run(SECOND * 4);
+    let watcher = JobSpec {
+        run_time: None,
+        ..spec("watch", SECOND)
+    };
+    world.submit(0, watcher);
+
+    for _ in 0..5 {
+        let at = usize::from(world.vms[0].worker.granted() == Resources::ZERO);
+        let now = world.now();
+        world.vms[at].worker.lose_all(now);
+        world.run(SECOND * 3);
+    }
+
+    assert_eq!((world.running(), world.runs()), (1, 6));
+}
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -474,10 +474,14 @@
     }
 
     pub fn status(&mut self, at: usize, job: &str) -> Option<JobStatus> {
+        self.ask_status(at, job).flatten()
+    }
+
+    /// Returns what is told of a job; the outer `None` is no answer.
+    pub fn ask_status(&mut self, at: usize, job: &str) -> Option<Option<JobStatus>> {
         self.ask(at, |reply| {
             AdminEvent::Job("proofs".into(), key(job), reply)
         })
-        .flatten()
     }
 
     pub fn cancel(&mut self, at: usize, jobs: Vec<JobRef>) -> Option<Vec<JobStatus>> {
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -88,6 +88,13 @@
     },
     /// The owner gives the shard up: it keeps no task after this record.
     HandedOver,
+    /// A queued job can never run, for the reason given.
+    Abandoned {
+        /// The job.
+        job: JobId,
+        /// Why, for a person.
+        reason: Name,
+    },
 }
 
 impl Change {
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -158,6 +158,7 @@
             Change::Clock { at_ms } => self.clock(*at_ms),
             Change::Grace { grace } => self.grace = *grace,
             Change::HandedOver => self.is_handed_over = true,
+            Change::Abandoned { job, reason } => self.abandoned(job, reason),
         }
     }
 
@@ -321,6 +322,21 @@
         }
     }
 
+    fn abandoned(&mut self, id: &JobId, reason: &Name) {
+        let queued = self.jobs.get_mut(id);
+        if let Some(job) = queued.filter(|job| job.state == JobState::Queued) {
+            job.errors.push(shortened(reason));
+            job.state = JobState::Failed;
+            self.note_end(id);
+        }
+    }
+
+    /// Returns the job that another one waits for, if it is known.
+    pub fn predecessor(&self, job: &Job) -> Option<&Job> {
+        let key = job.spec.after.as_ref()?;
+        self.jobs.get(self.keys.get(key)?)
+    }
+
     fn cancelled(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_ended()) {
             job.state = JobState::Cancelled;
