--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,3 +22,4 @@
 pub use ports::{Ports, StorePort, StorePriority};
 pub use shard::{JobEnd, ShardsView};
 pub use snapshot::TablesSnapshot;
+pub use store_io::{Permit, StoreBudget};
