Gossip between entries, bootstrap new ones, and stop without cutting off

Change: member::View holds targets, entries and owners; entries gossip once a second, also without the store; only what an entry tells of itself keeps it alive. A new entry asks for its peers' targets and is ready once it has them, or after three seconds. A stopping entry tells its peers, serves on for two seconds, then until no request comes, within a grace period; GracefulStop is checked. A leaving target repeats its message every 250 ms until acknowledged. Added to the contracts: Gossip.targets, wants_targets, is_stopping.

--- a/crates/companion/src/announce.rs
+++ b/crates/companion/src/announce.rs
@@ -19,6 +19,9 @@
 /// How long an announcement may take.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How often a leaving target announces itself to entries that may not know.
+const LEAVING_EVERY: Duration = Duration::from_millis(250);
+
 /// How many announcements in a row may fail before an entry is no longer tried.
 const MAX_FAILURES: u32 = 10;
 
@@ -27,10 +30,19 @@
 struct Peer {
     failures: u32,
     is_waiting: bool,
+    /// Whether the entry knows that the target leaves.
+    knows_leaving: bool,
     /// Whether the settings name it, so that it is never given up.
     is_seed: bool,
 }
 
+/// An announcement on its way.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    to: SocketAddr,
+    state: TargetState,
+}
+
 /// Announces the target and learns of entries, owners and tables in return.
 pub(crate) struct AnnounceActor {
     cfg: Arc<CompanionCfg>,
@@ -38,7 +50,8 @@
     tasks: Actor<TaskActor>,
     peers: IndexMap<SocketAddr, Peer>,
     /// Which peer a call on its way went to.
-    calls: IndexMap<u64, SocketAddr>,
+    calls: IndexMap<u64, Told>,
+    next_call: u64,
     sequence: u64,
     state: TargetState,
     in_force: InForce,
@@ -63,6 +76,7 @@
             tasks,
             peers,
             calls: IndexMap::new(),
+            next_call: 0,
             sequence: 0,
             state: TargetState::Serving,
             in_force: InForce::default(),
@@ -74,24 +88,36 @@
     }
 
     fn announce_later(&self, cx: CX![]) {
-        after!(ANNOUNCE_EVERY, [cx], |this, cx| {
+        after!(self.period(), [cx], |this, cx| {
             this.announce();
             this.announce_later(cx);
         });
     }
 
+    /// Returns when to announce next: soon while an entry may not know that the target leaves.
+    fn period(&self) -> Duration {
+        let is_leaving = self.state == TargetState::Leaving;
+        if is_leaving && self.peers.values().any(|peer| !peer.knows_leaving) {
+            LEAVING_EVERY
+        } else {
+            ANNOUNCE_EVERY
+        }
+    }
+
     fn announce(&mut self) {
         self.sequence += 1;
         let announcement = self.announcement();
         let idle: Vec<SocketAddr> = self
             .peers
             .iter()
-            .filter(|(_, peer)| !peer.is_waiting)
+            .filter(|(_, peer)| !peer.is_waiting || self.state == TargetState::Leaving)
             .map(|(at, _)| *at)
             .collect();
         for to in idle {
-            let id = self.sequence << 16 | self.calls.len() as u64;
-            self.calls.insert(id, to);
+            self.next_call += 1;
+            let id = self.next_call;
+            let state = self.state;
+            self.calls.insert(id, Told { to, state });
             if let Some(peer) = self.peers.get_mut(&to) {
                 peer.is_waiting = true;
             }
@@ -125,7 +151,7 @@
     }
 
     pub(crate) fn answer(&mut self, cx: CX![], id: u64, answer: Result<Answer>) {
-        let Some(from) = self.calls.swap_remove(&id) else {
+        let Some(Told { to: from, state }) = self.calls.swap_remove(&id) else {
             return;
         };
         let Some(peer) = self.peers.get_mut(&from) else {
@@ -135,6 +161,7 @@
         match answer {
             Ok(Answer::Announce(reply)) => {
                 peer.failures = 0;
+                peer.knows_leaving |= state == TargetState::Leaving;
                 self.learn(cx, *reply);
             }
             _ => {
--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -177,7 +177,10 @@
             runtime,
             ..
         } = self;
-        http.stop();
+        let is_finished = http.stop(STOP_GRACE);
+        Promise::GracefulStop.check(is_finished, || {
+            format!("{} stops with requests in progress", self.cfg.target)
+        });
         stopping.store(true, Ordering::Release);
         // An error means that the server has stopped already.
         let _ = rpc.stop();
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -31,8 +31,11 @@
 /// How many threads carry control calls.
 const RPC_THREADS: usize = 2;
 
+/// How long a stopping entry serves on before it closes, so that the balancer notices.
+const STOP_LINGER: Duration = Duration::from_secs(2);
+
 /// How long a planned stop waits for what is in progress.
-const STOP_GRACE: Duration = Duration::from_millis(500);
+const STOP_GRACE: Duration = Duration::from_secs(30);
 
 /// A running entry.
 #[derive(Debug)]
@@ -147,7 +150,7 @@
     pub fn stop(self) {
         // An error means that the actors have ended already.
         drop(self.events.send(Event::Stop));
-        std::thread::sleep(STOP_GRACE);
+        std::thread::sleep(STOP_LINGER);
         let Self {
             stopping,
             http,
@@ -157,7 +160,10 @@
             runtime,
             ..
         } = self;
-        http.stop();
+        let is_finished = http.stop(STOP_GRACE);
+        Promise::GracefulStop.check(is_finished, || {
+            format!("{} stops with requests in progress", self.cfg.entry)
+        });
         stopping.store(true, Ordering::Release);
         // An error means that the server has stopped already.
         let _ = rpc.stop();
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -212,6 +212,9 @@
             leaving: Vec::new(),
             demand: Vec::new(),
             tables: None,
+            targets: Vec::new(),
+            wants_targets: false,
+            is_stopping: false,
         }
     }
 
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -72,6 +72,8 @@
     Cancel(PoolName, Vec<JobRef>, Reply<Vec<JobStatus>>),
     /// Asks for the tables in force here.
     Tables(Reply<Option<TablesDoc>>),
+    /// Asks whether this entry can route requests, and goes on to.
+    Ready(Reply<bool>),
     /// Starts the planned stop of a target; tells whether the target is known.
     Drain(TargetId, Reply<bool>),
     /// Asks for what this entry sees of the store.
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -70,9 +70,12 @@
     }
 
     fn ready(&self) -> Response<Cursor<Vec<u8>>> {
-        match self.ask(AdminEvent::Tables).flatten() {
-            Some(_) => text(200, "ready\n"),
-            None => text(503, "no tables yet\n"),
+        match self.ask(AdminEvent::Ready) {
+            Some(true) => text(200, "ready\n"),
+            _ => text(
+                503,
+                "not ready: no tables, no view of the targets, or stopping\n",
+            ),
         }
     }
 
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -1,16 +1,18 @@
 //! Who is there: companions that announce themselves, other entries, owners of shards.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use journal::{Keys, OwnerValue};
+use member::{Heard, View};
 use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
 use slog::info;
 use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
 use wire::operator::Status;
-use wire::timing::ANNOUNCE_TTL;
 use wire::{
     AnnounceReply, Announcement, Answer, Call, CallToken, EntryInfo, Gossip, Part, Reply,
-    ShardOwner, TargetState,
+    ShardOwner,
 };
 
 use crate::EntryCfg;
@@ -29,6 +31,9 @@
 /// How long the message of a planned stop may take.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long another entry may take to answer gossip.
+const GOSSIP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The prefix of the keys under which entries are present.
 const PRESENCE_PREFIX: &str = "entry/";
 
@@ -55,12 +60,6 @@
     ];
 }
 
-/// A companion as last heard.
-struct Heard {
-    announcement: Announcement,
-    at: Instant,
-}
-
 /// Keeps the view of the fleet.
 pub(crate) struct MemberActor {
     cfg: Arc<EntryCfg>,
@@ -70,9 +69,10 @@
     config: Option<Actor<ConfigActor>>,
     generation: Generation,
     doc: Option<TablesDoc>,
-    targets: IndexMap<TargetId, Heard>,
-    entries: IndexMap<EntryId, EntryInfo>,
-    owners: IndexMap<ShardId, ShardOwner>,
+    view: View,
+    /// Which entry a call on its way went to.
+    calls: IndexMap<u64, SocketAddr>,
+    next_call: u64,
     lease: Option<LeaseId>,
     is_stopping: bool,
 }
@@ -86,6 +86,7 @@
         request: Actor<RequestActor>,
         shard: Actor<ShardActor>,
     ) -> Option<Self> {
+        let view = View::new(cx.now(), cfg.entry.clone(), cfg.peers.clone());
         let mut this = Self {
             cfg,
             ports,
@@ -94,9 +95,9 @@
             config: None,
             generation: Generation(0),
             doc: None,
-            targets: IndexMap::new(),
-            entries: IndexMap::new(),
-            owners: IndexMap::new(),
+            view,
+            calls: IndexMap::new(),
+            next_call: 0,
             lease: None,
             is_stopping: false,
         };
@@ -127,11 +128,13 @@
     fn heartbeat(&mut self, cx: CX![]) {
         match self.lease {
             Some(lease) => self.call(Purpose::Renew, StoreCall::LeaseRenew { lease }),
+            None if self.is_stopping => {}
             None => self.call(Purpose::Grant, StoreCall::LeaseGrant { ttl: PRESENCE_TTL }),
         }
         self.list(Purpose::ReadEntries, PRESENCE_PREFIX);
         self.list(Purpose::ReadOwners, Keys::OWNERS);
         self.expire_targets(cx);
+        self.gossip_to_peers(cx.now());
         after!(HEARTBEAT_EVERY, [cx], |this, cx| this.heartbeat(cx));
     }
 
@@ -153,29 +156,47 @@
     }
 
     fn expire_targets(&mut self, cx: CX![]) {
-        let now = cx.now();
-        let silent: Vec<TargetId> = self
-            .targets
-            .iter()
-            .filter(|(_, heard)| now.duration_since(heard.at) > ANNOUNCE_TTL)
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in silent {
-            self.targets.swap_remove(&target);
+        for target in self.view.expire(cx.now()) {
             info!(self.ports.log, "member: target {} is silent", target);
             call!([self.request, cx], target_gone(target));
         }
     }
 
-    pub(crate) fn store_reply(&mut self, _cx: CX![], id: u64, reply: Result<StoreReply>) {
+    /// Tells other entries what is known here; their answers tell what they know.
+    fn gossip_to_peers(&mut self, now: Instant) {
+        for to in self.view.peers(self.cfg.rpc_addr) {
+            let known = self.view.entries().find(|info| info.rpc_addr == to);
+            let tables = known.and_then(|info| self.tables_beyond(info.generation));
+            let msg = Gossip {
+                tables,
+                is_stopping: self.is_stopping,
+                ..self.view.gossip(now, self.info(), false)
+            };
+            self.next_call += 1;
+            self.calls.insert(self.next_call, to);
+            let token = CallToken {
+                part: Part::Member,
+                id: self.next_call,
+            };
+            let call = Call::Gossip(Box::new(msg));
+            self.ports.calls.submit(to, token, GOSSIP_TIMEOUT, call);
+        }
+    }
+
+    /// Returns the tables in force here where they are of a higher generation.
+    fn tables_beyond(&self, generation: Generation) -> Option<TablesDoc> {
+        self.doc.clone().filter(|doc| doc.generation > generation)
+    }
+
+    pub(crate) fn store_reply(&mut self, cx: CX![], id: u64, reply: Result<StoreReply>) {
         let Some(purpose) = Purpose::ALL.into_iter().find(|p| *p as u64 == id) else {
             return;
         };
         match (purpose, reply) {
             (Purpose::Grant, Ok(StoreReply::Leased { lease, .. })) => self.announce_self(lease),
             (Purpose::Renew, Ok(StoreReply::LeaseGone)) => self.lease = None,
-            (Purpose::ReadEntries, Ok(StoreReply::Listed(found))) => self.read_entries(&found),
-            (Purpose::ReadOwners, Ok(StoreReply::Listed(found))) => self.read_owners(_cx, &found),
+            (Purpose::ReadEntries, Ok(StoreReply::Listed(found))) => self.read_entries(cx, &found),
+            (Purpose::ReadOwners, Ok(StoreReply::Listed(found))) => self.read_owners(cx, &found),
             _ => {}
         }
     }
@@ -191,109 +212,117 @@
         self.call(Purpose::Announce, call);
     }
 
-    fn read_entries(&mut self, found: &[KeyValue]) {
-        self.entries = found
+    fn read_entries(&mut self, cx: CX![], found: &[KeyValue]) {
+        let present = found
             .iter()
             .filter_map(|kv| serde_json::from_slice::<EntryInfo>(&kv.value).ok())
-            .map(|info| (info.entry.clone(), info))
             .collect();
+        self.view.present(cx.now(), present);
     }
 
     fn read_owners(&mut self, cx: CX![], found: &[KeyValue]) {
-        self.owners = found
+        let owners: Vec<ShardOwner> = found
             .iter()
             .filter_map(|kv| OwnerValue::decode(&kv.value))
             .filter(|value| value.epoch > Epoch(0))
-            .map(|value| (value.shard, owner_of(value)))
+            .map(owner_of)
             .collect();
-        call!([self.shard, cx], set_owners(self.owners.clone()));
-        call!([self.request, cx], set_owners(self.owners.clone()));
+        self.merge_owners(cx, owners);
+    }
+
+    fn merge_owners(&mut self, cx: CX![], owners: Vec<ShardOwner>) {
+        if self.view.merge_owners(owners) {
+            let owners = self.view.owners();
+            call!([self.shard, cx], set_owners(owners.clone()));
+            call!([self.request, cx], set_owners(owners.clone()));
+        }
     }
 
     pub(crate) fn announce(&mut self, cx: CX![], msg: Announcement, reply: Reply<AnnounceReply>) {
-        let now = cx.now();
-        let stale = self.targets.get(&msg.target).is_some_and(|heard| {
-            let known = &heard.announcement;
-            known.incarnation == msg.incarnation && known.sequence >= msg.sequence
-        });
-        let tables = self
-            .doc
-            .clone()
-            .filter(|doc| doc.generation > msg.generation);
         if let Some(config) = &self.config {
             call!([config, cx], companion_at(msg.generation, msg.rpc_addr));
         }
-        if !stale {
-            if !self.targets.contains_key(&msg.target) {
-                info!(
-                    self.ports.log,
-                    "member: target {} announced itself", msg.target
-                );
-            }
-            let announcement = msg;
-            call!([self.request, cx], target(announcement.clone()));
-            self.targets.insert(
-                announcement.target.clone(),
-                Heard {
-                    announcement,
-                    at: now,
-                },
+        let heard = self.view.announced(cx.now(), &msg);
+        if heard == Heard::New {
+            info!(
+                self.ports.log,
+                "member: target {} announced itself", msg.target
             );
         }
-        let mut entries: Vec<EntryInfo> = self.entries.values().cloned().collect();
-        if !self.entries.contains_key(&self.cfg.entry) && !self.is_stopping {
-            entries.push(self.info());
+        if heard != Heard::Stale
+            && let Some(announcement) = self.view.target(&msg.target).cloned()
+        {
+            call!([self.request, cx], target(announcement));
         }
-        let owners = self.owners.values().cloned().collect();
         reply.send(AnnounceReply {
             generation: self.generation,
-            tables,
-            entries,
-            owners,
+            tables: self.tables_beyond(msg.generation),
+            entries: self.living_entries(),
+            owners: self.view.owners().values().cloned().collect(),
         });
     }
 
+    /// Returns the entries that take work, this one included unless it stops.
+    fn living_entries(&self) -> Vec<EntryInfo> {
+        let me = (!self.is_stopping).then(|| self.info());
+        me.into_iter().chain(self.view.entries().cloned()).collect()
+    }
+
     pub(crate) fn gossip(&mut self, cx: CX![], msg: Box<Gossip>, reply: Reply<Gossip>) {
-        if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
-            call!([config, cx], offer(doc));
+        let tables = self.tables_beyond(msg.from.generation);
+        let answer = Gossip {
+            tables,
+            is_stopping: self.is_stopping,
+            ..self.view.gossip(cx.now(), self.info(), msg.wants_targets)
+        };
+        reply.send(answer);
+        self.learn(cx, *msg, false);
+    }
+
+    pub(crate) fn answer(&mut self, cx: CX![], id: u64, answer: Result<Answer>) {
+        let Some(from) = self.calls.swap_remove(&id) else {
+            return;
+        };
+        match answer {
+            Ok(Answer::Gossip(msg)) => self.learn(cx, *msg, true),
+            _ => self.view.not_answered(from),
+        }
+    }
+
+    /// Takes what another entry told.
+    fn learn(&mut self, cx: CX![], msg: Gossip, is_answer: bool) {
+        let news = self.view.merge(cx.now(), &msg, is_answer);
+        for announcement in news {
+            info!(
+                self.ports.log,
+                "member: heard of target {} from {}", announcement.target, msg.from.entry
+            );
+            call!([self.request, cx], target(announcement));
         }
         for (target, incarnation) in msg.leaving {
             call!([self.request, cx], target_leaving(target, incarnation));
         }
-        let tables = self
-            .doc
-            .clone()
-            .filter(|doc| doc.generation > msg.from.generation);
-        reply.send(Gossip {
-            from: self.info(),
-            entries: self.entries.values().cloned().collect(),
-            owners: self.owners.values().cloned().collect(),
-            leaving: self.leaving(),
-            demand: Vec::new(),
-            tables,
-        });
+        if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
+            call!([config, cx], offer(doc));
+        }
+        self.merge_owners(cx, msg.owners);
     }
 
-    fn leaving(&self) -> Vec<(TargetId, Incarnation)> {
-        self.targets
-            .values()
-            .map(|heard| &heard.announcement)
-            .filter(|a| a.state == TargetState::Leaving)
-            .map(|a| (a.target.clone(), a.incarnation))
-            .collect()
+    /// Tells whether this entry can route requests and goes on to.
+    pub(crate) fn ready(&mut self, cx: CX![], reply: Reply<bool>) {
+        let has_tables = self.doc.is_some();
+        reply.send(has_tables && !self.is_stopping && self.view.is_ready(cx.now()));
     }
 
-    pub(crate) fn answer(&mut self, _cx: CX![], _id: u64, _answer: Result<Answer>) {}
-
     /// Tells a target's companion to begin a planned stop.
     pub(crate) fn drain(&mut self, _cx: CX![], target: TargetId, reply: Reply<bool>) {
-        let heard = self.targets.get(&target);
-        if let Some(heard) = heard {
+        let heard = self.view.target(&target);
+        if let Some(announcement) = heard {
             let token = CallToken {
                 part: Part::Config,
                 id: 0,
             };
-            let to = heard.announcement.rpc_addr;
+            let to = announcement.rpc_addr;
             self.ports
                 .calls
                 .submit(to, token, DRAIN_TIMEOUT, Call::Drain);
@@ -303,20 +332,20 @@
     }
 
     pub(crate) fn status(&mut self, _cx: CX![], reply: Reply<Status>) {
-        let targets = self.targets.values();
         reply.send(Status {
             entry: self.info(),
-            entries: self.entries.values().cloned().collect(),
-            owners: self.owners.values().cloned().collect(),
-            targets: targets.map(|heard| heard.announcement.clone()).collect(),
+            entries: self.living_entries(),
+            owners: self.view.owners().values().cloned().collect(),
+            targets: self.view.targets().cloned().collect(),
             store: None,
             shards: Vec::new(),
             promises: Vec::new(),
         });
     }
 
-    pub(crate) fn stop(&mut self, _cx: CX![]) {
+    pub(crate) fn stop(&mut self, cx: CX![]) {
         self.is_stopping = true;
+        self.gossip_to_peers(cx.now());
         if let Some(lease) = self.lease.take() {
             self.call(Purpose::Announce, StoreCall::LeaseRevoke { lease });
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -120,6 +120,7 @@
                 call!([self.shard], cancel_here(pool, jobs, reply));
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
+            AdminEvent::Ready(reply) => call!([self.member], ready(reply)),
             AdminEvent::Drain(target, reply) => call!([self.member], drain(target, reply)),
             AdminEvent::StoreHealth(reply) => call!([self.config], store_health(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,7 +23,8 @@
 pub use client::{Client, ClientCfg};
 pub use http::{Outcome, header, priority_of, priority_text};
 pub use member::{
-    AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
+    AnnounceReply, Announcement, EntryInfo, Gossip, HeardTarget, RevokeReply, ShardOwner,
+    TargetState,
 };
 pub use pool::HttpPool;
 pub use stall::serve_stalled_connections;
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -112,6 +112,25 @@
     pub demand: Vec<(Name, f64)>,
     /// The tables, where the sender believes that the receiver has a lower generation.
     pub tables: Option<TablesDoc>,
+    /// The sender's targets, where the receiver asked for them.
+    #[serde(default)]
+    pub targets: Vec<HeardTarget>,
+    /// Whether the sender has no view of its own yet, and wants the receiver's targets.
+    #[serde(default)]
+    pub wants_targets: bool,
+    /// Whether the sender is about to stop, so that nothing is to be sent to it.
+    #[serde(default)]
+    pub is_stopping: bool,
+}
+
+/// A target as another entry heard it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct HeardTarget {
+    /// Its last announcement.
+    pub announcement: Announcement,
+    /// How long ago that was.
+    pub age: Duration,
 }
 
 /// What a companion answers to a revocation.
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -2,18 +2,33 @@
 
 use std::fmt;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::JoinHandle;
 
 use base::prelude::*;
 use socket2::SockRef;
 use tiny_http::{Request, Server};
 
+/// The pool serves.
+const OPEN: u8 = 0;
+
+/// The pool serves until no request comes.
+const DRAINING: u8 = 1;
+
+/// The pool takes no request.
+const CLOSED: u8 = 2;
+
+/// How long a draining thread waits for a request before it ends.
+const DRAIN_IDLE: Duration = Duration::from_millis(250);
+
+/// How often the end of the threads is looked for.
+const WAIT_STEP: Duration = Duration::from_millis(5);
+
 /// Serves HTTP requests on a fixed number of threads, each with one request at a time.
 pub struct HttpPool {
     server: Arc<Server>,
     addr: SocketAddr,
-    stopping: Arc<AtomicBool>,
+    mode: Arc<AtomicU8>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -45,19 +60,19 @@
         crate::serve_stalled_connections(addr);
         let server = Arc::new(server);
         let handler = Arc::new(handler);
-        let stopping = Arc::new(AtomicBool::new(false));
+        let mode = Arc::new(AtomicU8::new(OPEN));
         let threads = (0..threads)
             .map(|_| {
                 let server = Arc::clone(&server);
                 let handler = Arc::clone(&handler);
-                let stopping = Arc::clone(&stopping);
-                std::thread::spawn(move || serve(&server, &stopping, &*handler))
+                let mode = Arc::clone(&mode);
+                std::thread::spawn(move || serve(&server, &mode, &*handler))
             })
             .collect();
         Ok(Self {
             server,
             addr,
-            stopping,
+            mode,
             threads,
         })
     }
@@ -69,22 +84,38 @@
 
     /// Stops taking requests without waiting for those in progress, as a crash would.
     pub fn abandon(self) {
-        self.close();
+        self.set_mode(CLOSED);
     }
 
-    fn close(&self) {
-        self.stopping.store(true, Ordering::Release);
+    fn set_mode(&self, mode: u8) {
+        self.mode.store(mode, Ordering::Release);
         for _ in &self.threads {
             self.server.unblock();
         }
     }
 
-    /// Stops taking requests and waits for those in progress.
-    pub fn stop(self) {
-        self.close();
-        for thread in self.threads {
-            // A handler that panicked has already been reported.
-            drop(thread.join());
+    /// Serves on until no request comes, then stops; tells whether all in progress finished.
+    ///
+    /// Both parts, serving on and finishing what is in progress, take at most `grace`.
+    pub fn stop(self, grace: Duration) -> bool {
+        self.set_mode(DRAINING);
+        if self.wait_for_threads(grace) {
+            return true;
+        }
+        self.set_mode(CLOSED);
+        self.wait_for_threads(grace)
+    }
+
+    fn wait_for_threads(&self, grace: Duration) -> bool {
+        let until = Instant::now() + grace;
+        loop {
+            if self.threads.iter().all(JoinHandle::is_finished) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(WAIT_STEP);
         }
     }
 }
@@ -108,10 +139,19 @@
 }
 
 /// Takes requests until the pool stops.
-fn serve(server: &Server, stopping: &AtomicBool, handler: &(impl Fn(Request) + ?Sized)) {
-    while !stopping.load(Ordering::Acquire) {
-        // `unblock` makes `recv` return an error, as does a closed listener.
-        let Ok(req) = server.recv() else { continue };
-        handler(req);
+fn serve(server: &Server, mode: &AtomicU8, handler: &(impl Fn(Request) + ?Sized)) {
+    loop {
+        let received = match mode.load(Ordering::Acquire) {
+            // `unblock` makes `recv` return an error, as does a closed listener.
+            OPEN => server.recv().ok(),
+            DRAINING => match server.recv_timeout(DRAIN_IDLE) {
+                Ok(Some(req)) => Some(req),
+                _ => return,
+            },
+            _ => return,
+        };
+        if let Some(req) = received {
+            handler(req);
+        }
     }
 }
--- a/examples/desk/fleet.rs
+++ b/examples/desk/fleet.rs
@@ -165,7 +165,9 @@
         let started = start_entry(self.desk, at, self.store.addr(), &self.log);
         if let Ok(app) = started {
             self.entries[at].relay.set_server(app.http_addr());
+            let addr = app.http_addr();
             *lock(&self.entries[at].app) = Some(app);
+            wait_for_balancer(addr);
             self.entries[at].relay.set_refusing(false);
         }
     }
@@ -297,6 +299,19 @@
     entry::App::start(cfg, log)
 }
 
+/// Waits as a balancer does until an entry reports that it is ready.
+fn wait_for_balancer(entry: SocketAddr) {
+    let until = Instant::now() + READY_WITHIN;
+    let is_ready = || {
+        ureq::get(format!("http://{entry}/v1/health/ready"))
+            .call()
+            .is_ok()
+    };
+    while Instant::now() < until && !is_ready() {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
