--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -76,6 +76,8 @@
     Tables(Reply<Option<TablesDoc>>),
     /// Asks for the shards owned here and takes over the ends of their jobs.
     Shards(Reply<ShardsView>),
+    /// Asks whether this entry can route requests, and goes on to.
+    Ready(Reply<bool>),
     /// Starts the planned stop of a target; tells whether the target is known.
     Drain(TargetId, Reply<bool>),
     /// Asks for what this entry sees of the store.
