Test what a cut-off owner may keep, each rule shown by a change that breaks it

Without the take-over wait, with a hand-over that ignores the owner before, or with a companion's life ignored, the new tests fail (tried one by one on the tree, reverted); the rule that a companion ignores lower terms is held by its own test in keeper.rs.

--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -357,3 +357,69 @@
 
     assert_eq!((world.running(), world.runs()), (1, 6));
 }
+
+/// Cuts the owner off from the store, and the first worker off from all other entries.
+fn split(world: &mut World) -> usize {
+    let owner = world.owner().unwrap();
+    world.entries[owner].has_store = false;
+    world.vms[0].reaches_only = Some(owner);
+    owner
+}
+
+#[test]
+fn worker_kept_by_a_cut_off_owner_is_not_given_up_before_the_grace() {
+    let mut world = busy(3, 2, 8);
+    split(&mut world);
+
+    world.run(GRACE - SECOND * 5);
+    let during = (world.running(), world.runs());
+    world.run(KEEP_FOR * 3);
+
+    assert_eq!(during, (8, 8));
+    assert_eq!(world.running(), 8);
+    assert!(world.runs() > 8);
+}
+
+#[test]
+fn next_owners_wait_as_well_for_what_a_cut_off_owner_keeps() {
+    let mut world = busy(4, 2, 8);
+    split(&mut world);
+    world.run(SECOND * 10);
+    let second = world.owner().unwrap();
+
+    world.stop_entry(second);
+    world.run(GRACE / 2);
+
+    assert_ne!(world.owner(), Some(second));
+    assert_eq!((world.running(), world.runs()), (8, 8));
+}
+
+#[test]
+fn cut_off_owner_keeps_nothing_for_a_companion_that_may_have_known_a_newer_owner() {
+    let mut world = busy(3, 2, 8);
+    let owner = world.owner().unwrap();
+    world.entries[owner].has_store = false;
+    world.run(SECOND * 10);
+
+    world.kill_companion(0);
+    world.vms[0].reaches_only = Some(owner);
+    world.start_companion(0);
+    world.run(KEEP_FOR * 3);
+
+    assert_eq!(world.running(), 8);
+    assert!(world.runs() > 8);
+}
+
+#[test]
+fn companion_that_heard_a_newer_owner_ignores_the_older_one() {
+    let mut world = busy(3, 2, 8);
+    let owner = world.owner().unwrap();
+    world.entries[owner].has_store = false;
+    world.run(SECOND * 10);
+
+    world.vms[0].reaches_only = Some(owner);
+    world.run(KEEP_FOR * 3);
+
+    assert_eq!(world.running(), 8);
+    assert!(world.runs() > 8);
+}
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -122,6 +122,8 @@
     pub worker: MemWorker,
     /// Whether the companion reaches entries.
     pub has_network: bool,
+    /// The only entry that the companion reaches, where it does not reach all.
+    pub reaches_only: Option<usize>,
     pub is_paused: bool,
 }
 
@@ -191,6 +193,7 @@
                 process: None,
                 worker: MemWorker::new(WorkerSettings::default(), world.now()),
                 has_network: true,
+                reaches_only: None,
                 is_paused: false,
             });
             world.start_companion(at);
@@ -411,6 +414,11 @@
         });
         let is_cut = matches!(from, Who::Companion(at) if !self.vms[at].has_network);
         let to = (0..self.entries.len()).find(|at| entry_addr(*at) == sent.to);
+        let only = match from {
+            Who::Companion(at) => self.vms[at].reaches_only,
+            Who::Entry(_) => None,
+        };
+        let is_cut = is_cut || only.is_some_and(|only| to != Some(only));
         let Some(to) = to.filter(|_| !is_cut) else {
             return;
         };
