--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -21,6 +21,7 @@
 use crate::ports::{Ports, StorePriority};
 use crate::request::RequestActor;
 use crate::shard::ShardActor;
+use crate::snapshot::TablesSnapshot;
 
 /// How long a question to another process may take.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
@@ -39,6 +40,7 @@
     request: Actor<RequestActor>,
     shard: Actor<ShardActor>,
     member: Actor<MemberActor>,
+    snapshot: Arc<TablesSnapshot>,
 }
 
 impl ConfigActor {
@@ -61,6 +63,7 @@
             request,
             shard,
             member,
+            snapshot: Arc::default(),
         };
         this.read();
         this.watch();
@@ -164,7 +167,15 @@
         }
     }
 
+    pub(crate) fn set_snapshot(&mut self, _cx: CX![], snapshot: Arc<TablesSnapshot>) {
+        if self.in_force.doc().is_some() {
+            snapshot.set(Arc::clone(self.in_force.tables()));
+        }
+        self.snapshot = snapshot;
+    }
+
     fn publish(&self, cx: CX![], tables: &Arc<Tables>, doc: TablesDoc) {
+        self.snapshot.set(Arc::clone(tables));
         call!([self.request, cx], set_tables(Arc::clone(tables)));
         call!([self.shard, cx], set_tables(Arc::clone(tables)));
         call!([self.member, cx], set_tables(Arc::clone(tables), doc));
@@ -233,11 +244,6 @@
         reply.send(self.in_force.doc().cloned());
     }
 
-    pub(crate) fn parsed(&mut self, _cx: CX![], reply: Reply<Option<Arc<Tables>>>) {
-        let is_any = self.in_force.doc().is_some();
-        reply.send(is_any.then(|| Arc::clone(self.in_force.tables())));
-    }
-
     pub(crate) fn store_health(&mut self, cx: CX![], reply: Reply<StoreHealth>) {
         let age = self.sync.store_age(cx.now());
         let is_reachable = age.is_some_and(|age| age < 2 * READ_EVERY);
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -10,11 +10,12 @@
 use slog::debug;
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
+use wire::hop::{header_of, read_body};
 use wire::operator::{JobRequest, JobsNamed, PromiseStatus, ShardStatus, Status, path};
 use wire::{JobSpec, Outcome, SubmitReply, header};
 
-use super::proxy::{read_body, respond};
-use super::{Front, header_of, refusal};
+use super::proxy::respond;
+use super::{Front, refusal};
 use crate::event::AdminEvent;
 
 /// The largest body of an operator call, in bytes.
@@ -43,7 +44,7 @@
             self.telemetry.metrics().call_refused();
             return respond(req, text(401, "wrong secret\n"));
         }
-        let Some(body) = read_body(&mut req, MAX_ADMIN_BODY) else {
+        let Ok(body) = read_body(&mut req, MAX_ADMIN_BODY) else {
             return respond(req, text(413, "body too large or cut off\n"));
         };
         let response = match (req.method(), path.as_str()) {
@@ -108,7 +109,7 @@
     }
 
     fn take_up_tables(&self) {
-        if let Some(tables) = self.ask(AdminEvent::Parsed).flatten() {
+        if let Some(tables) = self.tables.get() {
             self.telemetry.set_tables(&tables);
         }
     }
@@ -138,7 +139,7 @@
             Ok(request) => request,
             Err(e) => return text(400, &format!("expected a job: {e}\n")),
         };
-        let tables = self.ask(AdminEvent::Parsed).flatten();
+        let tables = self.tables.get();
         let Some(tables) = tables else {
             return text(503, "no tables yet\n");
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod request;
 mod rpc;
 mod shard;
+mod snapshot;
 mod store_io;
 mod telemetry;
 
@@ -20,3 +21,4 @@
 pub use node::Node;
 pub use ports::{Ports, StorePort, StorePriority};
 pub use shard::{JobEnd, ShardsView};
+pub use snapshot::TablesSnapshot;
