--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -16,7 +16,7 @@
 
 use crate::http::Front;
 use crate::store_io::StoreIo;
-use crate::telemetry::Telemetry;
+use crate::telemetry::{MeteredStore, Telemetry};
 use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
@@ -63,7 +63,6 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start_secured(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
-        let store: Arc<dyn Store> = Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
             .enable_all()
@@ -75,6 +74,11 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let store: Arc<dyn Store> = Arc::new(MeteredStore::new(
+            Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT)),
+            Arc::clone(&telemetry),
+            Arc::new(SystemClock),
+        ));
         let snapshot = Arc::new(TablesSnapshot::default());
         let front = Front::new(
             events.clone(),
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
+use platform::store::{Store, StoreCall, StoreReply};
 use report::Metrics;
 use report::burn::{BurnMeter, BurnSnapshot, Sample};
 use tables::Tables;
@@ -83,3 +84,36 @@
         self.burn.lock().snapshot(now)
     }
 }
+
+/// A store whose calls are counted.
+#[derive(Debug)]
+pub(crate) struct MeteredStore {
+    store: Arc<dyn Store>,
+    telemetry: Arc<Telemetry>,
+    clock: Arc<dyn Clock>,
+}
+
+impl MeteredStore {
+    pub(crate) fn new(
+        store: Arc<dyn Store>,
+        telemetry: Arc<Telemetry>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            store,
+            telemetry,
+            clock,
+        }
+    }
+}
+
+impl Store for MeteredStore {
+    fn call(&self, call: &StoreCall) -> Result<StoreReply> {
+        let began = self.clock.now();
+        let reply = self.store.call(call);
+        let took = self.clock.now().saturating_duration_since(began);
+        let metrics = self.telemetry.metrics();
+        metrics.store_call(call.kind(), reply.is_ok(), took);
+        reply
+    }
+}
--- a/crates/ops/src/cli.rs
+++ b/crates/ops/src/cli.rs
@@ -1,13 +1,13 @@
 //! The command line: flags and environment variables, parsed once into a checked command.
 
-use std::net::SocketAddr;
+mod flags;
+
 use std::path::PathBuf;
-use std::str::FromStr;
 
-use base::prelude::*;
 use bpaf::{Parser, construct, long, positional};
-use wire::{TokenFlags, token_flags};
 
+pub use self::flags::{ApplyFlags, EntryFlags, Format, JobFlags, StoreFlags, SubmitFlags};
+use self::flags::{apply_flags, entry, files, generation, job_flags, json, store, submit_flags};
 use crate::TableFiles;
 
 /// What the operator asked for.
@@ -112,104 +112,6 @@
     },
 }
 
-/// The store's address.
-#[derive(Clone, Debug)]
-pub struct StoreFlags {
-    /// The address.
-    pub addr: SocketAddr,
-}
-
-/// An entry's address and the shared secret.
-#[derive(Clone, Debug)]
-pub struct EntryFlags {
-    /// The address.
-    pub addr: SocketAddr,
-    /// Where the secret comes from.
-    pub token: TokenFlags,
-}
-
-/// How to apply a change.
-#[derive(Clone, Debug)]
-pub struct ApplyFlags {
-    /// The generation that the change is based on.
-    pub base: Option<u64>,
-    /// Whether to apply without asking.
-    pub yes: bool,
-    /// Who applies it.
-    pub author: String,
-    /// What the author says of it.
-    pub comment: String,
-    /// Whether to wait until it is in force everywhere.
-    pub wait: bool,
-    /// How long to wait.
-    pub timeout: Duration,
-    /// The entry to ask while waiting.
-    pub entry: Option<EntryFlags>,
-}
-
-/// A job to submit.
-#[derive(Clone, Debug)]
-pub struct SubmitFlags {
-    /// The route.
-    pub route: String,
-    /// The caller's key.
-    pub key: String,
-    /// The team.
-    pub team: Option<String>,
-    /// The key of a job that must be finished first.
-    pub after: Option<String>,
-    /// The job's own data.
-    pub payload: String,
-}
-
-/// Jobs of one pool.
-#[derive(Clone, Debug)]
-pub struct JobFlags {
-    /// The pool.
-    pub pool: String,
-    /// Whether the names are ids given by the system rather than callers' keys.
-    pub by_id: bool,
-    /// The jobs.
-    pub names: Vec<String>,
-}
-
-/// The form of a report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Format {
-    /// For a terminal.
-    Text,
-    /// For a script.
-    Json,
-    /// A page for a browser that needs nothing else.
-    Html,
-}
-
-impl Format {
-    /// Returns the name used on the command line and in the entry's calls.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Text => "text",
-            Self::Json => "json",
-            Self::Html => "html",
-        }
-    }
-}
-
-impl FromStr for Format {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "text" => Ok(Self::Text),
-            "json" => Ok(Self::Json),
-            "html" => Ok(Self::Html),
-            _ => Err(format!("expected text, json or html, found {text:?}")),
-        }
-    }
-}
-
-const DEFAULT_WAIT: Duration = Duration::from_secs(30);
-
 /// Parses an operator command with its flags.
 pub fn command() -> impl Parser<Command> {
     construct!([
@@ -228,10 +130,6 @@
     ])
 }
 
-fn json() -> impl Parser<bool> {
-    long("json").help("Answer in JSON, for scripts").switch()
-}
-
 /// Makes a command of its flags; every command takes `--json`.
 fn named(
     name: &'static str,
@@ -390,123 +288,3 @@
         "Shows service-level burn: rates over several windows, budget left, worst offenders",
     )
 }
-
-fn files() -> impl Parser<TableFiles> {
-    let routes = long("routes")
-        .env("MONSOONTRESTLE_ROUTES")
-        .help("The table of routes")
-        .argument::<PathBuf>("FILE")
-        .fallback(PathBuf::from("routes.toml"))
-        .debug_fallback();
-    let pools = long("pools")
-        .env("MONSOONTRESTLE_POOLS")
-        .help("The table of pools")
-        .argument::<PathBuf>("FILE")
-        .fallback(PathBuf::from("pools.toml"))
-        .debug_fallback();
-    construct!(TableFiles { routes, pools })
-}
-
-fn store() -> impl Parser<StoreFlags> {
-    let addr = long("store")
-        .env("MONSOONTRESTLE_STORE")
-        .help("IP address and port of the platform's key-value service")
-        .argument::<SocketAddr>("ADDR");
-    construct!(StoreFlags { addr })
-}
-
-fn entry() -> impl Parser<EntryFlags> {
-    let addr = long("entry")
-        .env("MONSOONTRESTLE_ENTRY")
-        .help("IP address and port of any entry")
-        .argument::<SocketAddr>("ADDR");
-    let token = token_flags();
-    construct!(EntryFlags { addr, token })
-}
-
-fn generation(help: &'static str) -> impl Parser<Option<u64>> {
-    long("generation")
-        .help(help)
-        .argument::<u64>("GENERATION")
-        .optional()
-}
-
-fn apply_flags() -> impl Parser<ApplyFlags> {
-    let base = long("base")
-        .env("MONSOONTRESTLE_BASE")
-        .help("The generation that the change is based on; a conflict if another is in force")
-        .argument::<u64>("GENERATION")
-        .optional();
-    let yes = long("yes")
-        .help("Apply without asking, on whatever generation is in force")
-        .switch();
-    let author = long("author")
-        .env("MONSOONTRESTLE_AUTHOR")
-        .help("Who applies it, kept in the history")
-        .argument::<String>("NAME")
-        .fallback("unnamed".to_owned())
-        .display_fallback();
-    let comment = long("comment")
-        .help("What the change is for, kept in the history")
-        .argument::<String>("TEXT")
-        .fallback(String::new());
-    let wait = long("wait")
-        .help("Wait until every live process applies it; needs --entry")
-        .switch();
-    let timeout = long("timeout")
-        .help("How long to wait, such as 30s")
-        .argument::<String>("DURATION")
-        .parse(|text| humantime::parse_duration(&text))
-        .fallback(DEFAULT_WAIT);
-    let entry = entry().optional();
-    construct!(ApplyFlags {
-        base,
-        yes,
-        author,
-        comment,
-        wait,
-        timeout,
-        entry
-    })
-}
-
-fn submit_flags() -> impl Parser<SubmitFlags> {
-    let route = long("route")
-        .help("The route, of kind batch or standing")
-        .argument::<String>("NAME");
-    let key = long("key")
-        .help("Your key of the job")
-        .argument::<String>("KEY");
-    let team = long("team")
-        .help("The team that it counts against; the route's by default")
-        .argument::<String>("NAME")
-        .optional();
-    let after = long("after")
-        .help("The key of a job that must be finished first")
-        .argument::<String>("KEY")
-        .optional();
-    let payload = long("payload")
-        .help("The job's own data")
-        .argument::<String>("TEXT")
-        .fallback(String::new());
-    construct!(SubmitFlags {
-        route,
-        key,
-        team,
-        after,
-        payload
-    })
-}
-
-fn job_flags() -> impl Parser<JobFlags> {
-    let pool = long("pool")
-        .help("The pool that the jobs are in")
-        .argument::<String>("NAME");
-    let by_id = long("by-id")
-        .help("The names are ids given by the system, not your keys")
-        .switch();
-    let names = positional::<String>("JOB")
-        .help("A job's key")
-        .some("expected at least one job");
-    construct!(JobFlags { pool, by_id, names })
-}
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -243,3 +243,31 @@
     first.kill();
     second.kill();
 }
+
+#[test]
+fn metrics_count_requests_store_calls_and_targets() {
+    let desk = Desk::start();
+    let entry = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    let (target, worker) = (target(), worker());
+    let companion = companion(target.addr(), worker.addr(), &[entry.cfg().rpc_addr]);
+    let url = |path: &str| format!("http://{}{path}", entry.http_addr());
+    wait_for_generation(entry.http_addr(), applied);
+
+    wait_until(|| ureq::post(url("/style-check")).send("text").is_ok());
+    let mut response = ureq::get(url("/v1/metrics")).call().expect("metrics");
+    let text = response.body_mut().read_to_string().expect("text");
+    let mut response = ureq::get(url("/v1/report?format=html"))
+        .call()
+        .expect("report");
+    let page = response.body_mut().read_to_string().expect("page");
+
+    let answered = "monsoontrestle_requests_total{route=\"style-check\",outcome=\"answered\"} 1";
+    assert!(text.contains(answered), "{text}");
+    assert!(text.contains("monsoontrestle_store_calls_total{kind=\"get\",result=\"ok\"}"));
+    assert!(text.contains("monsoontrestle_targets 1"));
+    assert!(text.contains(&format!("monsoontrestle_tables_generation {applied}")));
+    assert!(page.contains("<td>style-check</td>"));
+    companion.kill();
+    entry.kill();
+}
