place: accept extra time by the tail's weight, halved at full weight

Cause: the root of the weight set the manuscript desk's limit above what its tail bears and the trading desk's below what its throughput needs. Change: limit 0.57 x (1 - tail / 2), pace 0.35, fit shares 0.1 and 0.5.

--- a/crates/place/src/cfg.rs
+++ b/crates/place/src/cfg.rs
@@ -115,7 +115,7 @@
 /// The settings of the ladder.
 #[derive(Clone, Debug)]
 pub struct LadderCfg {
-    /// The extra time of a service that is accepted, times the root of the pool's weight of the tail.
+    /// The extra time of a service that a pool without weight on the tail accepts; half at full weight.
     pub limit: f64,
     /// The multiple of the accepted extra time from which on the ladder goes up.
     pub rise: f64,
@@ -189,7 +189,7 @@
             choice: Choice::HarmAware,
             parts: Parts::ALL,
             candidates: 32,
-            suiting_shares: [0.0, 0.3],
+            suiting_shares: [0.1, 0.5],
             scan_limit: 256,
             harm: HarmCfg::default(),
             accepted_weight: 0.5,
@@ -224,11 +224,11 @@
 impl Default for LadderCfg {
     fn default() -> Self {
         Self {
-            limit: 0.3,
+            limit: 0.57,
             rise: 2.0,
             fall: 0.8,
             eviction_restraint: 2.0,
-            pace: 0.25,
+            pace: 0.35,
             throttled_for: Duration::from_secs(30),
             settle: Duration::from_secs(4),
             samples: 3,
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -304,13 +304,10 @@
 
     /// Returns the extra time of services that the pool accepts.
     pub(crate) fn extra_limit(&self) -> f64 {
-        self.cfg.ladder.limit / self.weights.tail.max(LEAST_TAIL_WEIGHT).sqrt()
+        self.cfg.ladder.limit * (1.0 - self.weights.tail / 2.0)
     }
 }
 
-/// The weight of the tail below which it makes no difference.
-const LEAST_TAIL_WEIGHT: f64 = 0.05;
-
 fn load_of(row: &WorkerRow, job: &Candidate) -> f64 {
     job.granted.cpu_milli as f64 / row.view.capacity.cpu_milli.max(1) as f64
 }
