--- /dev/null
+++ b/crates/entry/src/http.rs
@@ -0,0 +1,113 @@
+//! The HTTP front: callers' requests, jobs and operator calls.
+
+mod admin;
+mod proxy;
+
+use std::io::Cursor;
+
+use base::prelude::*;
+use crossbeam_channel::{Sender, bounded};
+use slog::Logger;
+use tiny_http::{Header, Request, Response};
+use wire::{Outcome, Reply, Token, header};
+
+use self::proxy::Proxy;
+use crate::event::{AdminEvent, Event};
+use crate::telemetry::Telemetry;
+
+/// What the paths of operators' calls begin with.
+const OPERATOR_PATHS: &str = "/v1/";
+
+/// How long an operator call waits for the actors.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Serves HTTP requests on the threads of the pool.
+pub(crate) struct Front {
+    events: Sender<Event>,
+    proxy: Proxy,
+    token: Option<Token>,
+    telemetry: Arc<Telemetry>,
+    log: Logger,
+}
+
+impl Front {
+    pub(crate) fn new(
+        events: Sender<Event>,
+        token: Option<Token>,
+        telemetry: Arc<Telemetry>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            proxy: Proxy::new(events.clone(), token.clone()),
+            events,
+            token,
+            telemetry,
+            log,
+        }
+    }
+
+    /// Serves one request to its end.
+    pub(crate) fn serve(&self, req: Request) {
+        if req.url().starts_with(OPERATOR_PATHS) {
+            self.serve_admin(req);
+        } else {
+            self.serve_route(req);
+        }
+    }
+
+    /// Counts a request by what its response tells.
+    fn count(&self, route: &RouteName, began: Instant, response: &Response<Cursor<Vec<u8>>>) {
+        let told = |name: &str| {
+            let mut headers = response.headers().iter();
+            headers.find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
+        };
+        let outcome = told(header::OUTCOME).and_then(|h| h.value.as_str().parse().ok());
+        let reason = told(header::REASON).map_or("no reason", |h| h.value.as_str());
+        let outcome = outcome.unwrap_or(Outcome::Unknown);
+        let now = Instant::now();
+        self.telemetry.request(route, outcome, reason, began, now);
+    }
+
+    /// Asks the actors and waits for their answer; `None` if none came in time.
+    fn ask<T: Send + 'static>(&self, event: impl FnOnce(Reply<T>) -> AdminEvent) -> Option<T> {
+        let (tx, rx) = bounded(1);
+        // The receiver is gone where the wait has ended: nobody wants the answer.
+        let reply = Reply::new(move |answer| drop(tx.send(answer)));
+        self.events.send(Event::Admin(event(reply))).ok()?;
+        rx.recv_timeout(ADMIN_TIMEOUT).ok()
+    }
+}
+
+/// Returns the value of a header.
+fn header_of<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.headers()
+        .iter()
+        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|h| h.value.as_str())
+}
+
+/// Builds a header from text that is known to be valid.
+fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name, value).ok()
+}
+
+/// Builds a response without a target's answer.
+fn refusal(
+    status: u16,
+    outcome: Outcome,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<Cursor<Vec<u8>>> {
+    let mut response =
+        Response::from_string(format!("{outcome}: {reason}\n")).with_status_code(status);
+    let retry_after = retry_after.map(|after| after.as_secs_f64().ceil().to_string());
+    let headers = [
+        header(header::OUTCOME, outcome.as_str()),
+        header(header::REASON, reason),
+        retry_after.and_then(|after| header("Retry-After", &after)),
+    ];
+    for h in headers.into_iter().flatten() {
+        response.add_header(h);
+    }
+    response
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,3 +1,9 @@
 //! Stand-ins for the platform and the targets, and load tools. Not shipped.
 
 pub mod harm;
+pub mod history;
+mod http;
+pub mod relay;
+pub mod store;
+pub mod target;
+pub mod worker;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,16 +1,22 @@
 //! Messages between the system's own processes, over JSON-RPC.
 
 mod api;
+mod auth;
 mod batch;
 mod call;
 mod client;
 mod http;
 mod member;
+pub mod operator;
+mod pool;
+mod stall;
+pub mod timing;
 
 pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
+pub use auth::{Token, TokenFlags, TokenLayer, TokenService, token_flags};
 pub use batch::{
     Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
-    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd,
+    Poll, PollAnswer, PollReply, RunningTask, SubmitReply, TaskEnd, shard_of_pool,
 };
 pub use call::{Answer, Call, CallPort, CallToken, Part, Reply};
 pub use client::{Client, ClientCfg};
@@ -18,3 +24,5 @@
 pub use member::{
     AnnounceReply, Announcement, EntryInfo, Gossip, RevokeReply, ShardOwner, TargetState,
 };
+pub use pool::HttpPool;
+pub use stall::serve_stalled_connections;
