Move a companion to a newer owner only once that owner answers it

Cause: entries now gossip, so a companion that reaches only the cut-off owner of its shard learns of the newer owner through it, turned to that owner in vain, and could not go back: a poll may count at the newer owner though its answer is lost. Ruled out: ending the keep by gossip at the entry (it ends only by the store's word). Change: the companion turns to a newer owner only if that entry answered its last announcement. Conclusion: safe as before, and a partial cut no longer stops tasks.

--- a/crates/companion/src/announce.rs
+++ b/crates/companion/src/announce.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     failures: u32,
+    /// Whether it answered the last announcement that ended.
+    answers: bool,
     is_waiting: bool,
     /// Whether the entry knows that the target leaves.
     knows_leaving: bool,
@@ -161,11 +163,13 @@
         match answer {
             Ok(Answer::Announce(reply)) => {
                 peer.failures = 0;
+                peer.answers = true;
                 peer.knows_leaving |= state == TargetState::Leaving;
                 self.learn(cx, *reply);
             }
             _ => {
                 peer.failures += 1;
+                peer.answers = false;
                 let given_up = !peer.is_seed && peer.failures > MAX_FAILURES;
                 if given_up {
                     self.peers.swap_remove(&from);
@@ -232,7 +236,10 @@
             .next();
         let Some(pool) = pool else { return };
         let shard = shard_of_pool(&pool.name);
+        // A poll may count at a newer owner though its answer is lost, after which no
+        // earlier owner can keep the tasks: only an owner that answers is worth the move.
         let owner = self.owners.get(&shard).map(|owner| owner.rpc_addr);
+        let owner = owner.filter(|addr| self.peers.get(addr).is_some_and(|peer| peer.answers));
         call!([self.tasks, cx], set_shard(shard, owner));
     }
 
