Split limits of rate and concurrency over entries by demand

Cause: the tables' rate and concurrency were read and never enforced.

Change: each entry smooths its demand by route, gossips it once a second, and takes a share of each limit: nine tenths by demand, one tenth evenly, so that an entry without demand can begin. Rates use a token bucket whose fill follows its share; concurrency is apportioned by the largest remainder, so that equal views never exceed it. A refusal tells when there is room. No store call. Router::new takes the entry's id.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -73,6 +73,7 @@
     /// Which entry a call on its way went to.
     calls: IndexMap<u64, SocketAddr>,
     next_call: u64,
+    demand: Vec<(Name, f64)>,
     lease: Option<LeaseId>,
     is_stopping: bool,
 }
@@ -98,6 +99,7 @@
             view,
             calls: IndexMap::new(),
             next_call: 0,
+            demand: Vec::new(),
             lease: None,
             is_stopping: false,
         };
@@ -109,6 +111,10 @@
         self.config = Some(config);
     }
 
+    pub(crate) fn set_demand(&mut self, _cx: CX![], demand: Vec<(Name, f64)>) {
+        self.demand = demand;
+    }
+
     pub(crate) fn set_tables(&mut self, _cx: CX![], tables: Arc<Tables>, doc: TablesDoc) {
         self.generation = tables.generation;
         self.doc = Some(doc);
@@ -174,6 +180,7 @@
             let msg = Gossip {
                 tables,
                 is_stopping: self.is_stopping,
+                demand: self.demand.clone(),
                 ..self.view.gossip(now, self.info(), false)
             };
             self.next_call += 1;
@@ -277,6 +284,7 @@
         let answer = Gossip {
             tables,
             is_stopping: self.is_stopping,
+            demand: self.demand.clone(),
             ..self.view.gossip(cx.now(), self.info(), msg.wants_targets)
         };
         reply.send(answer);
@@ -309,6 +317,12 @@
         if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
             call!([config, cx], offer(doc));
         }
+        let entry = msg.from.entry;
+        if msg.is_stopping {
+            call!([self.request, cx], peer_gone(entry));
+        } else {
+            call!([self.request, cx], peer_demand(entry, msg.demand));
+        }
         self.merge_owners(cx, msg.owners);
     }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -63,6 +63,7 @@
             ret_nop!()
         );
         call!([member], set_config(config.clone()));
+        call!([request], set_member(member.clone()));
         Self {
             stakker,
             config,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -2,12 +2,13 @@
 
 use base::prelude::*;
 use route::{Next, RequestStep, Router};
-use stakker::{CX, after};
+use stakker::{Actor, CX, after, call};
 use tables::Tables;
 use wire::{Announcement, Answer, Call, CallToken, ClaimReply, Part, Reply, ShardOwner};
 
 use crate::EntryCfg;
 use crate::event::RequestEvent;
+use crate::member::MemberActor;
 use crate::ports::Ports;
 
 /// How often requests past their deadline are dropped from the table.
@@ -24,6 +25,7 @@
 pub(crate) struct RequestActor {
     ports: Ports,
     router: Router,
+    member: Option<Actor<MemberActor>>,
     owners: IndexMap<ShardId, ShardOwner>,
     waiting: IndexMap<u64, Waiting>,
     next_call: u64,
@@ -33,7 +35,8 @@
     pub(crate) fn init(cx: CX![], cfg: Arc<EntryCfg>, ports: Ports, seed: u64) -> Option<Self> {
         let this = Self {
             ports,
-            router: Router::new(cfg.zone.clone(), seed),
+            router: Router::new(cfg.entry.clone(), cfg.zone.clone(), seed),
+            member: None,
             owners: IndexMap::new(),
             waiting: IndexMap::new(),
             next_call: 0,
@@ -45,6 +48,9 @@
     fn sweep_later(&self, cx: CX![]) {
         after!(SWEEP_EVERY, [cx], |this, cx| {
             this.router.sweep(cx.now());
+            if let Some(member) = &this.member {
+                call!([member, cx], set_demand(this.router.demand()));
+            }
             this.sweep_later(cx);
         });
     }
@@ -53,6 +59,18 @@
         self.router.set_tables(tables);
     }
 
+    pub(crate) fn set_member(&mut self, _cx: CX![], member: Actor<MemberActor>) {
+        self.member = Some(member);
+    }
+
+    pub(crate) fn peer_demand(&mut self, cx: CX![], entry: EntryId, demand: Vec<(Name, f64)>) {
+        self.router.peer_demand(cx.now(), entry, demand);
+    }
+
+    pub(crate) fn peer_gone(&mut self, _cx: CX![], entry: EntryId) {
+        self.router.peer_gone(&entry);
+    }
+
     pub(crate) fn set_owners(&mut self, _cx: CX![], owners: IndexMap<ShardId, ShardOwner>) {
         self.owners = owners;
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 mod active;
 mod budget;
 mod fleet;
+pub mod limits;
 mod router;
 mod step;
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -9,6 +9,7 @@
 use crate::active::Active;
 use crate::budget::RetryBudget;
 use crate::fleet::{Evidence, Fleet};
+use crate::limits::Limits;
 use crate::step::{AttemptEnd, Next, RequestMeta, RequestStep, SendStep};
 
 /// How many targets a request is sent to at most.
@@ -42,17 +43,19 @@
     fleet: Fleet,
     budgets: IndexMap<RouteName, RetryBudget>,
     active: IndexMap<RequestId, Active>,
+    limits: Limits,
 }
 
 impl Router {
     /// Creates a router without targets.
-    pub fn new(zone: ZoneName, seed: u64) -> Self {
+    pub fn new(me: EntryId, zone: ZoneName, seed: u64) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
             tables: Arc::default(),
             fleet: Fleet::new(zone),
             budgets: IndexMap::new(),
             active: IndexMap::new(),
+            limits: Limits::new(me),
         }
     }
 
@@ -60,6 +63,8 @@
     pub fn set_tables(&mut self, tables: Arc<Tables>) {
         self.budgets
             .retain(|route, _| tables.routes.contains_key(route));
+        self.limits
+            .keep_routes(|route| tables.routes.contains_key(route));
         self.tables = tables;
     }
 
@@ -83,10 +88,28 @@
         self.active.len()
     }
 
-    /// Forgets requests whose serving thread is gone.
+    /// Forgets requests whose serving thread is gone, and closes a second of demand.
     pub fn sweep(&mut self, now: Instant) {
-        self.active
-            .retain(|_, active| now < active.meta.deadline + KEEP_AFTER_DEADLINE);
+        let is_over = |_: &RequestId, a: &mut Active| now >= a.meta.deadline + KEEP_AFTER_DEADLINE;
+        for (_, active) in self.active.extract_if(.., is_over) {
+            self.limits.end(&active.route.name);
+        }
+        self.limits.tick(now);
+    }
+
+    /// Returns this entry's demand by limit, for its peers.
+    pub fn demand(&self) -> Vec<(Name, f64)> {
+        self.limits.demand()
+    }
+
+    /// Takes the demand that another entry told.
+    pub fn peer_demand(&mut self, now: Instant, entry: EntryId, demand: Vec<(Name, f64)>) {
+        self.limits.peer(now, entry, demand);
+    }
+
+    /// Forgets an entry that stops.
+    pub fn peer_gone(&mut self, entry: &EntryId) {
+        self.limits.peer_gone(entry);
     }
 
     /// Admits a request or refuses it.
@@ -105,19 +128,48 @@
         let Some(place) = place else {
             return refuse("no-target", Some(RETRY_AFTER));
         };
+        if let Err(limited) = self.limits.begin(now, &route) {
+            return refuse(limited.reason, Some(limited.retry_after));
+        }
         self.budgets
             .entry(route.name.clone())
             .or_insert_with(RetryBudget::new)
             .first_attempt(route.retry_budget);
+        let name = route.name.clone();
         let active = Active::new(meta, route, place);
-        self.dispatch(now, active)
+        let next = self.dispatch(now, active);
+        self.count_end(&name, &next);
+        next
     }
 
     /// Decides what follows the end of an attempt.
     pub fn ended(&mut self, now: Instant, id: &RequestId, end: &AttemptEnd) -> Next {
-        let Some(mut active) = self.active.swap_remove(id) else {
+        self.step(id, |this, active| this.after_attempt(now, active, end))
+    }
+
+    /// Takes a request through a decision, and counts its end where that was the last.
+    fn step(&mut self, id: &RequestId, decide: impl FnOnce(&mut Self, Active) -> Next) -> Next {
+        let Some(active) = self.active.swap_remove(id) else {
             return unknown("forgotten");
         };
+        let route = active.route.name.clone();
+        let next = decide(self, active);
+        self.count_end(&route, &next);
+        next
+    }
+
+    /// Counts the end of a request with its limits, if `next` is its end.
+    fn count_end(&mut self, route: &RouteName, next: &Next) {
+        let goes_on = match next {
+            Next::Step(step) => matches!(step, RequestStep::Send(_)),
+            Next::Revoke { .. } | Next::Claim { .. } => true,
+        };
+        if !goes_on {
+            self.limits.end(route);
+        }
+    }
+
+    fn after_attempt(&mut self, now: Instant, mut active: Active, end: &AttemptEnd) -> Next {
         active.is_sent = false;
         self.fleet.ended(now, &active.place, evidence_of(end));
         match end {
@@ -198,9 +250,15 @@
 
     /// Decides what follows the answer to a revocation.
     pub fn revoked(&mut self, now: Instant, id: &RequestId, reply: &Result<RevokeReply>) -> Next {
-        let Some(mut active) = self.active.swap_remove(id) else {
-            return unknown("forgotten");
-        };
+        self.step(id, |this, active| this.after_revoke(now, active, reply))
+    }
+
+    fn after_revoke(
+        &mut self,
+        now: Instant,
+        mut active: Active,
+        reply: &Result<RevokeReply>,
+    ) -> Next {
         match reply {
             Ok(RevokeReply::NeverStarted) => {
                 active.is_doubtful = false;
@@ -274,9 +332,10 @@
     ///
     /// Nothing was sent under a claim that was not granted, so that it is refused as not run.
     pub fn claimed(&mut self, now: Instant, id: &RequestId, reply: Result<ClaimReply>) -> Next {
-        let Some(mut active) = self.active.swap_remove(id) else {
-            return unknown("forgotten");
-        };
+        self.step(id, |this, active| this.after_claim(now, active, reply))
+    }
+
+    fn after_claim(&mut self, now: Instant, mut active: Active, reply: Result<ClaimReply>) -> Next {
         if now + MIN_ATTEMPT > active.meta.deadline {
             return give_up(&active, "expired");
         }
--- a/crates/route/tests/outcomes.rs
+++ b/crates/route/tests/outcomes.rs
@@ -328,7 +328,7 @@
         nonce: Nonce(1),
     };
     let tables = doc.tables().expect("valid tables");
-    let mut router = Router::new("viti-suva".into(), 7);
+    let mut router = Router::new("entry-0".into(), "viti-suva".into(), 7);
     router.set_tables(Arc::new(tables));
     for at in 0..targets {
         router.target(announcement(at, Incarnation(1)));
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -89,7 +89,7 @@
     desk.vms[0].target.set_fault(TargetFault::NeverAnswers);
     let entry = desk.entries[0].http_addr();
     let caller = std::thread::spawn(move || send(entry, "/settle", None, b"x"));
-    wait_until(|| desk.vms[0].target.counts().running == 1);
+    wait_until(|| desk.runs() == [1]);
 
     desk.vms[0].companion.take().expect("running").kill();
     desk.vms[0].relay.set_refusing(true);
