--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -2,6 +2,7 @@
 
 mod forward;
 mod owned;
+mod view;
 
 use base::prelude::*;
 use journal::OwnerCfg;
@@ -16,6 +17,7 @@
 
 use self::forward::Forwarded;
 use self::owned::Shard;
+pub use self::view::{JobEnd, ShardsView};
 use crate::EntryCfg;
 use crate::ports::Ports;
 
@@ -189,10 +191,11 @@
         job: JobRef,
         reply: Reply<Option<JobStatus>>,
     ) {
-        let status = self
-            .owned(cx.now(), shard)
-            .and_then(|shard| shard.status(&job));
-        reply.send(status);
+        match self.owned(cx.now(), shard) {
+            Some(shard) => reply.send(shard.status(&job)),
+            // Whether there is such a job cannot be told here: no answer says so.
+            None => drop(reply),
+        }
     }
 
     pub(crate) fn cancel(
@@ -204,7 +207,7 @@
     ) {
         match self.owned(cx.now(), shard) {
             Some(owned) => owned.cancel(cx.now(), &jobs, reply),
-            None => reply.send(Vec::new()),
+            None => drop(reply),
         }
         self.commit(cx.now(), shard);
     }
