--- a/examples/batch/fleet.rs
+++ b/examples/batch/fleet.rs
@@ -8,7 +8,7 @@
 use companion::CompanionCfg;
 use entry::EntryCfg;
 use fakes::store::{StoreCounts, StoreServer};
-use fakes::worker::{WorkerServer, WorkerSettings};
+use fakes::worker::{Run, WorkerServer, WorkerSettings};
 use journal::{Keys, OwnerValue};
 use platform::store::{Expect, StoreCall, StoreReply};
 use slog::{Discard, Logger, o};
@@ -98,7 +98,7 @@
     }
 
     /// Returns the owner of the shard, by the store's word.
-    fn owner(&self) -> Option<EntryId> {
+    fn owner(&self) -> Option<OwnerValue> {
         let reply = self.store.call(&StoreCall::List {
             prefix: Keys::OWNERS.into(),
             after: None,
@@ -108,7 +108,7 @@
             return None;
         };
         let value = OwnerValue::decode(&found.first()?.value)?;
-        (value.epoch > Epoch(0)).then_some(value.entry)
+        (value.epoch > Epoch(0)).then_some(value)
     }
 
     pub(crate) fn entry_addrs(&self) -> Vec<SocketAddr> {
@@ -135,9 +135,12 @@
         self.workers.iter().map(starts).sum()
     }
 
-    /// Kills the owner; returns when.
-    pub(crate) fn kill_owner(&self) -> Result<Instant> {
-        let owner = self.owner();
+    /// Kills the owner; returns when, and its term.
+    pub(crate) fn kill_owner(&self) -> Result<(Instant, Epoch)> {
+        let (owner, epoch) = match self.owner() {
+            Some(value) => (Some(value.entry), value.epoch),
+            None => (None, Epoch(0)),
+        };
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let app = entries
             .iter_mut()
@@ -152,19 +155,19 @@
             )
         })?;
         app.kill();
-        Ok(Instant::now())
+        Ok((Instant::now(), epoch))
     }
 
-    /// Waits for the first start after a time.
-    pub(crate) fn first_start_after(&self, at: Instant, within: Duration) -> Option<Instant> {
+    /// Waits for the first start of a job that an owner of a later term accepted.
+    pub(crate) fn first_start_after(
+        &self,
+        (at, epoch): (Instant, Epoch),
+        within: Duration,
+    ) -> Option<Instant> {
         while at.elapsed() < within {
             let runs = self.workers.iter().flat_map(|worker| worker.record().runs);
-            // Orders that were on their way at the kill may start something at once.
-            let settled = at + Duration::from_millis(500);
-            let first = runs
-                .map(|run| run.start)
-                .filter(|start| *start > settled)
-                .min();
+            let is_new = |run: &Run| epoch_of(&run.key.job) > Some(epoch);
+            let first = runs.filter(is_new).map(|run| run.start).min();
             if first.is_some() {
                 return first;
             }
@@ -257,3 +260,9 @@
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// Returns the term in which a job was accepted, which its id tells.
+fn epoch_of(job: &JobId) -> Option<Epoch> {
+    let part = job.as_str().split('-').nth(1)?;
+    part.parse().ok().map(Epoch)
+}
--- a/examples/batch/main.rs
+++ b/examples/batch/main.rs
@@ -98,7 +98,7 @@
     match first {
         Some(at) => println!(
             "owner killed to start  {:10.2} s",
-            (at - killed).as_secs_f64()
+            (at - killed.0).as_secs_f64()
         ),
         None => println!("owner killed to start      never"),
     }
