--- a/crates/entry/src/shard/owned/riding.rs
+++ b/crates/entry/src/shard/owned/riding.rs
@@ -13,6 +13,9 @@
 use super::Shard;
 use super::polls::HeldPoll;
 
+/// Over a grace, clocks drift apart by at most this share of it.
+const GRACE_PER_DRIFT: u32 = 1_000;
+
 /// The time after the end of a lease in which an owner still keeps tasks.
 #[derive(Debug)]
 pub(super) struct Riding {
@@ -48,7 +51,7 @@
         } else {
             state.grace()
         };
-        grace + KEEP_FOR + DRIFT
+        grace + grace / GRACE_PER_DRIFT + KEEP_FOR + DRIFT
     }
 
     /// Commits the pool's grace before anyone may rely on it.
