--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -17,7 +17,7 @@
 use crate::http::Front;
 use crate::store_io::StoreIo;
 use crate::telemetry::Telemetry;
-use crate::{EntryCfg, Event, Node, Ports, rpc};
+use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
@@ -75,8 +75,10 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let snapshot = Arc::new(TablesSnapshot::default());
         let front = Front::new(
             events.clone(),
+            Arc::clone(&snapshot),
             token.clone(),
             Arc::clone(&telemetry),
             log.clone(),
@@ -119,7 +121,7 @@
         let actors = std::thread::spawn({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
-            move || run_actors(&cfg, &ports, &rx, &stopping)
+            move || run_actors(&cfg, &ports, snapshot, &rx, &stopping)
         });
         Ok(Self {
             cfg,
@@ -179,8 +181,15 @@
 }
 
 /// Runs the actors until the process stops.
-fn run_actors(cfg: &Arc<EntryCfg>, ports: &Ports, rx: &Receiver<Event>, stopping: &AtomicBool) {
+fn run_actors(
+    cfg: &Arc<EntryCfg>,
+    ports: &Ports,
+    snapshot: Arc<TablesSnapshot>,
+    rx: &Receiver<Event>,
+    stopping: &AtomicBool,
+) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.publish_to(snapshot);
     node.run(ports.clock.now());
     while !stopping.load(Ordering::Acquire) {
         let now = ports.clock.now();
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -1,11 +1,13 @@
 //! The tables in force: read from the store, never taken back to a lower generation.
 
 mod sync;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::store::{KeyValue, StoreCall, StoreReply};
+use platform::store::{KeyValue, Revision, StoreCall, StoreReply};
 use slog::{error, info, warn};
 use stakker::{Actor, CX, after, call};
 use tables::{InForce, Offer, Tables, TablesDoc};
@@ -19,6 +21,7 @@
 use crate::ports::{Ports, StorePriority};
 use crate::request::RequestActor;
 use crate::shard::ShardActor;
+use crate::snapshot::TablesSnapshot;
 
 /// How long a question to another process may take.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,6 +40,7 @@
     request: Actor<RequestActor>,
     shard: Actor<ShardActor>,
     member: Actor<MemberActor>,
+    snapshot: Arc<TablesSnapshot>,
 }
 
 impl ConfigActor {
@@ -59,6 +63,7 @@
             request,
             shard,
             member,
+            snapshot: Arc::default(),
         };
         this.read();
         this.watch();
@@ -66,18 +71,19 @@
         Some(this)
     }
 
+    /// Reads the tables, or only what changed since, so that no tables travel in vain.
     fn read(&self) {
-        let key = TablesDoc::KEY.into();
-        self.call_store(READ, StoreCall::Get { key });
+        let call = if self.sync.must_read() {
+            let key = TablesDoc::KEY.into();
+            StoreCall::Get { key }
+        } else {
+            changes(self.sync.seen(), Duration::ZERO)
+        };
+        self.call_store(READ, call);
     }
 
     fn watch(&self) {
-        let call = StoreCall::Watch {
-            prefix: TablesDoc::KEY.into(),
-            after: self.sync.seen(),
-            wait: WATCH_WAIT,
-        };
-        self.call_store(WATCH, call);
+        self.call_store(WATCH, changes(self.sync.seen(), WATCH_WAIT));
     }
 
     fn call_store(&self, id: u64, call: StoreCall) {
@@ -91,14 +97,18 @@
         match reply {
             Ok(StoreReply::Got(found)) => {
                 let revision = found.as_ref().map_or(0, |kv| kv.revision);
+                self.sync.was_read();
                 self.sync.store_answered(cx.now(), revision);
                 if let Some(KeyValue { key, value, .. }) = found {
                     self.read_value(cx, &key, &value);
                 }
             }
             Ok(StoreReply::Watched {
-                events, revision, ..
+                events,
+                revision,
+                compacted,
             }) => {
+                self.sync.changes_told(revision, compacted);
                 self.sync.store_answered(cx.now(), revision);
                 for event in events {
                     if let Some(value) = event.value {
@@ -157,7 +167,15 @@
         }
     }
 
+    pub(crate) fn set_snapshot(&mut self, _cx: CX![], snapshot: Arc<TablesSnapshot>) {
+        if self.in_force.doc().is_some() {
+            snapshot.set(Arc::clone(self.in_force.tables()));
+        }
+        self.snapshot = snapshot;
+    }
+
     fn publish(&self, cx: CX![], tables: &Arc<Tables>, doc: TablesDoc) {
+        self.snapshot.set(Arc::clone(tables));
         call!([self.request, cx], set_tables(Arc::clone(tables)));
         call!([self.shard, cx], set_tables(Arc::clone(tables)));
         call!([self.member, cx], set_tables(Arc::clone(tables), doc));
@@ -226,11 +244,6 @@
         reply.send(self.in_force.doc().cloned());
     }
 
-    pub(crate) fn parsed(&mut self, _cx: CX![], reply: Reply<Option<Arc<Tables>>>) {
-        let is_any = self.in_force.doc().is_some();
-        reply.send(is_any.then(|| Arc::clone(self.in_force.tables())));
-    }
-
     pub(crate) fn store_health(&mut self, cx: CX![], reply: Reply<StoreHealth>) {
         let age = self.sync.store_age(cx.now());
         let is_reachable = age.is_some_and(|age| age < 2 * READ_EVERY);
@@ -241,3 +254,12 @@
         });
     }
 }
+
+/// Asks for the changes of the tables after a revision.
+fn changes(after: Revision, wait: Duration) -> StoreCall {
+    StoreCall::Watch {
+        prefix: TablesDoc::KEY.into(),
+        after,
+        wait,
+    }
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -3,13 +3,15 @@
 use base::prelude::*;
 use platform::store::StoreReply;
 use route::{AttemptEnd, RequestMeta, RequestStep};
-use tables::{Tables, TablesDoc};
+use tables::TablesDoc;
 use wire::operator::{Status, StoreHealth};
 use wire::{
     AnnounceReply, Announcement, Answer, CallToken, Claim, ClaimReply, DoneAck, DoneReport, Gossip,
     JobRef, JobSpec, JobStatus, Part, Poll, PollReply, Reply, SubmitReply,
 };
 
+use crate::shard::ShardsView;
+
 /// Matches the reply of a store call to the part that made it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StoreToken {
@@ -57,6 +59,8 @@
     Admit(RequestMeta, Reply<RequestStep>),
     /// The attempt that the last step asked for ended.
     Ended(RequestId, AttemptEnd, Reply<RequestStep>),
+    /// The whole answer arrived, and its thread passes it on.
+    Answered(RequestId, AttemptEnd),
 }
 
 /// A call of a caller or operator that the actors answer themselves.
@@ -70,8 +74,8 @@
     Cancel(PoolName, Vec<JobRef>, Reply<Vec<JobStatus>>),
     /// Asks for the tables in force here.
     Tables(Reply<Option<TablesDoc>>),
-    /// Asks for the tables in force here, checked and joined.
-    Parsed(Reply<Option<Arc<Tables>>>),
+    /// Asks for the shards owned here and takes over the ends of their jobs.
+    Shards(Reply<ShardsView>),
     /// Starts the planned stop of a target; tells whether the target is known.
     Drain(TargetId, Reply<bool>),
     /// Asks for what this entry sees of the store.
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -111,6 +111,10 @@
     pub(crate) fn set_tables(&mut self, _cx: CX![], tables: Arc<Tables>, doc: TablesDoc) {
         self.generation = tables.generation;
         self.doc = Some(doc);
+        // Others read the generation that this entry applies from its presence.
+        if let Some(lease) = self.lease {
+            self.announce_self(lease);
+        }
     }
 
     fn info(&self) -> EntryInfo {
@@ -207,6 +211,7 @@
             .map(|value| (value.shard, owner_of(value)))
             .collect();
         call!([self.shard, cx], set_owners(self.owners.clone()));
+        call!([self.request, cx], set_owners(self.owners.clone()));
     }
 
     pub(crate) fn announce(&mut self, cx: CX![], msg: Announcement, reply: Reply<AnnounceReply>) {
@@ -256,6 +261,9 @@
         if let (Some(doc), Some(config)) = (msg.tables, &self.config) {
             call!([config, cx], offer(doc));
         }
+        for (target, incarnation) in msg.leaving {
+            call!([self.request, cx], target_leaving(target, incarnation));
+        }
         let tables = self
             .doc
             .clone()
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -17,6 +17,7 @@
 
 use self::polls::HeldPoll;
 use self::riding::{Riding, Term};
+use super::view::Ends;
 use crate::ports::StorePriority;
 
 /// How many decisions one tick carries out at most.
@@ -70,11 +71,11 @@
 
 /// One shard, owned or stood by for.
 pub(super) struct Shard {
-    owner: Owner,
-    placer: Placer,
+    pub(super) owner: Owner,
+    pub(super) placer: Placer,
     placer_seed: u64,
-    pool: Option<Arc<Pool>>,
-    shard: ShardId,
+    pub(super) pool: Option<Arc<Pool>>,
+    pub(super) shard: ShardId,
     clock: Arc<dyn Clock>,
     log: Logger,
     workers: IndexMap<WorkerId, WorkerState>,
@@ -98,6 +99,7 @@
     riding: Option<Riding>,
     term: Option<Term>,
     store_calls: Vec<ShardStoreCall>,
+    pub(super) ends: Ends,
 }
 
 impl Shard {
@@ -134,6 +136,7 @@
             riding: None,
             term: None,
             store_calls: Vec::new(),
+            ends: Ends::default(),
         }
     }
 
@@ -306,7 +309,7 @@
         }
     }
 
-    fn wall_ms(&self) -> u64 {
+    pub(super) fn wall_ms(&self) -> u64 {
         let since = self
             .clock
             .wall()
@@ -351,7 +354,7 @@
             .owner
             .state()
             .job(job)
-            .filter(|j| j.state == JobState::Queued)
+            .filter(|j| j.state == JobState::Queued && !self.is_being_cancelled(&j.id))
         else {
             self.placer.placement_dropped(job);
             return;
@@ -370,7 +373,15 @@
         );
     }
 
+    /// Tells whether a cancellation of the job is proposed and not committed yet.
+    fn is_being_cancelled(&self, job: &JobId) -> bool {
+        self.owner
+            .proposed()
+            .any(|change| matches!(change, Change::Cancelled { job: other } if other == job))
+    }
+
     fn committed(&mut self, now: Instant, ticket: Ticket, change: &Change) {
+        self.note_end(change);
         match change {
             Change::Submitted { job, spec, .. } => {
                 self.submitting.swap_remove(&spec.key);
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -228,7 +228,7 @@
 impl StorePort for StoreIo {
     fn submit(&self, priority: StorePriority, token: StoreToken, call: StoreCall) {
         let shared = match call {
-            StoreCall::Watch { .. } => &self.watches,
+            StoreCall::Watch { wait, .. } if !wait.is_zero() => &self.watches,
             _ if priority == StorePriority::Lease => &self.leases,
             _ => &self.shared,
         };
