--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -449,3 +449,44 @@
     assert_eq!(world.running(), 8);
     assert!(world.runs() > 8);
 }
+
+#[test]
+fn evicted_tasks_resume_once_from_their_checkpoint() {
+    let mut world = World::new(2, 2);
+    world.run(SECOND * 4);
+    for job in 0..4 {
+        world.submit(0, spec(&format!("job-{job}"), SECOND * 40));
+    }
+    world.run(SECOND * 10);
+    let leaving = usize::from(world.vms[0].worker.granted() == Resources::ZERO);
+
+    world.drain(leaving);
+    world.run(SECOND * 40);
+
+    let statuses: Vec<_> = (0..4)
+        .filter_map(|job| world.status(0, &format!("job-{job}")))
+        .collect();
+    assert!(statuses.iter().any(|s| s.evictions == 1));
+    // A task that began anew would still run.
+    assert!(statuses.iter().all(|s| s.phase == JobPhase::Finished));
+    assert!(statuses.iter().all(|s| s.attempts.0 == 1 + s.evictions));
+    assert!(world.effects().into_values().all(|count| count == 1));
+}
+
+#[test]
+fn eviction_that_races_the_finish_leaves_one_end() {
+    for wait in 0..10 {
+        let mut world = World::new(1, 2);
+        world.run(SECOND * 4);
+        world.submit(0, spec("a", SECOND * 2));
+        world.run(SECOND / 10 * wait);
+        let at = usize::from(world.vms[0].worker.granted() == Resources::ZERO);
+
+        world.drain(at);
+        world.run(SECOND * 8);
+
+        let phase = world.status(0, "a").map(|s| s.phase);
+        assert_eq!(phase, Some(JobPhase::Finished), "after {wait} tenths");
+        assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
+    }
+}
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -309,6 +309,13 @@
         self.vms[at].process = None;
     }
 
+    /// Begins the planned stop of a VM.
+    pub fn drain(&mut self, at: usize) {
+        if let Some(p) = &mut self.vms[at].process {
+            p.node.deliver(companion::Event::Drain);
+        }
+    }
+
     /// Loses a VM with its companion and all that ran on it.
     pub fn lose_vm(&mut self, at: usize) {
         let now = self.now();
