Refuse a job that no record holds each time, and cut long errors of tasks

Cause: a dropped submission kept its key among those on their way, so that the next one with the key was told Unknown for good (the new test failed so); a task's error of over 128 KB could never be committed, and its end was repeated for ever.

--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -470,6 +470,11 @@
     /// Answers those who waited for a change that will never be committed.
     fn dropped(&mut self, ticket: Ticket) {
         let reason = || Name::from("not-committed");
+        if self.owner.epoch().is_some() {
+            // The change alone was refused: its key is free for another try.
+            self.submitting.retain(|_, of| *of != ticket);
+            self.claiming.retain(|_, of| *of != ticket);
+        }
         for waiter in self.waiters.swap_remove(&ticket).unwrap_or_default() {
             match waiter {
                 Waiter::Submit { reply, .. } => {
--- a/crates/entry/src/shard/owned/calls.rs
+++ b/crates/entry/src/shard/owned/calls.rs
@@ -1,10 +1,10 @@
 //! Submissions, ends of tasks, cancellations and claims, each answered once committed.
 
 use base::prelude::*;
-use journal::{Change, Ticket};
+use journal::{Change, Ticket, shortened};
 use place::{JobAsk, Verdict};
 use wire::{
-    Claim, ClaimReply, DoneAck, DoneReport, JobRef, JobSpec, JobStatus, Reply, SubmitReply,
+    Claim, ClaimReply, DoneAck, DoneReport, JobRef, JobSpec, JobStatus, Reply, SubmitReply, TaskEnd,
 };
 
 use super::{Group, Shard, Waiter};
@@ -103,6 +103,7 @@
             if !self.owner.state().is_current(&key) {
                 acked.push(key);
             } else if self.ending.insert(key.clone()) {
+                let end = bounded(end);
                 open.push(self.owner.propose(
                     now,
                     Change::Ended {
@@ -256,6 +257,16 @@
     }
 }
 
+/// Cuts an end to a size that a record can hold.
+fn bounded(end: TaskEnd) -> TaskEnd {
+    match end {
+        TaskEnd::Failed { error } => TaskEnd::Failed {
+            error: shortened(&error),
+        },
+        end => end,
+    }
+}
+
 /// Returns what the placer needs to check a job before it is kept.
 fn ask_for(job: &JobId, spec: &JobSpec) -> JobAsk {
     JobAsk {
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -490,3 +490,30 @@
         assert_eq!(world.effects().into_values().collect::<Vec<_>>(), [1]);
     }
 }
+
+#[test]
+fn job_too_large_for_a_record_is_refused_each_time() {
+    let mut world = World::new(1, 1);
+    world.run(SECOND * 4);
+    let huge = JobSpec {
+        payload: "x".repeat(300_000).into(),
+        ..spec("huge", SECOND)
+    };
+
+    let first = world.submit(0, huge.clone());
+    let second = world.submit(0, huge);
+    let small = world.submit(0, spec("huge", SECOND));
+
+    assert!(
+        matches!(first, Some(SubmitReply::Refused { .. })),
+        "{first:?}"
+    );
+    assert!(
+        matches!(second, Some(SubmitReply::Refused { .. })),
+        "{second:?}"
+    );
+    assert!(matches!(
+        small,
+        Some(SubmitReply::Accepted { known: false, .. })
+    ));
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -16,4 +16,4 @@
 pub use owner::{DeposedBy, Effect, Owner, OwnerCfg, OwnerValue, Ticket, Urgency};
 pub use record::{Change, Record, RecordBody};
 pub use retain::{CLAIM_RETENTION, JOB_RETENTION, MAX_CLAIMS, MAX_ENDED, MIN_ENDED};
-pub use state::{Job, JobState, ShardState};
+pub use state::{Job, JobState, ShardState, shortened};
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -346,7 +346,7 @@
 }
 
 /// Cuts an error to a size that many attempts can keep.
-fn shortened(error: &Name) -> Name {
+pub fn shortened(error: &Name) -> Name {
     let mut end = error.len().min(MAX_ERROR_BYTES);
     while !error.is_char_boundary(end) {
         end -= 1;
