Probe idle connections, and test that the secret keeps strangers out

A connection whose other end is gone for good held a thread of the HTTP server for ever; it is now closed after about a minute (keep-alive, inherited from the listener). The test reads the kernel's timer of the server's end.

--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,9 +6,18 @@
 use std::thread::JoinHandle;
 
 use base::prelude::*;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tiny_http::{Request, Server};
 
+/// How long a connection is idle before the other end is probed.
+const IDLE_BEFORE_PROBE: Duration = Duration::from_secs(30);
+
+/// How often the other end is probed.
+const PROBE_EVERY: Duration = Duration::from_secs(10);
+
+/// How many probes may go unanswered.
+const PROBES: u32 = 3;
+
 /// Serves HTTP requests on a fixed number of threads, each with one request at a time.
 pub struct HttpPool {
     server: Arc<Server>,
@@ -97,13 +106,21 @@
     }
 }
 
-/// Binds a listener whose connections send small writes at once.
+/// Binds a listener whose connections send small writes at once and are closed when the other end
+/// is gone for good; else each would hold a thread for ever.
 ///
 /// The server writes head and body apart; without this option the second write
 /// would wait for the peer's delayed acknowledgement. Connections inherit it.
 fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind(addr)?;
-    SockRef::from(&listener).set_tcp_nodelay(true)?;
+    let socket = SockRef::from(&listener);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(IDLE_BEFORE_PROBE)
+            .with_interval(PROBE_EVERY)
+            .with_retries(PROBES),
+    )?;
     Ok(listener)
 }
 
--- a/tests/config/garbage.rs
+++ b/tests/config/garbage.rs
@@ -119,3 +119,29 @@
     }
     entry.kill();
 }
+
+/// Returns the kernel's timer of the server's end of a connection; 2 stands for keep-alive.
+fn timer_of(stream: &TcpStream) -> Option<u8> {
+    let port = |addr: SocketAddr| format!(":{:04X}", addr.port());
+    let server = port(stream.peer_addr().ok()?);
+    let client = port(stream.local_addr().ok()?);
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    table.lines().find_map(|line| {
+        let fields = line.split_whitespace().collect::<Vec<_>>();
+        let is_it = fields.get(1)?.ends_with(&server) && fields.get(2)?.ends_with(&client);
+        let timer = fields.get(5)?.split(':').next()?;
+        is_it.then(|| timer.parse().ok()).flatten()
+    })
+}
+
+#[test]
+fn connections_are_probed_so_that_dead_ones_are_closed() {
+    const KEEP_ALIVE: u8 = 2;
+    let desk = Desk::start();
+    let entry = desk.entry("first", &[]);
+
+    let stream = TcpStream::connect(entry.http_addr()).expect("connect");
+
+    wait_until(|| timer_of(&stream) == Some(KEEP_ALIVE));
+    entry.kill();
+}
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -12,7 +12,10 @@
 use fakes::worker::{WorkerServer, WorkerSettings};
 use ops::{EntryPort, Exit, HttpEntry};
 use platform::store::{Expect, Store, StoreCall};
-use rig::{Desk, client, companion, generation, try_apply, wait_for_generation, wait_until};
+use rig::{
+    Desk, client, companion, generation, secured_companion, try_apply, wait_for_generation,
+    wait_until,
+};
 use tables::TablesDoc;
 use wire::Token;
 
@@ -271,3 +274,34 @@
     companion.kill();
     entry.kill();
 }
+
+#[test]
+fn processes_with_the_secret_work_together_and_others_are_kept_out() {
+    let desk = Desk::start();
+    let token = Token::new("hush");
+    let entry = desk.secured_entry("first", &token);
+    let applied = desk.apply(3);
+    let (target, worker) = (target(), worker());
+    let entries = [entry.cfg().rpc_addr];
+    let stranger = companion(target.addr(), worker.addr(), &entries);
+    let operator = HttpEntry::new(entry.http_addr(), Some(token.clone()));
+    let targets = || operator.status().map_or(0, |status| status.targets.len());
+    wait_until(|| {
+        operator
+            .status()
+            .is_ok_and(|status| status.entry.generation == applied)
+    });
+    let with_a_stranger = targets();
+    stranger.kill();
+
+    let companion = secured_companion(target.addr(), worker.addr(), &entries, Some(token));
+    let url = format!("http://{}/style-check", entry.http_addr());
+    wait_until(|| ureq::post(&url).send("text").is_ok());
+    let direct = ureq::post(format!("http://{}/style-check", companion.http_addr())).send("text");
+
+    assert_eq!(with_a_stranger, 0);
+    assert_eq!(targets(), 1);
+    assert!(matches!(direct, Err(ureq::Error::StatusCode(401))));
+    companion.kill();
+    entry.kill();
+}
--- a/tests/config/rig.rs
+++ b/tests/config/rig.rs
@@ -105,6 +105,15 @@
 }
 
 pub fn companion(target: SocketAddr, worker: SocketAddr, entries: &[SocketAddr]) -> companion::App {
+    secured_companion(target, worker, entries, None)
+}
+
+pub fn secured_companion(
+    target: SocketAddr,
+    worker: SocketAddr,
+    entries: &[SocketAddr],
+    token: Option<Token>,
+) -> companion::App {
     let cfg = CompanionCfg {
         target: TargetId::from("runner-0"),
         worker: WorkerId::from("runner-0"),
@@ -121,7 +130,7 @@
         connections: 8,
         capacity: Resources::new(64, 250 * 1024, 0),
     };
-    companion::App::start(cfg, &log()).expect("companion")
+    companion::App::start_secured(cfg, token, &log()).expect("companion")
 }
 
 pub fn client(addr: SocketAddr) -> HttpEntry {
