--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -1,5 +1,6 @@
 //! The tables in force in real processes, under outages, stale reads and garbage.
 
+mod binary;
 mod garbage;
 mod jobs;
 mod rig;
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -94,3 +94,20 @@
     assert!(text.contains("--token-file"));
     assert!(!text.contains("hush-hush"));
 }
+
+#[test]
+fn every_metric_is_described() {
+    let page = page("OPERATORS.md");
+    let metrics = report::Metrics::new();
+    metrics.request("check", "answered", std::time::Duration::ZERO);
+    metrics.store_call("get", true, std::time::Duration::ZERO);
+    let text = metrics.encode().expect("metrics");
+
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    for name in names.filter_map(|line| line.split_whitespace().next()) {
+        assert!(
+            page.contains(&format!("`{name}")),
+            "docs/OPERATORS.md lacks {name}"
+        );
+    }
+}
