--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -121,6 +121,7 @@
             }
             AdminEvent::Tables(reply) => call!([self.config], tables(reply)),
             AdminEvent::Shards(reply) => call!([self.shard], view(reply)),
+            AdminEvent::Ready(reply) => call!([self.member], ready(reply)),
             AdminEvent::Drain(target, reply) => call!([self.member], drain(target, reply)),
             AdminEvent::StoreHealth(reply) => call!([self.config], store_health(reply)),
             AdminEvent::Status(reply) => call!([self.member], status(reply)),
