--- a/crates/place/src/cfg.rs
+++ b/crates/place/src/cfg.rs
@@ -64,8 +64,10 @@
     pub candidates: usize,
     /// The shares of the workers that count as suiting a class best and well, 0 to 1.
     pub suiting_shares: [f64; 2],
-    /// How many groups of like jobs without a place one call looks at.
+    /// How many kinds of jobs without a place one pass of a call weighs workers for.
     pub scan_limit: usize,
+    /// How many groups of like jobs one pass of a call passes over because their kind has no place.
+    pub skip_limit: usize,
     /// The settings of harm estimates.
     pub harm: HarmCfg,
     /// The weight of services' extra time that is within what the pool accepts; beyond, it is 1.
@@ -188,9 +190,10 @@
         Self {
             choice: Choice::HarmAware,
             parts: Parts::ALL,
-            candidates: 32,
+            candidates: 16,
             suiting_shares: [0.1, 0.5],
-            scan_limit: 256,
+            scan_limit: 64,
+            skip_limit: 512,
             harm: HarmCfg::default(),
             accepted_weight: 0.5,
             ladder: LadderCfg::default(),
--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -12,7 +12,7 @@
 use crate::queue::Waiting;
 
 /// How well a worker must suit a job's class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Fit {
     /// It is among the very best.
     Best,
@@ -50,15 +50,15 @@
     pub(crate) standing: bool,
     pub(crate) large: bool,
     /// Whether it may be held back for the sake of services.
-    patient: bool,
+    pub(crate) patient: bool,
     /// Whether it may serve as a probe of a quarantined worker.
-    probe: bool,
+    pub(crate) probe: bool,
     /// Whether it may wait for a worker that suits its class.
     pub(crate) choosy: bool,
     /// How long it is expected to run; `None` for standing work.
     pub(crate) run_time: Option<Duration>,
     /// How many workers it has failed on.
-    failed_on: usize,
+    pub(crate) failed_on: usize,
 }
 
 /// The weight of the free room left over, which settles near ties.
--- a/crates/place/src/harm.rs
+++ b/crates/place/src/harm.rs
@@ -48,9 +48,10 @@
     cfg: HarmCfg,
     forget: bool,
     classes: IndexSet<ClassName>,
-    pairs: IndexMap<(ClassId, ClassId), Pair>,
+    /// By victim, then by aggressor.
+    pairs: Vec<Vec<Option<Pair>>>,
     /// What an aggressor does to its victims on average.
-    levels: IndexMap<ClassId, f64>,
+    levels: Vec<Option<f64>>,
     /// The variance of a victim's measurements.
     noise: IndexMap<ClassId, f64>,
     oracle: Option<Box<dyn HarmOracle>>,
@@ -71,8 +72,8 @@
             cfg,
             forget,
             classes: IndexSet::new(),
-            pairs: IndexMap::new(),
-            levels: IndexMap::new(),
+            pairs: Vec::new(),
+            levels: Vec::new(),
             noise: IndexMap::new(),
             oracle: None,
         }
@@ -108,7 +109,7 @@
         }
         let prior = self.cfg.prior_deviation.powi(2);
         let level = self.level(aggressor);
-        let Some(pair) = self.pairs.get(&(victim, aggressor)) else {
+        let Some(pair) = self.pair(victim, aggressor) else {
             return HarmEstimate {
                 mean: level,
                 variance: prior,
@@ -200,7 +201,8 @@
         now: Instant,
     ) {
         let prior = self.cfg.prior_deviation.powi(2);
-        let pair = self.pairs.entry((victim, class)).or_insert(Pair {
+        let row = slot(&mut self.pairs, victim);
+        let pair = slot(row, class).get_or_insert(Pair {
             mean,
             variance,
             at: now,
@@ -215,14 +217,31 @@
             pair.surprise = 0.0;
         }
         let prior_mean = self.cfg.prior_mean;
-        let level = self.levels.entry(class).or_insert(prior_mean);
+        let level = slot(&mut self.levels, class).get_or_insert(prior_mean);
         *level += (mean - *level) * LEVEL_GAIN;
     }
 
     fn level(&self, aggressor: ClassId) -> f64 {
-        self.levels
-            .get(&aggressor)
-            .copied()
-            .unwrap_or(self.cfg.prior_mean)
+        let level = self.levels.get(aggressor.index()).copied().flatten();
+        level.unwrap_or(self.cfg.prior_mean)
+    }
+
+    fn pair(&self, victim: ClassId, aggressor: ClassId) -> Option<&Pair> {
+        let row = self.pairs.get(victim.index())?;
+        row.get(aggressor.index())?.as_ref()
+    }
+}
+
+impl ClassId {
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Returns the place of a class in a list, which grows as needed.
+fn slot<T: Default>(list: &mut Vec<T>, class: ClassId) -> &mut T {
+    if list.len() <= class.index() {
+        list.resize_with(class.index() + 1, T::default);
     }
+    &mut list[class.index()]
 }
--- a/crates/place/src/rounds.rs
+++ b/crates/place/src/rounds.rs
@@ -5,6 +5,7 @@
 
 use crate::cfg::Choice;
 use crate::choose::{Blocked, Candidate, Fit};
+use crate::harm::ClassId;
 use crate::ledger::Pending;
 use crate::placer::Placer;
 use crate::queue::{Due, WaitPlace};
@@ -22,7 +23,29 @@
 /// Where the last round stopped in each team's lanes, if it ran out of looks.
 #[derive(Debug, Default)]
 pub(crate) struct Cursors {
-    at: IndexMap<(Priority, TeamName), Due>,
+    at: IndexMap<(Priority, Fit, TeamName), Due>,
+}
+
+/// What one pass over the queue may still look at, and what it has found.
+#[derive(Debug)]
+struct Pass {
+    priority: Priority,
+    fit: Fit,
+    looks: usize,
+    skips: usize,
+    /// Kinds of jobs that found no place; room only shrinks within a pass.
+    hopeless: IndexMap<Kind, Blocked>,
+}
+
+/// What decides whether a job finds a place.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Kind {
+    class: ClassId,
+    granted: Resources,
+    standing: bool,
+    choosy: bool,
+    patient: bool,
+    probe: bool,
 }
 
 /// A team's turn within one round.
@@ -155,7 +178,6 @@
     }
 
     fn place_waiting(&mut self, now: Instant, limit: usize, out: &mut Vec<Decision>) {
-        let mut looks = self.cfg.scan_limit;
         self.room_tries = self.cfg.queue.room_tries;
         let suit = self.cfg.choice == Choice::HarmAware && self.cfg.parts.suit;
         for priority in [Priority::Urgent, Priority::Normal, Priority::Low] {
@@ -166,7 +188,14 @@
                 &[Fit::Any]
             };
             for &fit in passes {
-                self.place_priority(now, priority, fit, limit, &mut looks, out);
+                let pass = Pass {
+                    priority,
+                    fit,
+                    looks: self.cfg.scan_limit,
+                    skips: self.cfg.skip_limit,
+                    hopeless: IndexMap::new(),
+                };
+                self.run_pass(now, pass, limit, out);
                 if out.len() >= limit {
                     self.dirty = true;
                     return;
@@ -175,80 +204,74 @@
         }
     }
 
-    fn place_priority(
-        &mut self,
-        now: Instant,
-        priority: Priority,
-        fit: Fit,
-        limit: usize,
-        looks: &mut usize,
-        out: &mut Vec<Decision>,
-    ) {
-        let mut turns = self.turns(priority);
+    fn run_pass(&mut self, now: Instant, mut pass: Pass, limit: usize, out: &mut Vec<Decision>) {
+        let mut turns = self.turns(&pass);
         while out.len() < limit {
             // The team that holds the least of its quota goes first.
             let least = turns.iter_mut().min_by(|a, b| a.ratio.total_cmp(&b.ratio));
             let Some(turn) = least else {
                 break;
             };
-            let Some((due, job)) = self.queue.next(priority, &turn.team, turn.after) else {
-                self.cursors.at.swap_remove(&(priority, turn.team.clone()));
+            let Some((due, job)) = self.queue.next(pass.priority, &turn.team, turn.after) else {
                 let done = turn.team.clone();
+                self.cursors
+                    .at
+                    .swap_remove(&(pass.priority, pass.fit, done.clone()));
                 turns.retain(|turn| turn.team != done);
                 continue;
             };
-            if *looks == 0 {
-                self.remember(priority, &turns);
+            if pass.looks == 0 || pass.skips == 0 {
+                self.remember(&pass, &turns);
                 self.dirty = true;
                 return;
             }
             turn.after = Some(due);
-            if self.place_job(now, &job, fit, out) {
+            if self.place_job(now, &job, &mut pass, out) {
                 turn.ratio = self.quotas.ratio(&self.ledger, &turn.team, Resources::ZERO);
-            } else {
-                *looks -= 1;
             }
         }
     }
 
-    fn turns(&self, priority: Priority) -> Vec<Turn> {
+    fn turns(&self, pass: &Pass) -> Vec<Turn> {
+        let (priority, fit) = (pass.priority, pass.fit);
         let turn = |team: TeamName| Turn {
             ratio: self.quotas.ratio(&self.ledger, &team, Resources::ZERO),
-            after: self.cursors.at.get(&(priority, team.clone())).copied(),
+            after: self.cursors.at.get(&(priority, fit, team.clone())).copied(),
             team,
         };
         self.queue.teams(priority).into_iter().map(turn).collect()
     }
 
     /// Remembers where to go on, so that jobs far back are looked at as well.
-    fn remember(&mut self, priority: Priority, turns: &[Turn]) {
+    fn remember(&mut self, pass: &Pass, turns: &[Turn]) {
         for turn in turns {
             if let Some(after) = turn.after {
-                self.cursors.at.insert((priority, turn.team.clone()), after);
+                let key = (pass.priority, pass.fit, turn.team.clone());
+                self.cursors.at.insert(key, after);
             }
         }
     }
 
     /// Places a job, or notes why it waits and makes room where it has the right to.
-    fn place_job(&mut self, now: Instant, job: &JobId, fit: Fit, out: &mut Vec<Decision>) -> bool {
+    fn place_job(
+        &mut self,
+        now: Instant,
+        job: &JobId,
+        pass: &mut Pass,
+        out: &mut Vec<Decision>,
+    ) -> bool {
         let Some(waiting) = self.queue.jobs.get(job) else {
             return false;
         };
         let team = waiting.ask.team.clone();
         let candidate = self.candidate(now, waiting);
-        let chosen = if self.quotas.allows(&self.ledger, &team, candidate.granted) {
-            let fit = if candidate.choosy { fit } else { Fit::Any };
-            self.choose(now, &candidate, fit)
-        } else {
-            Err(Blocked::Quota)
-        };
-        match chosen {
+        match self.find_place(now, &candidate, &team, pass) {
             Ok(worker) => {
                 self.release(job);
                 self.place_on(now, &candidate, worker, out);
                 true
             }
-            Err(_) if fit != Fit::Any && !candidate.urgent => false,
+            Err(_) if pass.fit != Fit::Any && !candidate.urgent => false,
             Err(blocked) => {
                 if blocked == Blocked::Harm {
                     self.queue.note_held_back(now, job);
@@ -262,6 +285,34 @@
         }
     }
 
+    /// Chooses a worker for a job, unless its kind is known to find none in this pass.
+    fn find_place(
+        &mut self,
+        now: Instant,
+        job: &Candidate,
+        team: &TeamName,
+        pass: &mut Pass,
+    ) -> Result<WorkerId, Blocked> {
+        if !self.quotas.allows(&self.ledger, team, job.granted) {
+            pass.skips -= 1;
+            return Err(Blocked::Quota);
+        }
+        let kind = kind_of(job);
+        if let Some(blocked) = kind.as_ref().and_then(|kind| pass.hopeless.get(kind)) {
+            pass.skips -= 1;
+            return Err(*blocked);
+        }
+        let fit = if job.choosy { pass.fit } else { Fit::Any };
+        let chosen = self.choose(now, job, fit);
+        if let Err(blocked) = chosen {
+            pass.looks -= 1;
+            if let Some(kind) = kind {
+                pass.hopeless.insert(kind, blocked);
+            }
+        }
+        chosen
+    }
+
     /// Does what a job without room has the right to.
     fn find_room(
         &mut self,
@@ -357,6 +408,21 @@
     }
 }
 
+/// Returns a job's kind, where it has one: a failed job and one with a reservation have not.
+fn kind_of(job: &Candidate) -> Option<Kind> {
+    if job.failed_on > 0 || job.large {
+        return None;
+    }
+    Some(Kind {
+        class: job.class,
+        granted: job.granted,
+        standing: job.standing,
+        choosy: job.choosy,
+        patient: job.patient,
+        probe: job.probe,
+    })
+}
+
 /// Returns why a job waits, for a person.
 fn reason(blocked: Blocked, job: &Candidate, team: &TeamName) -> Name {
     match blocked {
