--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -16,8 +16,8 @@
 
 use crate::http::Front;
 use crate::store_io::StoreIo;
-use crate::telemetry::Telemetry;
-use crate::{EntryCfg, Event, Node, Ports, rpc};
+use crate::telemetry::{MeteredStore, Telemetry};
+use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
@@ -31,8 +31,11 @@
 /// How many threads carry control calls.
 const RPC_THREADS: usize = 2;
 
+/// How long a stopping entry serves on before it closes, so that the balancer notices.
+const STOP_LINGER: Duration = Duration::from_secs(2);
+
 /// How long a planned stop waits for what is in progress.
-const STOP_GRACE: Duration = Duration::from_millis(500);
+const STOP_GRACE: Duration = Duration::from_secs(30);
 
 /// A running entry.
 #[derive(Debug)]
@@ -63,7 +66,6 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start_secured(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
-        let store: Arc<dyn Store> = Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
             .enable_all()
@@ -75,8 +77,15 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let store: Arc<dyn Store> = Arc::new(MeteredStore::new(
+            Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT)),
+            Arc::clone(&telemetry),
+            Arc::new(SystemClock),
+        ));
+        let snapshot = Arc::new(TablesSnapshot::default());
         let front = Front::new(
             events.clone(),
+            Arc::clone(&snapshot),
             token.clone(),
             Arc::clone(&telemetry),
             log.clone(),
@@ -95,10 +104,12 @@
         );
 
         let store_events = events.clone();
-        let store_io = Arc::new(StoreIo::start(&store, move |token, reply| {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let store_io = StoreIo::start(&store, &clock, &telemetry, move |token, reply| {
             // The actors may have ended first; then nobody wants the reply.
             drop(store_events.send(Event::Store(token, reply)));
-        }));
+        });
+        let store_io = Arc::new(store_io);
         let call_events = events.clone();
         let client_cfg = ClientCfg {
             runtime: runtime.handle().clone(),
@@ -108,7 +119,7 @@
         })
         .with_token(token.as_ref())?;
         let ports = Ports {
-            clock: Arc::new(SystemClock),
+            clock,
             store: Arc::clone(&store_io) as Arc<dyn crate::StorePort>,
             calls: Arc::new(calls),
             log: log.clone(),
@@ -117,7 +128,7 @@
         let actors = std::thread::spawn({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
-            move || run_actors(&cfg, &ports, &rx, &stopping)
+            move || run_actors(&cfg, &ports, snapshot, &rx, &stopping)
         });
         Ok(Self {
             cfg,
@@ -145,7 +156,7 @@
     pub fn stop(self) {
         // An error means that the actors have ended already.
         drop(self.events.send(Event::Stop));
-        std::thread::sleep(STOP_GRACE);
+        std::thread::sleep(STOP_LINGER);
         let Self {
             stopping,
             http,
@@ -155,7 +166,10 @@
             runtime,
             ..
         } = self;
-        http.stop();
+        let is_finished = http.stop(STOP_GRACE);
+        Promise::GracefulStop.check(is_finished, || {
+            format!("{} stops with requests in progress", self.cfg.entry)
+        });
         stopping.store(true, Ordering::Release);
         // An error means that the server has stopped already.
         let _ = rpc.stop();
@@ -177,8 +191,15 @@
 }
 
 /// Runs the actors until the process stops.
-fn run_actors(cfg: &Arc<EntryCfg>, ports: &Ports, rx: &Receiver<Event>, stopping: &AtomicBool) {
+fn run_actors(
+    cfg: &Arc<EntryCfg>,
+    ports: &Ports,
+    snapshot: Arc<TablesSnapshot>,
+    rx: &Receiver<Event>,
+    stopping: &AtomicBool,
+) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.publish_to(snapshot);
     node.run(ports.clock.now());
     while !stopping.load(Ordering::Acquire) {
         let now = ports.clock.now();
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -10,11 +10,12 @@
 use slog::debug;
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
-use wire::operator::{JobRequest, JobsNamed, PromiseStatus, Status, path};
+use wire::hop::{header_of, read_body};
+use wire::operator::{JobRequest, JobsNamed, PromiseStatus, ShardStatus, Status, path};
 use wire::{JobSpec, Outcome, SubmitReply, header};
 
-use super::proxy::{read_body, respond};
-use super::{Front, header_of, refusal};
+use super::proxy::respond;
+use super::{Front, refusal};
 use crate::event::AdminEvent;
 
 /// The largest body of an operator call, in bytes.
@@ -43,7 +44,7 @@
             self.telemetry.metrics().call_refused();
             return respond(req, text(401, "wrong secret\n"));
         }
-        let Some(body) = read_body(&mut req, MAX_ADMIN_BODY) else {
+        let Ok(body) = read_body(&mut req, MAX_ADMIN_BODY) else {
             return respond(req, text(413, "body too large or cut off\n"));
         };
         let response = match (req.method(), path.as_str()) {
@@ -69,21 +70,25 @@
     }
 
     fn ready(&self) -> Response<Cursor<Vec<u8>>> {
-        match self.ask(AdminEvent::Tables).flatten() {
-            Some(_) => text(200, "ready\n"),
-            None => text(503, "no tables yet\n"),
+        match self.ask(AdminEvent::Ready) {
+            Some(true) => text(200, "ready\n"),
+            _ => text(
+                503,
+                "not ready: no tables, no view of the targets, or stopping\n",
+            ),
         }
     }
 
     fn status(&self) -> Option<Status> {
         let mut status = self.ask(AdminEvent::Status)?;
         status.store = self.ask(AdminEvent::StoreHealth);
+        status.shards = self.take_up_shards();
         status.promises = Promise::counts().iter().map(promise_status).collect();
         Some(status)
     }
 
     fn metrics(&self) -> Response<Cursor<Vec<u8>>> {
-        self.take_up_tables();
+        self.take_up_shards();
         if let Some(status) = self.ask(AdminEvent::Status) {
             self.telemetry.metrics().set_targets(status.targets.len());
         }
@@ -94,12 +99,20 @@
     }
 
     fn burn(&self) -> BurnSnapshot {
-        self.take_up_tables();
+        self.take_up_shards();
         self.telemetry.snapshot(Instant::now())
     }
 
+    /// Counts what the shards owned here hold and which of their jobs ended.
+    fn take_up_shards(&self) -> Vec<ShardStatus> {
+        self.take_up_tables();
+        let view = self.ask(AdminEvent::Shards).unwrap_or_default();
+        self.telemetry.shards(&view, Instant::now());
+        view.shards
+    }
+
     fn take_up_tables(&self) {
-        if let Some(tables) = self.ask(AdminEvent::Parsed).flatten() {
+        if let Some(tables) = self.tables.get() {
             self.telemetry.set_tables(&tables);
         }
     }
@@ -129,7 +142,7 @@
             Ok(request) => request,
             Err(e) => return text(400, &format!("expected a job: {e}\n")),
         };
-        let tables = self.ask(AdminEvent::Parsed).flatten();
+        let tables = self.tables.get();
         let Some(tables) = tables else {
             return text(503, "no tables yet\n");
         };
@@ -148,11 +161,18 @@
             Ok(named) => named,
             Err(e) => return text(400, &format!("expected a pool and jobs: {e}\n")),
         };
-        let statuses = named.jobs.into_iter().map(|job| {
-            self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply))
-                .flatten()
-        });
-        json_response(200, &statuses.collect::<Vec<_>>())
+        let statuses = named
+            .jobs
+            .into_iter()
+            .map(|job| self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply)));
+        match statuses.collect::<Option<Vec<_>>>() {
+            Some(statuses) => json_response(200, &statuses),
+            // Not to be mistaken for jobs that do not exist.
+            None => text(
+                503,
+                "the owner of the pool cannot be asked now; ask again\n",
+            ),
+        }
     }
 
     fn cancel(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -2,11 +2,14 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
+use platform::store::{Store, StoreCall, StoreReply};
 use report::Metrics;
 use report::burn::{BurnMeter, BurnSnapshot, Sample};
 use tables::Tables;
 use wire::Outcome;
 
+use crate::shard::ShardsView;
+
 /// Metrics and the burn of objectives.
 #[derive(Debug)]
 pub(crate) struct Telemetry {
@@ -59,7 +62,58 @@
         burn.record(now, &sample);
     }
 
+    /// Counts the ends of jobs, and what the shards owned here hold.
+    pub(crate) fn shards(&self, view: &ShardsView, now: Instant) {
+        for shard in &view.shards {
+            self.metrics
+                .set_jobs(&shard.pool, shard.queued, shard.running);
+        }
+        let mut burn = self.burn.lock();
+        for end in &view.ends {
+            let reason = if end.is_finished { "late" } else { "failed" };
+            let sample = Sample {
+                route: &end.route,
+                is_good: end.is_finished && burn.is_within(&end.route, end.took),
+                offender: &format!("{reason}: class {}", end.class),
+            };
+            burn.record(now, &sample);
+        }
+    }
+
     pub(crate) fn snapshot(&self, now: Instant) -> BurnSnapshot {
         self.burn.lock().snapshot(now)
     }
 }
+
+/// A store whose calls are counted.
+#[derive(Debug)]
+pub(crate) struct MeteredStore {
+    store: Arc<dyn Store>,
+    telemetry: Arc<Telemetry>,
+    clock: Arc<dyn Clock>,
+}
+
+impl MeteredStore {
+    pub(crate) fn new(
+        store: Arc<dyn Store>,
+        telemetry: Arc<Telemetry>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            store,
+            telemetry,
+            clock,
+        }
+    }
+}
+
+impl Store for MeteredStore {
+    fn call(&self, call: &StoreCall) -> Result<StoreReply> {
+        let began = self.clock.now();
+        let reply = self.store.call(call);
+        let took = self.clock.now().saturating_duration_since(began);
+        let metrics = self.telemetry.metrics();
+        metrics.store_call(call.kind(), reply.is_ok(), took);
+        reply
+    }
+}
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -1,6 +1,7 @@
 //! The tables in force in real processes, under outages, stale reads and garbage.
 
 mod garbage;
+mod jobs;
 mod rig;
 
 use std::sync::Barrier;
@@ -225,3 +226,48 @@
     assert!(matches!(control, Err(ureq::Error::StatusCode(401))));
     entry.kill();
 }
+
+#[test]
+fn each_entry_tells_the_generation_that_the_others_apply() {
+    let desk = Desk::start();
+    let first = desk.entry("first", &[]);
+    let second = desk.entry("second", &[]);
+
+    let applied = desk.apply(3);
+
+    wait_until(|| {
+        let status = client(first.http_addr()).status().expect("status");
+        let told = status.entries.iter().map(|entry| entry.generation);
+        status.entries.len() == 2 && told.min() == Some(applied)
+    });
+    first.kill();
+    second.kill();
+}
+
+#[test]
+fn metrics_count_requests_store_calls_and_targets() {
+    let desk = Desk::start();
+    let entry = desk.entry("first", &[]);
+    let applied = desk.apply(3);
+    let (target, worker) = (target(), worker());
+    let companion = companion(target.addr(), worker.addr(), &[entry.cfg().rpc_addr]);
+    let url = |path: &str| format!("http://{}{path}", entry.http_addr());
+    wait_for_generation(entry.http_addr(), applied);
+
+    wait_until(|| ureq::post(url("/style-check")).send("text").is_ok());
+    let mut response = ureq::get(url("/v1/metrics")).call().expect("metrics");
+    let text = response.body_mut().read_to_string().expect("text");
+    let mut response = ureq::get(url("/v1/report?format=html"))
+        .call()
+        .expect("report");
+    let page = response.body_mut().read_to_string().expect("page");
+
+    let answered = "monsoontrestle_requests_total{route=\"style-check\",outcome=\"answered\"} 1";
+    assert!(text.contains(answered), "{text}");
+    assert!(text.contains("monsoontrestle_store_calls_total{kind=\"get\",result=\"ok\"}"));
+    assert!(text.contains("monsoontrestle_targets 1"));
+    assert!(text.contains(&format!("monsoontrestle_tables_generation {applied}")));
+    assert!(page.contains("<td>style-check</td>"));
+    companion.kill();
+    entry.kill();
+}
