--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -17,7 +17,7 @@
 use crate::http::Front;
 use crate::store_io::StoreIo;
 use crate::telemetry::Telemetry;
-use crate::{EntryCfg, Event, Node, Ports, rpc};
+use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
@@ -31,8 +31,11 @@
 /// How many threads carry control calls.
 const RPC_THREADS: usize = 2;
 
+/// How long a stopping entry serves on before it closes, so that the balancer notices.
+const STOP_LINGER: Duration = Duration::from_secs(2);
+
 /// How long a planned stop waits for what is in progress.
-const STOP_GRACE: Duration = Duration::from_millis(500);
+const STOP_GRACE: Duration = Duration::from_secs(30);
 
 /// A running entry.
 #[derive(Debug)]
@@ -75,8 +78,10 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let snapshot = Arc::new(TablesSnapshot::default());
         let front = Front::new(
             events.clone(),
+            Arc::clone(&snapshot),
             token.clone(),
             Arc::clone(&telemetry),
             log.clone(),
@@ -117,7 +122,7 @@
         let actors = std::thread::spawn({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
-            move || run_actors(&cfg, &ports, &rx, &stopping)
+            move || run_actors(&cfg, &ports, snapshot, &rx, &stopping)
         });
         Ok(Self {
             cfg,
@@ -145,7 +150,7 @@
     pub fn stop(self) {
         // An error means that the actors have ended already.
         drop(self.events.send(Event::Stop));
-        std::thread::sleep(STOP_GRACE);
+        std::thread::sleep(STOP_LINGER);
         let Self {
             stopping,
             http,
@@ -155,7 +160,10 @@
             runtime,
             ..
         } = self;
-        http.stop();
+        let is_finished = http.stop(STOP_GRACE);
+        Promise::GracefulStop.check(is_finished, || {
+            format!("{} stops with requests in progress", self.cfg.entry)
+        });
         stopping.store(true, Ordering::Release);
         // An error means that the server has stopped already.
         let _ = rpc.stop();
@@ -177,8 +185,15 @@
 }
 
 /// Runs the actors until the process stops.
-fn run_actors(cfg: &Arc<EntryCfg>, ports: &Ports, rx: &Receiver<Event>, stopping: &AtomicBool) {
+fn run_actors(
+    cfg: &Arc<EntryCfg>,
+    ports: &Ports,
+    snapshot: Arc<TablesSnapshot>,
+    rx: &Receiver<Event>,
+    stopping: &AtomicBool,
+) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
+    node.publish_to(snapshot);
     node.run(ports.clock.now());
     while !stopping.load(Ordering::Acquire) {
         let now = ports.clock.now();
