--- a/crates/soak/src/cfg.rs
+++ b/crates/soak/src/cfg.rs
@@ -29,7 +29,7 @@
             span,
             quiet: Duration::from_secs(900),
             fault_every: Duration::from_secs(20),
-            job_every: Duration::from_secs(2),
+            job_every: Duration::from_secs(4),
             request_every: Duration::from_millis(700),
             prints: false,
         }
--- a/crates/soak/src/finish.rs
+++ b/crates/soak/src/finish.rs
@@ -48,7 +48,12 @@
             Some(JobPhase::Cancelled) => self.count("jobs cancelled"),
             _ if !job.spec.resources.fits(&CAPACITY) => self.count("jobs that can never run"),
             _ if is_standing => self.count("standing jobs"),
-            _ => self.breach(format!("{key} ({id}) was accepted and did not end")),
+            _ => {
+                let last = &job.last;
+                self.breach(format!(
+                    "{key} ({id}) was accepted and did not end: {last:?}"
+                ));
+            }
         }
         if let Some(at) = job.cancelled_at {
             let allowed = at + GRANT_WINDOW + KEEP_FOR;
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -23,6 +23,8 @@
     /// Whether the caller was told that the job is not kept, and believed it.
     pub(crate) is_refused: bool,
     pub(crate) ended: Option<JobPhase>,
+    /// The phase last seen.
+    pub(crate) last: Option<JobPhase>,
     pub(crate) cancelled_at: Option<Instant>,
 }
 
@@ -52,6 +54,7 @@
             is_unsure: false,
             is_refused: false,
             ended: None,
+            last: None,
             cancelled_at: None,
         });
         number
@@ -100,6 +103,7 @@
         status: &JobStatus,
     ) -> std::result::Result<(), String> {
         let job = &mut self.all[job];
+        job.last = Some(status.phase.clone());
         if job.is_refused {
             return Err(format!("refused {} is kept as {status:?}", job.spec.key));
         }
@@ -131,8 +135,9 @@
 fn draw_spec(rng: &mut ChaCha8Rng, pool: &PoolName, number: usize, noisy: bool) -> JobSpec {
     let classes = ["proof", "settlement", "index"];
     let class = *classes.choose(rng).expect("there are classes");
-    let is_standing = rng.random_bool(0.01);
+    let is_standing = rng.random_bool(0.005);
     let cores = match (noisy, rng.random_range(0..100)) {
+        _ if is_standing => 1,
         // Some jobs can never run.
         (_, 0) => 200,
         (true, _) => rng.random_range(8..=48),
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -62,6 +62,10 @@
         id: RequestId,
         end: AttemptEnd,
     },
+    Answered {
+        id: RequestId,
+        end: AttemptEnd,
+    },
     Begin {
         delivery: u64,
         meta: AdmitMeta,
@@ -300,6 +304,7 @@
             end,
             outbox.owed(life, move |step| Out::Step { request, step }),
         )),
+        Arrival::Answered { id, end } => Event::Request(RequestEvent::Answered(id, end)),
         Arrival::Stop => Event::Stop,
         Arrival::Worker { .. } | Arrival::Begin { .. } | Arrival::Finished { .. } => return None,
     })
--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -3,8 +3,9 @@
 use base::prelude::*;
 use companion::{AdmitMeta, AdmitStep, StoredAnswer};
 use rand::Rng;
-use route::{AttemptEnd, RequestMeta, RequestStep};
+use route::{AttemptEnd, RequestMeta, RequestStep, SendStep};
 use tables::Priority;
+use ureq::http::HeaderMap;
 
 use crate::ports::Life;
 use crate::process::{Arrival, proc_at};
@@ -84,40 +85,34 @@
     /// Does what the entry's decisions ask of the thread that serves a request.
     pub(crate) fn step(&mut self, request: usize, step: Option<RequestStep>) {
         match step {
-            Some(RequestStep::Send {
-                addr,
-                incarnation,
-                timeout,
-                ..
-            }) => self.send_attempt(request, proc_at(addr), incarnation, timeout),
+            Some(RequestStep::Send(send)) => self.send_attempt(request, &send),
             Some(RequestStep::Answer) => self.tell(request, Told::Answered),
             Some(RequestStep::Refuse { .. }) => self.tell(request, Told::RefusedNotRun),
             Some(RequestStep::Unknown { .. }) | None => self.tell(request, Told::Unknown),
         }
     }
 
-    fn send_attempt(
-        &mut self,
-        request: usize,
-        to: usize,
-        incarnation: Incarnation,
-        timeout: Duration,
-    ) {
+    fn send_attempt(&mut self, request: usize, send: &SendStep) {
+        let to = proc_at(send.addr);
         self.requests.next_attempt += 1;
         let attempt = self.requests.next_attempt;
         self.requests.all[request].attempt = attempt;
-        self.note(format_args!("request {request} to {to}, {incarnation}"));
+        self.note(format_args!("request {request} as {} to {to}", send.id));
         let what = Caller::AttemptTimeout { request, attempt };
-        self.after(timeout, Happening::Caller(what));
+        self.after(send.timeout, Happening::Caller(what));
 
         let sent = &self.requests.all[request];
         let from = sent.life.proc;
         let meta = AdmitMeta {
-            id: sent.meta.id.clone(),
-            incarnation,
+            id: send.id.clone(),
+            incarnation: send.incarnation,
             deadline: sent.meta.deadline,
+            priority: sent.meta.priority,
+            is_repeat: send.is_repeat,
         };
-        let fate = self.link(from, to).draw(&mut self.rng);
+        let mut fate = self.link(from, to).draw(&mut self.rng);
+        // A connection never delivers one request twice; the entry's own repeats are marked.
+        fate.arrivals.truncate(1);
         for delay in fate.arrivals {
             let delivery = self.requests.next_delivery;
             self.requests.next_delivery += 1;
@@ -193,7 +188,7 @@
         }
         let answer = Arc::new(StoredAnswer {
             status: 200,
-            content_type: None,
+            headers: HeaderMap::new(),
             body: meta.id.as_str().into(),
         });
         let finished = Arrival::Finished {
@@ -235,6 +230,14 @@
         }
         sent.attempt = 0;
         let (life, id) = (sent.life, sent.meta.id.clone());
+        if !self.procs[life.proc].is_life(life) {
+            return;
+        }
+        if matches!(end, AttemptEnd::Answered { .. }) {
+            // The thread passes a whole answer on without asking.
+            self.arrive(life, Arrival::Answered { id, end });
+            return self.tell(request, Told::Answered);
+        }
         self.arrive(life, Arrival::Ended { request, id, end });
     }
 
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -271,6 +271,11 @@
     /// Sends off what the processes gave out since the last time.
     fn send_all(&mut self) {
         for (life, out) in self.outbox.take() {
+            if matches!(out, Out::Tables { .. }) {
+                // Judged in the order in which the process answered.
+                self.caller_hears(life, out);
+                continue;
+            }
             self.pause_at_grant(life, &out);
             let delay = self.draw_up_to(MAX_DEPARTURE);
             self.after(delay, Happening::Depart(life, out));
