--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -11,7 +11,7 @@
 use tables::{Priority, Route, RouteKind};
 use tiny_http::{Method, Request, Response};
 use wire::hop::{header_of, read_body};
-use wire::operator::{JobRequest, JobsNamed, PromiseStatus, Status, path};
+use wire::operator::{JobRequest, JobsNamed, PromiseStatus, ShardStatus, Status, path};
 use wire::{JobSpec, Outcome, SubmitReply, header};
 
 use super::proxy::respond;
@@ -82,12 +82,13 @@
     fn status(&self) -> Option<Status> {
         let mut status = self.ask(AdminEvent::Status)?;
         status.store = self.ask(AdminEvent::StoreHealth);
+        status.shards = self.take_up_shards();
         status.promises = Promise::counts().iter().map(promise_status).collect();
         Some(status)
     }
 
     fn metrics(&self) -> Response<Cursor<Vec<u8>>> {
-        self.take_up_tables();
+        self.take_up_shards();
         if let Some(status) = self.ask(AdminEvent::Status) {
             self.telemetry.metrics().set_targets(status.targets.len());
         }
@@ -98,10 +99,18 @@
     }
 
     fn burn(&self) -> BurnSnapshot {
-        self.take_up_tables();
+        self.take_up_shards();
         self.telemetry.snapshot(Instant::now())
     }
 
+    /// Counts what the shards owned here hold and which of their jobs ended.
+    fn take_up_shards(&self) -> Vec<ShardStatus> {
+        self.take_up_tables();
+        let view = self.ask(AdminEvent::Shards).unwrap_or_default();
+        self.telemetry.shards(&view, Instant::now());
+        view.shards
+    }
+
     fn take_up_tables(&self) {
         if let Some(tables) = self.tables.get() {
             self.telemetry.set_tables(&tables);
@@ -152,11 +161,18 @@
             Ok(named) => named,
             Err(e) => return text(400, &format!("expected a pool and jobs: {e}\n")),
         };
-        let statuses = named.jobs.into_iter().map(|job| {
-            self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply))
-                .flatten()
-        });
-        json_response(200, &statuses.collect::<Vec<_>>())
+        let statuses = named
+            .jobs
+            .into_iter()
+            .map(|job| self.ask(|reply| AdminEvent::Job(named.pool.clone(), job, reply)));
+        match statuses.collect::<Option<Vec<_>>>() {
+            Some(statuses) => json_response(200, &statuses),
+            // Not to be mistaken for jobs that do not exist.
+            None => text(
+                503,
+                "the owner of the pool cannot be asked now; ask again\n",
+            ),
+        }
     }
 
     fn cancel(&self, body: &[u8]) -> Response<Cursor<Vec<u8>>> {
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -1,5 +1,6 @@
 //! One shard: its ownership, its placer, and the polls of its workers.
 
+mod after;
 mod calls;
 mod polls;
 mod riding;
@@ -16,6 +17,7 @@
 
 use self::polls::HeldPoll;
 use self::riding::{Riding, Term};
+use super::view::Ends;
 use crate::ports::StorePriority;
 
 /// How many decisions one tick carries out at most.
@@ -69,11 +71,11 @@
 
 /// One shard, owned or stood by for.
 pub(super) struct Shard {
-    owner: Owner,
-    placer: Placer,
+    pub(super) owner: Owner,
+    pub(super) placer: Placer,
     placer_seed: u64,
-    pool: Option<Arc<Pool>>,
-    shard: ShardId,
+    pub(super) pool: Option<Arc<Pool>>,
+    pub(super) shard: ShardId,
     clock: Arc<dyn Clock>,
     log: Logger,
     workers: IndexMap<WorkerId, WorkerState>,
@@ -83,6 +85,8 @@
     submitting: IndexMap<JobKey, Ticket>,
     ending: IndexSet<TaskKey>,
     claiming: IndexMap<(RouteName, Name), Ticket>,
+    /// Jobs that wait, by the key of the job that they wait for.
+    blocked: IndexMap<JobKey, IndexSet<JobId>>,
     evicting: IndexSet<TaskKey>,
     throttles: IndexMap<TaskKey, f64>,
     /// Workers that may have something to learn.
@@ -95,6 +99,7 @@
     riding: Option<Riding>,
     term: Option<Term>,
     store_calls: Vec<ShardStoreCall>,
+    pub(super) ends: Ends,
 }
 
 impl Shard {
@@ -120,6 +125,7 @@
             submitting: IndexMap::new(),
             ending: IndexSet::new(),
             claiming: IndexMap::new(),
+            blocked: IndexMap::new(),
             evicting: IndexSet::new(),
             throttles: IndexMap::new(),
             changed: IndexSet::new(),
@@ -130,6 +136,7 @@
             riding: None,
             term: None,
             store_calls: Vec::new(),
+            ends: Ends::default(),
         }
     }
 
@@ -194,8 +201,8 @@
 
     fn status_of(&self, job: &Job) -> JobStatus {
         job.status(|| {
-            self.placer
-                .why_waiting(&job.id)
+            self.waits_for(job)
+                .or_else(|| self.placer.why_waiting(&job.id))
                 .unwrap_or_else(|| "queued".into())
         })
     }
@@ -240,7 +247,7 @@
                 JobState::Assigned { worker, granted } => {
                     self.adopt(now, &job, worker, *granted);
                 }
-                _ => self.placer.job_queued(now, self.ask_of(&job, now)),
+                _ => self.queue(now, &job),
             }
         }
     }
@@ -252,6 +259,7 @@
         }
         self.workers.clear();
         self.changed.clear();
+        self.blocked.clear();
         self.evicting.clear();
         self.throttles.clear();
         self.ordered.clear();
@@ -301,7 +309,7 @@
         }
     }
 
-    fn wall_ms(&self) -> u64 {
+    pub(super) fn wall_ms(&self) -> u64 {
         let since = self
             .clock
             .wall()
@@ -373,11 +381,12 @@
     }
 
     fn committed(&mut self, now: Instant, ticket: Ticket, change: &Change) {
+        self.note_end(change);
         match change {
             Change::Submitted { job, spec, .. } => {
                 self.submitting.swap_remove(&spec.key);
                 if let Some(job) = self.owner.state().job(job).cloned() {
-                    self.placer.job_queued(now, self.ask_of(&job, now));
+                    self.queue(now, &job);
                 }
             }
             Change::Assigned {
@@ -400,6 +409,7 @@
                 let at = (claim.route.clone(), Arc::clone(&claim.key));
                 self.claiming.swap_remove(&at);
             }
+            Change::Abandoned { job, .. } => self.job_cancelled(now, job),
             Change::Clock { .. } | Change::Grace { .. } | Change::HandedOver => {}
         }
         self.tell_waiters(ticket);
@@ -434,8 +444,9 @@
             .job(&key.job)
             .filter(|job| job.state == JobState::Queued);
         if let Some(job) = job.cloned() {
-            self.placer.job_queued(now, self.ask_of(&job, now));
+            self.queue(now, &job);
         }
+        self.release_after(now, &key.job);
     }
 
     fn job_cancelled(&mut self, now: Instant, job: &JobId) {
@@ -475,9 +486,8 @@
         for (_, group) in self.done_groups.drain(..) {
             group.reply.send(DoneAck::default());
         }
-        for (_, group) in self.cancel_groups.drain(..) {
-            group.reply.send(Vec::new());
-        }
+        // What became of the cancellations is not known: no answer says so.
+        self.cancel_groups.clear();
         match by {
             DeposedBy::LeaseEnd => self.riding_begins(now),
             DeposedBy::Another | DeposedBy::Resignation => self.release_polls(None),
--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -150,7 +150,8 @@
         let end = match step {
             AdmitStep::Run => return self.run_at_target(delivery, sent.request),
             AdmitStep::Answer { answer, load } => {
-                let own = *answer.body == *sent.meta.id.as_str().as_bytes();
+                let own = *answer.body == *sent.meta.id.as_str().as_bytes()
+                    && self.requests.is_own_work(sent.request, &sent.meta.id);
                 self.requests.all[sent.request].answer_is_own = own;
                 AttemptEnd::Answered {
                     took: Duration::from_millis(10),
@@ -196,7 +197,9 @@
             answer: Some(answer),
         };
         self.arrive(companion, finished);
-        self.requests.all[sent.request].answer_is_own = true;
+        let id = &self.requests.deliveries[&delivery].meta.id;
+        let own = self.requests.is_own_work(sent.request, id);
+        self.requests.all[sent.request].answer_is_own = own;
         let end = AttemptEnd::Answered {
             took: Duration::from_millis(10),
             load: 0,
