--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use route::{AttemptEnd, RequestMeta, RequestStep, SendStep};
 use tables::Priority;
+use ureq::http::HeaderMap;
 
 use crate::ports::Life;
 use crate::process::{Arrival, proc_at};
@@ -93,11 +94,10 @@
 
     fn send_attempt(&mut self, request: usize, send: &SendStep) {
         let to = proc_at(send.addr);
-        let incarnation = send.incarnation;
         self.requests.next_attempt += 1;
         let attempt = self.requests.next_attempt;
         self.requests.all[request].attempt = attempt;
-        self.note(format_args!("request {request} to {to}, {incarnation}"));
+        self.note(format_args!("request {request} as {} to {to}", send.id));
         let what = Caller::AttemptTimeout { request, attempt };
         self.after(send.timeout, Happening::Caller(what));
 
@@ -105,12 +105,14 @@
         let from = sent.life.proc;
         let meta = AdmitMeta {
             id: send.id.clone(),
-            incarnation,
+            incarnation: send.incarnation,
             deadline: sent.meta.deadline,
             priority: sent.meta.priority,
             is_repeat: send.is_repeat,
         };
-        let fate = self.link(from, to).draw(&mut self.rng);
+        let mut fate = self.link(from, to).draw(&mut self.rng);
+        // A connection never delivers one request twice; the entry's own repeats are marked.
+        fate.arrivals.truncate(1);
         for delay in fate.arrivals {
             let delivery = self.requests.next_delivery;
             self.requests.next_delivery += 1;
@@ -187,7 +189,7 @@
         }
         let answer = Arc::new(StoredAnswer {
             status: 200,
-            headers: Default::default(),
+            headers: HeaderMap::new(),
             body: meta.id.as_str().into(),
         });
         let finished = Arrival::Finished {
@@ -231,6 +233,14 @@
         }
         sent.attempt = 0;
         let (life, id) = (sent.life, sent.meta.id.clone());
+        if !self.procs[life.proc].is_life(life) {
+            return;
+        }
+        if matches!(end, AttemptEnd::Answered { .. }) {
+            // The thread passes a whole answer on without asking.
+            self.arrive(life, Arrival::Answered { id, end });
+            return self.tell(request, Told::Answered);
+        }
         self.arrive(life, Arrival::Ended { request, id, end });
     }
 
