Begin the killed-entry test only once keys can be claimed

Cause: the test sent settlements with keys as soon as quick requests were answered; before the shard has an owner such settlements are rightly refused as not run, all six callers ended, and the test waited in vain for one in progress. Change: the arrange step waits until a settlement with a key is answered. The checks stand as they were. Before: failed in one run of the workspace's tests on a busy machine (load 30).

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -22,6 +22,9 @@
     let mut desk = Desk::start(2, 2, SLOW);
     desk.wait_until_serving();
     let doomed = desk.entries[0].http;
+    wait_until("keys can be claimed", || {
+        desk.send(0, "/settle", Some("first")).0 == Told::Answered
+    });
 
     let callers: Vec<_> = (0..6)
         .map(|n| thread::spawn(move || rig::send(doomed, "/settle", Some(&format!("key-{n}")))))
