--- a/crates/companion/tests/keeper.rs
+++ b/crates/companion/tests/keeper.rs
@@ -279,3 +279,19 @@
     assert!(matches!(waited, Ok(WorkerCall::Renew { ttl, .. }) if ttl == SECOND * 3 / 4));
     assert!(matches!(start, Ok(WorkerCall::Start(s)) if s.ttl == Some(SECOND / 2)));
 }
+
+#[test]
+fn answer_to_another_poll_is_void() {
+    let now = Instant::now();
+    let mut keeper = keeper();
+    keeper.issue(now, Nonce(1));
+    keeper.abandon(Nonce(1));
+    keeper.issue(now, Nonce(2));
+
+    let calls = keeper.answered(
+        now,
+        &answer(1, 1, Keep::All, vec![Order::Start(start("a"))]),
+    );
+
+    assert_eq!(calls, []);
+}
--- a/crates/journal/tests/owner.rs
+++ b/crates/journal/tests/owner.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use base::prelude::*;
-use journal::{Change, DeposedBy, Keys, OwnerCfg};
+use journal::{Change, DeposedBy, Keys, OwnerCfg, Record, RecordBody};
 use platform::store::{Expect, StoreCall};
 
 use rig::{Fate, Rig, submitted};
@@ -277,3 +277,35 @@
         _ => 0,
     }
 }
+
+#[test]
+fn record_of_a_lower_term_behind_a_barrier_is_void() {
+    let mut rig = owned(2);
+    let record = |seq, epoch, body| Record {
+        epoch: Epoch(epoch),
+        seq: Seq(seq),
+        writer: "entry-9".into(),
+        nonce: Nonce(seq),
+        body,
+    };
+    let last = log_keys(&mut rig) as u64;
+    let stale = RecordBody::Changes(vec![submitted("stale")]);
+    let records = [
+        record(last + 1, 5, RecordBody::Barrier),
+        record(last + 2, 1, stale),
+    ];
+    for record in records {
+        let put = StoreCall::Put {
+            key: Keys::new(ShardId(7)).log(record.seq),
+            value: record.encode().unwrap(),
+            expect: Expect::Absent,
+            lease: None,
+        };
+        rig.store.call(rig.now, &put).unwrap();
+    }
+
+    rig.run_one(1, SECOND * 10);
+
+    assert_eq!(rig.owners(), [1]);
+    assert!(!rig.nodes[1].has_job("stale"));
+}
--- a/crates/route/tests/outcomes.rs
+++ b/crates/route/tests/outcomes.rs
@@ -98,6 +98,17 @@
     assert_eq!(next, unknown("silent"));
 }
 
+#[test]
+fn new_life_of_a_target_proves_nothing_about_the_old_one() {
+    let (mut router, now) = router_with(2);
+    send(router.admit(now, meta("settle", now)));
+    silence(&mut router, now);
+
+    let next = router.revoked(now, &id(), &Ok(RevokeReply::WrongIncarnation));
+
+    assert_eq!(next, unknown("target-restarted"));
+}
+
 #[test]
 fn refusal_of_every_target_is_not_run() {
     let (mut router, now) = router_with(2);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -113,11 +113,16 @@
                     Err(text) => self.breach(text),
                 }
             }
-            Out::Cancelled { jobs, statuses } => self.cancelled(&jobs, statuses),
+            Out::Cancelled {
+                jobs,
+                asked,
+                statuses,
+            } => self.cancelled(&jobs, statuses, asked),
             Out::Status {
                 job,
+                asked,
                 status: Some(Some(status)),
-            } => self.saw(job, &status),
+            } => self.saw(job, &status, asked),
             Out::Tables { doc } => self.saw_tables(life, doc.flatten()),
             Out::Step { request, step } => self.step(request, step),
             Out::Admit { delivery, step } => self.admitted(delivery, step),
@@ -134,10 +139,11 @@
         }
     }
 
-    fn saw(&mut self, job: usize, status: &JobStatus) {
+    fn saw(&mut self, job: usize, status: &JobStatus, asked: Instant) {
         self.count("statuses");
         self.note(format_args!("job {job}: {status:?}"));
-        if let Err(text) = self.jobs.seen(job, status) {
+        let now = self.now();
+        if let Err(text) = self.jobs.seen(job, status, asked, now) {
             self.breach(text);
         }
     }
@@ -160,7 +166,14 @@
         if let Some(entry) = self.draw_entry() {
             let of = JobRef::Key(POOL.into(), self.jobs.all[job].spec.key.clone());
             let pool = POOL.into();
-            self.send_to_entry(entry, Arrival::Status { pool, job, of });
+            let asked = self.now();
+            let arrival = Arrival::Status {
+                asked,
+                pool,
+                job,
+                of,
+            };
+            self.send_to_entry(entry, arrival);
         }
     }
 
@@ -182,17 +195,18 @@
             })
             .collect();
         self.count("cancel waves");
-        self.send_to_entry(entry, Arrival::Cancel { pool, jobs });
+        let asked = self.now();
+        self.send_to_entry(entry, Arrival::Cancel { asked, pool, jobs });
     }
 
-    fn cancelled(&mut self, jobs: &[usize], statuses: Option<Vec<JobStatus>>) {
+    fn cancelled(&mut self, jobs: &[usize], statuses: Option<Vec<JobStatus>>, asked: Instant) {
         let now = self.now();
         for status in statuses.unwrap_or_default() {
             let found = jobs
                 .iter()
                 .find(|&&job| self.jobs.all[job].spec.key == status.key);
             let Some(&job) = found else { continue };
-            self.saw(job, &status);
+            self.saw(job, &status, asked);
             if status.phase == wire::JobPhase::Cancelled {
                 self.count("cancellations");
                 self.jobs.all[job].cancelled_at.get_or_insert(now);
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -23,6 +23,7 @@
     /// Whether the caller was told that the job is not kept, and believed it.
     pub(crate) is_refused: bool,
     pub(crate) ended: Option<JobPhase>,
+    ended_seen_at: Option<Instant>,
     /// The phase last seen.
     pub(crate) last: Option<JobPhase>,
     pub(crate) cancelled_at: Option<Instant>,
@@ -54,6 +55,7 @@
             is_unsure: false,
             is_refused: false,
             ended: None,
+            ended_seen_at: None,
             last: None,
             cancelled_at: None,
         });
@@ -96,11 +98,14 @@
         job.tries == tried && job.id.is_none() && !job.is_refused
     }
 
-    /// Takes a status; returns a breach where an ended job is something else.
+    /// Takes a status that was asked for at `asked`; returns a breach where a job that was known
+    /// to have ended by then is something else.
     pub(crate) fn seen(
         &mut self,
         job: usize,
         status: &JobStatus,
+        asked: Instant,
+        now: Instant,
     ) -> std::result::Result<(), String> {
         let job = &mut self.all[job];
         job.last = Some(status.phase.clone());
@@ -112,11 +117,12 @@
             JobPhase::Finished | JobPhase::Failed { .. } | JobPhase::Cancelled
         );
         match &job.ended {
-            Some(ended) if *ended != status.phase => {
+            Some(ended) if *ended != status.phase && job.ended_seen_at <= Some(asked) => {
                 Err(format!("{} was {ended:?} and is {status:?}", job.spec.key))
             }
             None if is_end => {
                 job.ended = Some(status.phase.clone());
+                job.ended_seen_at = Some(now);
                 Ok(())
             }
             _ => Ok(()),
--- a/crates/soak/src/ports.rs
+++ b/crates/soak/src/ports.rs
@@ -50,10 +50,12 @@
     },
     Cancelled {
         jobs: Vec<usize>,
+        asked: Instant,
         statuses: Option<Vec<JobStatus>>,
     },
     Status {
         job: usize,
+        asked: Instant,
         status: Option<Option<JobStatus>>,
     },
     Tables {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -44,10 +44,12 @@
         spec: Box<JobSpec>,
     },
     Cancel {
+        asked: Instant,
         pool: PoolName,
         jobs: Vec<(usize, JobRef)>,
     },
     Status {
+        asked: Instant,
         pool: PoolName,
         job: usize,
         of: JobRef,
@@ -281,15 +283,24 @@
             spec,
             outbox.owed(life, move |reply| Out::Submitted { job, reply }),
         )),
-        Arrival::Cancel { pool, jobs } => {
+        Arrival::Cancel { asked, pool, jobs } => {
             let (jobs, refs) = jobs.into_iter().unzip();
-            let reply = outbox.owed(life, move |statuses| Out::Cancelled { jobs, statuses });
+            let reply = outbox.owed(life, move |statuses| Out::Cancelled {
+                jobs,
+                asked,
+                statuses,
+            });
             Event::Admin(AdminEvent::Cancel(pool, refs, reply))
         }
-        Arrival::Status { pool, job, of } => Event::Admin(AdminEvent::Job(
+        Arrival::Status {
+            asked,
+            pool,
+            job,
+            of,
+        } => Event::Admin(AdminEvent::Job(
             pool,
             of,
-            outbox.owed(life, move |status| Out::Status { job, status }),
+            outbox.owed(life, move |status| Out::Status { job, asked, status }),
         )),
         Arrival::Tables => {
             let reply = outbox.owed(life, |doc| Out::Tables { doc });
