Read IP numbers without a thread for each request

Cause: ureq's resolver starts a thread for every request that has a timeout, also where the host is an IP number: 41,031 threads in 4 s of load (perf stat, clone3), five a request over caller, entry and companion.

Change: wire::hop's agents take the address from the URI; the callers of the benchmark too, so that they are measured alike.

--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -1,13 +1,19 @@
 //! One hop of a request over HTTP: sent to the next process, its answer read whole.
 
+mod resolver;
+
 use std::io::{Cursor, Read};
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use tiny_http::{Header, Request, Response};
 use ureq::Agent;
+use ureq::config::Config;
 use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ureq::http::{self, HeaderMap, HeaderName, HeaderValue};
+use ureq::unversioned::transport::DefaultConnector;
+
+use self::resolver::IpResolver;
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -75,7 +81,7 @@
 
 /// Creates an agent that keeps at most `idle` connections to one process.
 pub fn hop_agent(idle: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .max_idle_connections_per_host(idle)
         .max_idle_connections(idle)
@@ -87,8 +93,13 @@
         .user_agent("")
         .accept("")
         .allow_non_standard_methods(true)
-        .build()
-        .new_agent()
+        .build();
+    ip_agent(config)
+}
+
+/// Creates an agent for processes that are reached by IP numbers, without look-ups of names.
+pub fn ip_agent(config: Config) -> Agent {
+    Agent::with_parts(config, DefaultConnector::default(), IpResolver)
 }
 
 /// Sends a request and reads its answer, of at most `limit` bytes.
--- a/examples/requests.rs
+++ b/examples/requests.rs
@@ -314,11 +314,11 @@
 
 impl Caller {
     fn new(to: SocketAddr) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(Duration::from_secs(10)))
-            .build()
-            .new_agent();
+            .build();
+        let agent = wire::hop::ip_agent(config);
         let url = format!("http://{to}/check");
         Self { agent, url }
     }
