Spread shards: leave a free one to entries that own fewer

Cause: whoever looked first took every free shard. An entry now waits 0.2 s for each shard that it owns, at most 1 s, before it claims another.

--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -24,6 +24,12 @@
 /// How often owned shards do what is due.
 const TICK_EVERY: Duration = Duration::from_millis(20);
 
+/// How long a free shard is left to other entries, for each shard owned here.
+const CLAIM_DELAY: Duration = Duration::from_millis(200);
+
+/// How many owned shards count, since tasks must outlast the change of owner.
+const MAX_CLAIM_STEPS: u32 = 5;
+
 /// Holds the shards that this entry owns or stands by for.
 pub(crate) struct ShardActor {
     cfg: Arc<EntryCfg>,
@@ -70,6 +76,11 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        let owned = self.shards.values().filter(|shard| shard.may_act(now));
+        let delay = CLAIM_DELAY * (owned.count() as u32).min(MAX_CLAIM_STEPS);
+        for shard in self.shards.values_mut() {
+            shard.set_claim_delay(delay);
+        }
         for at in 0..self.shards.len() {
             self.shards[at].tick(now);
             self.flush(at);
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -174,6 +174,11 @@
         self.carry_out(now);
     }
 
+    /// Sets how long the shard is left to others while it has no owner.
+    pub(super) fn set_claim_delay(&mut self, delay: Duration) {
+        self.owner.set_claim_delay(delay);
+    }
+
     /// Gives the shard up for good, what is proposed committed first.
     pub(super) fn resign(&mut self, now: Instant) {
         let is_sole = now >= self.takeover_until;
--- a/crates/journal/tests/owner.rs
+++ b/crates/journal/tests/owner.rs
@@ -266,6 +266,29 @@
     assert_eq!(rig.writes, before);
 }
 
+#[test]
+fn free_shard_is_left_to_the_entry_that_owns_fewer() {
+    let mut rig = Rig::new(2);
+    rig.nodes[0].owner.set_claim_delay(SECOND);
+
+    rig.run_well(SECOND * 4);
+
+    assert_eq!(rig.owners(), [1]);
+}
+
+#[test]
+fn free_shard_is_claimed_after_the_delay_by_an_entry_alone() {
+    let mut rig = Rig::new(1);
+    rig.nodes[0].owner.set_claim_delay(SECOND);
+
+    rig.run_well(SECOND / 2);
+    let early = rig.owners();
+    rig.run_well(SECOND * 2);
+
+    assert_eq!(early, Vec::<usize>::new());
+    assert_eq!(rig.owners(), [0]);
+}
+
 fn log_keys(rig: &mut Rig) -> usize {
     let call = StoreCall::List {
         prefix: Keys::new(ShardId(7)).log_prefix(),
