--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -16,7 +16,7 @@
 
 use crate::http::Front;
 use crate::store_io::StoreIo;
-use crate::telemetry::Telemetry;
+use crate::telemetry::{MeteredStore, Telemetry};
 use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
 /// How long the loop sleeps when no timer is set.
@@ -31,8 +31,11 @@
 /// How many threads carry control calls.
 const RPC_THREADS: usize = 2;
 
+/// How long a stopping entry serves on before it closes, so that the balancer notices.
+const STOP_LINGER: Duration = Duration::from_secs(2);
+
 /// How long a planned stop waits for what is in progress.
-const STOP_GRACE: Duration = Duration::from_millis(500);
+const STOP_GRACE: Duration = Duration::from_secs(30);
 
 /// A running entry.
 #[derive(Debug)]
@@ -63,7 +66,6 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start_secured(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
-        let store: Arc<dyn Store> = Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(RPC_THREADS)
             .enable_all()
@@ -75,6 +77,11 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let telemetry = Arc::new(Telemetry::new(&cfg.entry, SystemClock.now()));
+        let store: Arc<dyn Store> = Arc::new(MeteredStore::new(
+            Arc::new(HttpStore::new(cfg.store, STORE_TIMEOUT)),
+            Arc::clone(&telemetry),
+            Arc::new(SystemClock),
+        ));
         let snapshot = Arc::new(TablesSnapshot::default());
         let front = Front::new(
             events.clone(),
@@ -149,7 +156,7 @@
     pub fn stop(self) {
         // An error means that the actors have ended already.
         drop(self.events.send(Event::Stop));
-        std::thread::sleep(STOP_GRACE);
+        std::thread::sleep(STOP_LINGER);
         let Self {
             stopping,
             http,
@@ -159,7 +166,10 @@
             runtime,
             ..
         } = self;
-        http.stop();
+        let is_finished = http.stop(STOP_GRACE);
+        Promise::GracefulStop.check(is_finished, || {
+            format!("{} stops with requests in progress", self.cfg.entry)
+        });
         stopping.store(true, Ordering::Release);
         // An error means that the server has stopped already.
         let _ = rpc.stop();
