--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -105,7 +105,7 @@
 
         let store_events = events.clone();
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let store_io = StoreIo::start(&store, &clock, &telemetry, move |token, reply| {
+        let store_io = StoreIo::start(&store, &clock, move |token, reply| {
             // The actors may have ended first; then nobody wants the reply.
             drop(store_events.send(Event::Store(token, reply)));
         });
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -13,7 +13,6 @@
 pub use self::budget::{Permit, StoreBudget};
 use crate::event::StoreToken;
 use crate::ports::{StorePort, StorePriority};
-use crate::telemetry::Telemetry;
 
 /// How many calls are made at once.
 const THREADS: usize = 4;
@@ -75,17 +74,12 @@
     store: Arc<dyn Store>,
     clock: Arc<dyn Clock>,
     budget: Arc<Mutex<StoreBudget>>,
-    telemetry: Arc<Telemetry>,
 }
 
 impl Caller {
     fn make(&self, call: &StoreCall) -> Result<StoreReply> {
-        let began = self.clock.now();
         let reply = self.store.call(call);
         let now = self.clock.now();
-        let took = now.saturating_duration_since(began);
-        let metrics = self.telemetry.metrics();
-        metrics.store_call(call.kind(), reply.is_ok(), took);
         self.budget.lock().ended(now, is_reached(&reply));
         reply
     }
@@ -145,7 +139,6 @@
     pub(crate) fn start(
         store: &Arc<dyn Store>,
         clock: &Arc<dyn Clock>,
-        telemetry: &Arc<Telemetry>,
         sink: impl Fn(StoreToken, Result<StoreReply>) + Send + Sync + 'static,
     ) -> Self {
         let shared = Arc::new(Shared::default());
@@ -160,7 +153,6 @@
                 store: Arc::clone(store),
                 clock: Arc::clone(clock),
                 budget: Arc::clone(&budget),
-                telemetry: Arc::clone(telemetry),
             };
             let sink = Arc::clone(&sink);
             std::thread::spawn(move || {
