--- a/crates/fakes/src/harm.rs
+++ b/crates/fakes/src/harm.rs
@@ -11,6 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::worker::{Interference, Subject};
+
 /// Who suffers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Victim {
@@ -212,6 +214,50 @@
     rng.random_range(range)
 }
 
+/// The model behind one worker stand-in.
+#[derive(Debug)]
+pub struct WorkerHarm {
+    model: Arc<HarmModel>,
+    clock: Arc<dyn Clock>,
+    start: Instant,
+    capacity: Resources,
+}
+
+impl WorkerHarm {
+    /// Puts the model behind a worker of the given size, whose day starts now.
+    pub fn new(model: Arc<HarmModel>, clock: Arc<dyn Clock>, capacity: Resources) -> Self {
+        let start = clock.now();
+        Self {
+            model,
+            clock,
+            start,
+            capacity,
+        }
+    }
+
+    fn load_of(&self, subject: &Subject) -> f64 {
+        let capacity = self.capacity.cpu_milli.max(1) as f64;
+        subject.granted.cpu_milli as f64 * subject.throttle / capacity
+    }
+}
+
+impl Interference for WorkerHarm {
+    fn speed(&self, subject: &Subject, others: &[Subject]) -> f64 {
+        let kind = if subject.granted == Resources::ZERO {
+            Victim::Service
+        } else {
+            Victim::Batch
+        };
+        let neighbours: Vec<_> = others
+            .iter()
+            .map(|other| (other.class.clone(), self.load_of(other)))
+            .collect();
+        let at = self.clock.now().saturating_duration_since(self.start);
+        let extra = self.model.extra(kind, &subject.class, &neighbours, at);
+        subject.throttle / (1.0 + extra)
+    }
+}
+
 /// Returns a draw from the standard normal distribution (Box and Muller).
 pub fn normal(rng: &mut ChaCha8Rng) -> f64 {
     let u: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
--- /dev/null
+++ b/crates/fakes/tests/harm.rs
@@ -0,0 +1,89 @@
+//! The model of harm: the same truth for a seed, seen through the worker's seam.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{ClassName, ManualClock, Resources};
+use fakes::harm::{HarmModel, HarmModelCfg, Victim, WorkerHarm};
+use fakes::worker::{Interference, Subject};
+
+const CAPACITY: Resources = Resources::new(64, 250 * 1024, 0);
+
+fn class(n: usize) -> ClassName {
+    format!("class-{n}").into()
+}
+
+fn service() -> Subject {
+    Subject {
+        class: "price-check".into(),
+        granted: Resources::ZERO,
+        throttle: 1.0,
+        load: 1.0,
+    }
+}
+
+fn task(class: ClassName, throttle: f64) -> Subject {
+    Subject {
+        class,
+        granted: Resources::new(32, 1_000, 0),
+        throttle,
+        load: 1.0,
+    }
+}
+
+/// Returns the class that harms the service most, of twenty.
+fn worst(model: &HarmModel) -> ClassName {
+    let victim = service().class;
+    let harm = |class: &ClassName| model.harm(Victim::Service, &victim, class, Duration::ZERO);
+    (0..20)
+        .map(class)
+        .max_by(|a, b| harm(a).total_cmp(&harm(b)))
+        .expect("there are twenty")
+}
+
+#[test]
+fn a_seed_gives_the_same_truth_whatever_was_asked_before() {
+    let one = HarmModel::new(HarmModelCfg::default(), 5);
+    let two = HarmModel::new(HarmModelCfg::default(), 5);
+    let at = Duration::from_secs(3 * 3600);
+
+    let forwards: Vec<f64> = (0..20)
+        .map(|n| one.harm(Victim::Batch, &class(n), &class(n + 1), at))
+        .collect();
+    let mut backwards: Vec<f64> = (0..20)
+        .rev()
+        .map(|n| two.harm(Victim::Batch, &class(n), &class(n + 1), at))
+        .collect();
+    backwards.reverse();
+
+    assert_eq!(forwards, backwards);
+}
+
+#[test]
+fn some_pairs_change_through_the_day_and_most_do_not() {
+    let model = HarmModel::new(HarmModelCfg::default(), 5);
+    let changed = (0..200)
+        .filter(|&n| {
+            let pair = |phase| model.pair(Victim::Batch, &class(n), &class(n + 1), phase);
+            pair(0) != pair(1)
+        })
+        .count();
+
+    assert!((1..100).contains(&changed), "{changed} of 200 changed");
+}
+
+#[test]
+fn a_throttled_neighbour_harms_less_through_the_seam() {
+    let model = Arc::new(HarmModel::new(HarmModelCfg::default(), 5));
+    let worst = worst(&model);
+    let harm = WorkerHarm::new(model, Arc::new(ManualClock::new()), CAPACITY);
+
+    let alone = harm.speed(&service(), &[]);
+    let full = harm.speed(&service(), &[task(worst.clone(), 1.0)]);
+    let throttled = harm.speed(&service(), &[task(worst, 0.25)]);
+
+    assert!(
+        full < throttled && throttled < alone,
+        "{full} {throttled} {alone}"
+    );
+}
