--- a/examples/placement/main.rs
+++ b/examples/placement/main.rs
@@ -25,7 +25,6 @@
     Policies,
     Parts,
     Urgent,
-    Tune,
 }
 
 /// The command line.
@@ -94,14 +93,12 @@
     let part = match args.part.as_str() {
         "parts" => Part::Parts,
         "urgent" => Part::Urgent,
-        "tune" => Part::Tune,
         _ => Part::Policies,
     };
     for desk in [MANUSCRIPT, TRADING] {
         let (policies, load, step) = match part {
             Part::Policies => (policies(), LOAD, STEP),
             Part::Parts => (parts(), LOAD, STEP),
-            Part::Tune => (tune(), LOAD, STEP),
             Part::Urgent => (vec![policy("harm-aware", |_| {})], URGENT_LOAD, URGENT_STEP),
         };
         println!("\n{} desk, seeds 1-{}", desk.name, args.seeds);
@@ -197,16 +194,3 @@
         policy("with grants down to half", |cfg| cfg.grant_floor = 0.5),
     ]
 }
-
-fn tune() -> Vec<Policy> {
-    vec![
-        policy("least-loaded", |cfg| cfg.choice = Choice::LeastLoaded),
-        policy("harm-aware", |_| {}),
-        policy("limit .25", |cfg| cfg.ladder.limit = 0.25),
-        policy("suit .1 .3", |cfg| cfg.suiting_shares = [0.1, 0.3]),
-        policy("suit .1 .5", |cfg| cfg.suiting_shares = [0.1, 0.5]),
-        policy("suit 0 .1", |cfg| cfg.suiting_shares = [0.0, 0.1]),
-        policy("pace .5", |cfg| cfg.ladder.pace = 0.5),
-        policy("caution 0", |cfg| cfg.harm.caution = 0.0),
-    ]
-}
