--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -7,9 +7,9 @@
 use crate::cfg::Choice;
 use crate::harm::ClassId;
 use crate::health::Access;
-use crate::ledger::WorkerRow;
 use crate::placer::Placer;
 use crate::queue::Waiting;
+use crate::rows::WorkerRow;
 
 /// How well a worker must suit a job's class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/place/src/keep.rs
+++ b/crates/place/src/keep.rs
@@ -6,7 +6,8 @@
 use base::prelude::*;
 
 use crate::choose::Candidate;
-use crate::ledger::{Ledger, WorkerRow};
+use crate::ledger::Ledger;
+use crate::rows::WorkerRow;
 
 /// Room kept on a worker for one job.
 #[derive(Clone, Debug)]
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -1,87 +1,12 @@
 //! What each worker holds, what was given away, and what ran there when.
 
-use std::collections::VecDeque;
-
 use base::prelude::*;
-use tables::Priority;
 
 use crate::harm::{ClassId, Mix};
 use crate::room::Rooms;
+use crate::rows::{Pending, TaskRow, WorkerRow, empty_worker};
 use crate::types::{PlacedTask, WorkerView};
 
-/// A task that holds room.
-#[derive(Clone, Debug)]
-pub(crate) struct TaskRow {
-    pub(crate) task: PlacedTask,
-    pub(crate) class: ClassId,
-    /// What its job declared.
-    pub(crate) declared: Resources,
-    /// What counts against the worker: the grant, or the use where it is more.
-    pub(crate) counted: Resources,
-    pub(crate) placed_at: Instant,
-    /// The share of its processor grant that it may use.
-    pub(crate) throttle: f64,
-    /// When its eviction was last asked for.
-    pub(crate) evicting: Option<Instant>,
-    /// The share of the work done, and when that was measured.
-    pub(crate) progress: Option<(f64, Instant)>,
-    /// When its latest sample was taken.
-    pub(crate) sampled: Option<Instant>,
-    /// Its smoothed speed, where 1 is an undisturbed run.
-    pub(crate) speed: f64,
-}
-
-impl TaskRow {
-    pub(crate) fn is_standing(&self) -> bool {
-        self.task.run_time.is_none()
-    }
-
-    /// Tells whether the task may be slowed or moved for the sake of others.
-    pub(crate) fn is_movable(&self) -> bool {
-        self.task.priority != Priority::Urgent && self.evicting.is_none()
-    }
-}
-
-/// A service on a worker, as its samples show it.
-#[derive(Clone, Debug)]
-pub(crate) struct ServiceRow {
-    /// When its latest sample was taken.
-    pub(crate) sampled: Instant,
-    /// The extra time of that sample that the estimates do not explain.
-    pub(crate) residual: f64,
-}
-
-/// A worker with its tasks.
-#[derive(Clone, Debug)]
-pub(crate) struct WorkerRow {
-    pub(crate) view: WorkerView,
-    pub(crate) present: bool,
-    /// What counts against it, placements under way included.
-    pub(crate) held: Resources,
-    /// Room kept for the jobs it was freed for.
-    pub(crate) kept: Resources,
-    pub(crate) tasks: IndexSet<TaskKey>,
-    pub(crate) pending: IndexSet<JobId>,
-    pub(crate) services: IndexMap<ClassId, ServiceRow>,
-    /// The load of each class now.
-    pub(crate) mix: Mix,
-    /// The load of each class from each instant on.
-    history: VecDeque<(Instant, Mix)>,
-    /// The smoothed age of its samples.
-    pub(crate) lag: Duration,
-}
-
-/// A placement that was decided but not yet committed.
-#[derive(Clone, Debug)]
-pub(crate) struct Pending {
-    pub(crate) worker: WorkerId,
-    pub(crate) granted: Resources,
-    pub(crate) declared: Resources,
-    pub(crate) class: ClassId,
-    pub(crate) team: TeamName,
-    pub(crate) spread: bool,
-}
-
 /// The ledger of a shard's workers.
 #[derive(Debug)]
 pub(crate) struct Ledger {
@@ -103,8 +28,6 @@
     pub(crate) throttled: usize,
 }
 
-/// The share by which one sample moves a worker's lag.
-const LAG_GAIN: f64 = 0.2;
 /// How many states of one worker are remembered.
 const HISTORY_LEN: usize = 512;
 
@@ -417,44 +340,6 @@
     }
 }
 
-impl WorkerRow {
-    /// Returns the load of each class at an instant, where it is still known.
-    pub(crate) fn mix_at(&self, at: Instant) -> Option<&Mix> {
-        let next = self.history.partition_point(|(from, _)| *from <= at);
-        next.checked_sub(1).map(|last| &self.history[last].1)
-    }
-
-    /// Notes the age of a sample.
-    pub(crate) fn note_lag(&mut self, age: Duration) {
-        let moved = self.lag.as_secs_f64() * (1.0 - LAG_GAIN) + age.as_secs_f64() * LAG_GAIN;
-        // A lag that grows is believed at once, so that no step outruns its measurement.
-        self.lag = Duration::from_secs_f64(moved).max(age);
-    }
-}
-
-/// Returns the row of a worker of which nothing is known yet.
-fn empty_worker(worker: &WorkerId) -> WorkerRow {
-    let view = WorkerView {
-        worker: worker.clone(),
-        zone: ZoneName::from(""),
-        rack: RackName::from(""),
-        capacity: Resources::ZERO,
-        leaving: false,
-    };
-    WorkerRow {
-        view,
-        present: false,
-        held: Resources::ZERO,
-        kept: Resources::ZERO,
-        tasks: IndexSet::new(),
-        pending: IndexSet::new(),
-        services: IndexMap::new(),
-        mix: Mix::new(),
-        history: VecDeque::new(),
-        lag: Duration::ZERO,
-    }
-}
-
 fn add_load(mix: &mut Mix, class: ClassId, load: f64) {
     match mix.iter_mut().find(|(other, _)| *other == class) {
         Some((_, sum)) => *sum += load,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,6 +19,7 @@
 mod relieve;
 mod room;
 mod rounds;
+mod rows;
 mod sample;
 mod types;
 mod usage;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -12,10 +12,11 @@
 use crate::health::{Access, Health};
 use crate::keep::Keeps;
 use crate::ladder::Ladder;
-use crate::ledger::{Ledger, TaskRow};
+use crate::ledger::Ledger;
 use crate::queue::{Queue, WaitPlace};
 use crate::quota::Quotas;
 use crate::rounds::Cursors;
+use crate::rows::TaskRow;
 use crate::sample::Lesson;
 use crate::types::{
     Decision, Ended, EvictWhy, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
--- a/crates/place/src/preempt.rs
+++ b/crates/place/src/preempt.rs
@@ -5,8 +5,8 @@
 
 use crate::choose::Candidate;
 use crate::keep::Keep;
-use crate::ledger::TaskRow;
 use crate::placer::Placer;
+use crate::rows::TaskRow;
 use crate::types::{Decision, EvictWhy};
 
 /// A way to make room on one worker.
--- a/crates/place/src/relieve.rs
+++ b/crates/place/src/relieve.rs
@@ -5,8 +5,8 @@
 use crate::cfg::Choice;
 use crate::harm::ClassId;
 use crate::ladder::{Move, Step};
-use crate::ledger::TaskRow;
 use crate::placer::Placer;
+use crate::rows::TaskRow;
 use crate::types::{Decision, EvictWhy};
 
 /// The share of the extra time that tasks must account for before they are acted against.
--- a/crates/place/src/rounds.rs
+++ b/crates/place/src/rounds.rs
@@ -6,9 +6,9 @@
 use crate::cfg::Choice;
 use crate::choose::{Blocked, Candidate, Fit};
 use crate::harm::ClassId;
-use crate::ledger::Pending;
 use crate::placer::Placer;
 use crate::queue::{Due, WaitPlace};
+use crate::rows::Pending;
 use crate::types::{Decision, EvictWhy};
 
 /// How often the periodic work is done.
--- a/crates/place/src/sample.rs
+++ b/crates/place/src/sample.rs
@@ -4,8 +4,8 @@
 use platform::worker::UsageSample;
 
 use crate::harm::{ClassId, Mix};
-use crate::ledger::{ServiceRow, WorkerRow};
 use crate::placer::Placer;
+use crate::rows::{ServiceRow, WorkerRow};
 use crate::types::{Decision, EvictWhy};
 
 /// Samples taken this close together are one sample, reported twice.
