Start no request that its companion may have forgotten

The same hole stood behind revoke: a forgotten id was proved as never started. Ruled out: longer memory (a sender may be paused for any time between deciding and sending), and the age of the claim as told by wall clocks. Change: companions announce their uptime; a request carries the uptime known when its target was chosen, the claim keeps it, and an id that the companion does not know starts only within 20 s of that uptime, by the companion's own clock, less than the 30 s that ids are kept. After that a copy is told as lost, the only copy as not run, and a revocation as forgotten. Before: id_that_is_joined_after_it_was_forgotten_does_not_run_again fails.

--- a/crates/companion/src/admit/actor.rs
+++ b/crates/companion/src/admit/actor.rs
@@ -23,7 +23,7 @@
     pub(crate) fn init(cx: CX![], cfg: Arc<CompanionCfg>) -> Option<Self> {
         let limits = TableLimits::new(cfg.slots, cfg.connections);
         let this = Self {
-            table: RequestTable::new(cfg.incarnation, limits),
+            table: RequestTable::new(cfg.incarnation, limits, cx.now()),
         };
         this.sweep_later(cx);
         this.expire_later(cx);
@@ -56,9 +56,10 @@
         cx: CX![],
         id: RequestId,
         incarnation: Incarnation,
+        uptime: Duration,
         reply: Reply<RevokeReply>,
     ) {
-        reply.send(self.table.revoke(cx.now(), &id, incarnation));
+        reply.send(self.table.revoke(cx.now(), &id, incarnation, uptime));
     }
 
     pub(crate) fn leave(&mut self, cx: CX![]) {
--- a/crates/companion/src/admit/table.rs
+++ b/crates/companion/src/admit/table.rs
@@ -12,6 +12,11 @@
 /// How long an ended or revoked id is remembered.
 const REMEMBER: Duration = Duration::from_secs(30);
 
+/// How long after the uptime that a request names it may still start.
+///
+/// It is shorter than [`REMEMBER`]: once an id is forgotten, no copy of it can start.
+const START_WINDOW: Duration = Duration::from_secs(20);
+
 /// The bounds of a [`RequestTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableLimits {
@@ -64,6 +69,8 @@
 #[derive(Debug)]
 pub struct RequestTable {
     incarnation: Incarnation,
+    /// When this life began; uptimes count from here.
+    born: Instant,
     limits: TableLimits,
     is_leaving: bool,
     ids: IndexMap<RequestId, Entry>,
@@ -76,10 +83,11 @@
 
 impl RequestTable {
     /// Creates an empty table.
-    pub fn new(incarnation: Incarnation, limits: TableLimits) -> Self {
+    pub fn new(incarnation: Incarnation, limits: TableLimits, born: Instant) -> Self {
         let room = limits.connections.saturating_sub(limits.slots) as usize;
         Self {
             incarnation,
+            born,
             limits,
             is_leaving: false,
             ids: IndexMap::new(),
@@ -121,7 +129,7 @@
     /// Takes a request; the reply may come later, when a slot is free or the run it joins ends.
     pub fn begin(&mut self, now: Instant, meta: &AdmitMeta, reply: Reply<AdmitStep>) {
         if meta.incarnation != self.incarnation {
-            return reply.send(other_life(meta));
+            return reply.send(not_here(meta, "other-incarnation"));
         }
         let joined = Joined {
             until: meta.deadline,
@@ -144,7 +152,10 @@
     fn admit(&mut self, now: Instant, meta: &AdmitMeta, joined: Joined) {
         let is_full = self.ids.len() >= self.limits.ids;
         if is_full {
-            return joined.reply.send(full(meta));
+            return joined.reply.send(not_here(meta, "table-full"));
+        }
+        if self.may_be_forgotten(now, meta.uptime) {
+            return joined.reply.send(not_here(meta, "too-old"));
         }
         if self.is_leaving {
             return self.refuse(now, meta, joined, "leaving");
@@ -289,6 +300,7 @@
         now: Instant,
         id: &RequestId,
         incarnation: Incarnation,
+        uptime: Duration,
     ) -> RevokeReply {
         if incarnation != self.incarnation {
             return RevokeReply::WrongIncarnation;
@@ -302,6 +314,7 @@
                 self.drop_queued(now, id, "revoked");
                 RevokeReply::NeverStarted
             }
+            None if self.may_be_forgotten(now, uptime) => RevokeReply::Forgotten,
             None => {
                 self.ids.insert(id.clone(), Entry::Revoked { at: now });
                 RevokeReply::NeverStarted
@@ -309,6 +322,14 @@
         }
     }
 
+    /// Tells whether an unknown id may have run and been forgotten.
+    ///
+    /// An id is chosen for this target at or after the uptime it names, so that it
+    /// cannot have ended before. Only this process's clock is read.
+    fn may_be_forgotten(&self, now: Instant, uptime: Duration) -> bool {
+        now.saturating_duration_since(self.born) >= uptime + START_WINDOW
+    }
+
     /// Forgets ids that ended long ago.
     pub fn sweep(&mut self, now: Instant) {
         self.ids.retain(|_, entry| match entry {
@@ -344,21 +365,10 @@
     }
 }
 
-/// Answers a request for another life of the companion.
+/// Answers a request that this life does not take and cannot remember.
 ///
-/// The only copy was read here and has not run. Other copies may have reached that life.
-fn other_life(meta: &AdmitMeta) -> AdmitStep {
-    let reason = "other-incarnation";
-    if meta.is_repeat {
-        AdmitStep::Lost { reason }
-    } else {
-        AdmitStep::NotRun { reason }
-    }
-}
-
-/// Answers a request that there is no room to remember: a refusal could not last.
-fn full(meta: &AdmitMeta) -> AdmitStep {
-    let reason = "table-full";
+/// The only copy was read here and has not run. Other copies may have run.
+fn not_here(meta: &AdmitMeta, reason: &'static str) -> AdmitStep {
     if meta.is_repeat {
         AdmitStep::Lost { reason }
     } else {
--- a/crates/companion/src/announce.rs
+++ b/crates/companion/src/announce.rs
@@ -50,6 +50,8 @@
     cfg: Arc<CompanionCfg>,
     ports: Ports,
     tasks: Actor<TaskActor>,
+    /// When this life began.
+    born: Instant,
     peers: IndexMap<SocketAddr, Peer>,
     /// Which peer a call on its way went to.
     calls: IndexMap<u64, Told>,
@@ -76,6 +78,7 @@
             cfg,
             ports,
             tasks,
+            born: cx.now(),
             peers,
             calls: IndexMap::new(),
             next_call: 0,
@@ -138,6 +141,7 @@
             target: cfg.target.clone(),
             worker: cfg.worker.clone(),
             incarnation: cfg.incarnation,
+            uptime: self.ports.clock.now().saturating_duration_since(self.born),
             sequence: self.sequence,
             zone: cfg.zone.clone(),
             rack: cfg.rack.clone(),
--- a/crates/companion/src/event.rs
+++ b/crates/companion/src/event.rs
@@ -13,7 +13,7 @@
     /// A request makes progress.
     Admit(AdmitEvent),
     /// An entry revokes a request.
-    Revoke(RequestId, Incarnation, Reply<RevokeReply>),
+    Revoke(RequestId, Incarnation, Duration, Reply<RevokeReply>),
     /// The worker replied.
     Worker(u64, Result<WorkerReply>),
     /// An entry answered.
@@ -31,6 +31,8 @@
     pub id: RequestId,
     /// The life of the companion that the request is meant for.
     pub incarnation: Incarnation,
+    /// This companion's uptime as its entry knew it when it chose the target.
+    pub uptime: Duration,
     /// When its caller stops waiting.
     pub deadline: Instant,
     /// Who goes first.
--- a/crates/companion/src/http.rs
+++ b/crates/companion/src/http.rs
@@ -142,6 +142,7 @@
     Some(AdmitMeta {
         id: RequestId::from(header_of(req, header::REQUEST_ID)?),
         incarnation: Incarnation(header_of(req, header::INCARNATION)?.parse().ok()?),
+        uptime: Duration::from_millis(header_of(req, header::UPTIME_MS)?.parse().ok()?),
         deadline: Instant::now() + Duration::from_millis(left),
         priority: priority_of(priority),
         is_repeat: header_of(req, header::REPEAT).is_some(),
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -49,8 +49,8 @@
     pub fn deliver(&mut self, event: Event) {
         match event {
             Event::Admit(event) => call!([self.admit], event(event)),
-            Event::Revoke(id, incarnation, reply) => {
-                call!([self.admit], revoke(id, incarnation, reply));
+            Event::Revoke(id, incarnation, uptime, reply) => {
+                call!([self.admit], revoke(id, incarnation, uptime, reply));
             }
             Event::Worker(id, reply) => call!([self.tasks], worker_reply(id, reply)),
             Event::Call(token, answer) => match token.part {
--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -31,7 +31,12 @@
 
 #[async_trait]
 impl CompanionApiServer for Rpc {
-    async fn revoke(&self, request: RequestId, incarnation: Incarnation) -> RpcResult<RevokeReply> {
+    async fn revoke(
+        &self,
+        request: RequestId,
+        incarnation: Incarnation,
+        uptime: Duration,
+    ) -> RpcResult<RevokeReply> {
         let (tx, rx) = oneshot::channel();
         let reply = Reply::new(move |answer| {
             // The receiver is gone where the caller gave up: nobody wants the answer.
@@ -39,7 +44,7 @@
         });
         if self
             .events
-            .send(Event::Revoke(request, incarnation, reply))
+            .send(Event::Revoke(request, incarnation, uptime, reply))
             .is_err()
         {
             return Err(dropped());
--- a/crates/companion/tests/request_table.rs
+++ b/crates/companion/tests/request_table.rs
@@ -36,7 +36,6 @@
 }
 
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn id_that_is_joined_after_it_was_forgotten_does_not_run_again() {
     const LONG_AFTER: Duration = Duration::from_secs(50);
     let (mut table, now) = table(1, 1);
@@ -54,7 +53,7 @@
 fn revoked_id_never_starts() {
     let (mut table, now) = table(1, 1);
 
-    let reply = table.revoke(now, &"a".into(), LIFE);
+    let reply = table.revoke(now, &"a".into(), LIFE, Duration::ZERO);
 
     assert_eq!(reply, RevokeReply::NeverStarted);
     let copy = begin(&mut table, now, &meta("a", now));
@@ -67,7 +66,7 @@
     begin(&mut table, now, &meta("a", now));
     let queued = begin(&mut table, now, &meta("b", now));
 
-    let reply = table.revoke(now, &"b".into(), LIFE);
+    let reply = table.revoke(now, &"b".into(), LIFE, Duration::ZERO);
     table.finished(now, &"a".into(), None);
 
     assert_eq!(reply, RevokeReply::NeverStarted);
@@ -80,7 +79,7 @@
     let (mut table, now) = table(1, 1);
     begin(&mut table, now, &meta("a", now));
 
-    let reply = table.revoke(now, &"a".into(), LIFE);
+    let reply = table.revoke(now, &"a".into(), LIFE, Duration::ZERO);
 
     assert_eq!(reply, RevokeReply::Running);
 }
@@ -190,7 +189,7 @@
         ..TableLimits::new(1, 1)
     };
     let now = Instant::now();
-    let mut table = RequestTable::new(LIFE, limits);
+    let mut table = RequestTable::new(LIFE, limits, now);
     for id in ["a", "b", "c"] {
         begin(&mut table, now, &meta(id, now));
         table.finished(now, &id.into(), Some(answer(5)));
@@ -216,7 +215,7 @@
         ..TableLimits::new(8, 8)
     };
     let now = Instant::now();
-    let mut table = RequestTable::new(LIFE, limits);
+    let mut table = RequestTable::new(LIFE, limits, now);
     begin(&mut table, now, &meta("a", now));
 
     let new = begin(&mut table, now, &meta("b", now));
@@ -255,13 +254,15 @@
 
 fn table(slots: u32, connections: u32) -> (RequestTable, Instant) {
     let limits = TableLimits::new(slots, connections);
-    (RequestTable::new(LIFE, limits), Instant::now())
+    let now = Instant::now();
+    (RequestTable::new(LIFE, limits, now), now)
 }
 
 fn meta(id: &str, now: Instant) -> AdmitMeta {
     AdmitMeta {
         id: id.into(),
         incarnation: LIFE,
+        uptime: Duration::ZERO,
         deadline: now + DEADLINE,
         priority: Priority::Normal,
         is_repeat: false,
--- a/crates/entry/src/http/proxy.rs
+++ b/crates/entry/src/http/proxy.rs
@@ -130,6 +130,7 @@
         set(header::TEAM, meta.team.as_str());
         set(header::ATTEMPT, &send.attempt.to_string());
         set(header::INCARNATION, &send.incarnation.to_string());
+        set(header::UPTIME_MS, &send.uptime.as_millis().to_string());
         set(header::PRIORITY, wire::priority_text(meta.priority));
         set(header::DEADLINE_MS, &left.to_string());
         if send.is_repeat {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -119,10 +119,11 @@
                 to,
                 id: sent_as,
                 incarnation,
+                uptime,
                 timeout,
             } => {
                 let token = self.wait(id, false, reply);
-                let call = Call::Revoke(sent_as, incarnation);
+                let call = Call::Revoke(sent_as, incarnation, uptime);
                 self.ports.calls.submit(to, token, timeout, call);
             }
             Next::Claim {
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -136,6 +136,7 @@
         target: "runner-0".into(),
         worker: "runner-0".into(),
         incarnation: Incarnation(1),
+        uptime: Duration::ZERO,
         sequence,
         zone: "viti-suva".into(),
         rack: "rack-0".into(),
--- a/crates/route/src/active.rs
+++ b/crates/route/src/active.rs
@@ -76,6 +76,7 @@
         self.place = Place {
             target: held.target.clone(),
             incarnation: held.incarnation,
+            uptime: held.uptime,
             http_addr: held.http_addr,
             rpc_addr: None,
         };
@@ -92,6 +93,7 @@
             request: self.sent_as.clone(),
             target: self.place.target.clone(),
             incarnation: self.place.incarnation,
+            uptime: self.place.uptime,
             http_addr: self.place.http_addr,
         };
         Some(Next::Claim {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Place {
     pub(crate) target: TargetId,
     pub(crate) incarnation: Incarnation,
+    /// The companion's uptime when it announced itself last.
+    pub(crate) uptime: Duration,
     pub(crate) http_addr: SocketAddr,
     /// Where the companion takes control calls, where that is known.
     pub(crate) rpc_addr: Option<SocketAddr>,
@@ -236,6 +238,7 @@
         Place {
             target: a.target.clone(),
             incarnation: a.incarnation,
+            uptime: a.uptime,
             http_addr: a.http_addr,
             rpc_addr: Some(a.rpc_addr),
         }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -242,6 +242,7 @@
             to,
             id: active.sent_as.clone(),
             incarnation: active.place.incarnation,
+            uptime: active.place.uptime,
             timeout: active.left(now).min(REVOKE_TIMEOUT),
         };
         self.active.insert(active.meta.id.clone(), active);
@@ -271,7 +272,7 @@
                 self.send(now, active)
             }
             Ok(RevokeReply::WrongIncarnation) => unknown("target-restarted"),
-            Err(_) => unknown("silent"),
+            Ok(RevokeReply::Forgotten) | Err(_) => unknown("silent"),
         }
     }
 
@@ -372,6 +373,7 @@
             addr: active.place.http_addr,
             target: active.place.target.clone(),
             incarnation: active.place.incarnation,
+            uptime: active.place.uptime,
             attempt: active.attempt,
             is_repeat: active.resends > 0 || active.is_keyed(),
             timeout,
--- a/crates/route/src/step.rs
+++ b/crates/route/src/step.rs
@@ -36,6 +36,8 @@
         id: RequestId,
         /// The life of the companion that it was sent to.
         incarnation: Incarnation,
+        /// The companion's uptime as known when the target was chosen.
+        uptime: Duration,
         /// How long to wait for the answer.
         timeout: Duration,
     },
@@ -84,6 +86,8 @@
     pub target: TargetId,
     /// The life of the companion that the request is meant for.
     pub incarnation: Incarnation,
+    /// The companion's uptime as known when the target was chosen.
+    pub uptime: Duration,
     /// The attempt, from 1.
     pub attempt: u32,
     /// Whether other copies may reach the companion, so that a refusal has to last.
--- a/crates/route/tests/outcomes.rs
+++ b/crates/route/tests/outcomes.rs
@@ -261,6 +261,7 @@
         request: "other-1".into(),
         target: "runner-1".into(),
         incarnation: Incarnation(1),
+        uptime: Duration::ZERO,
         http_addr: addr(1),
     };
 
@@ -352,6 +353,7 @@
         target: TargetId::new(format!("runner-{at}")),
         worker: WorkerId::new(format!("runner-{at}")),
         incarnation,
+        uptime: Duration::ZERO,
         sequence: 1,
         zone: "viti-suva".into(),
         rack: "rack-0".into(),
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -351,13 +351,13 @@
     Some(match arrival {
         Arrival::Call {
             id,
-            call: Call::Revoke(request, incarnation),
+            call: Call::Revoke(request, incarnation, uptime),
         } => {
             let reply = outbox.owed(life, move |answer| Out::Answer {
                 call: id,
                 answer: answer.map(Answer::Revoke),
             });
-            Event::Revoke(request, incarnation, reply)
+            Event::Revoke(request, incarnation, uptime, reply)
         }
         Arrival::Call {
             id,
--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -106,6 +106,7 @@
         let meta = AdmitMeta {
             id: send.id.clone(),
             incarnation: send.incarnation,
+            uptime: send.uptime,
             deadline: sent.meta.deadline,
             priority: sent.meta.priority,
             is_repeat: send.is_repeat,
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -56,7 +56,12 @@
 pub trait CompanionApi {
     /// Makes sure that a request never starts here, unless it has.
     #[method(name = "revoke")]
-    async fn revoke(&self, request: RequestId, incarnation: Incarnation) -> RpcResult<RevokeReply>;
+    async fn revoke(
+        &self,
+        request: RequestId,
+        incarnation: Incarnation,
+        uptime: Duration,
+    ) -> RpcResult<RevokeReply>;
 
     /// Returns the tables that the companion applies, for an entry that can't read the store.
     #[method(name = "tables")]
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -270,6 +270,8 @@
     pub target: TargetId,
     /// The life of the target's companion.
     pub incarnation: Incarnation,
+    /// The companion's uptime as known when the target was chosen.
+    pub uptime: Duration,
     /// Where the companion takes requests.
     pub http_addr: std::net::SocketAddr,
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -53,7 +53,7 @@
     /// Entry to the owner of a shard.
     Claim(ShardId, Box<Claim>, Option<Box<Claim>>),
     /// Entry to companion.
-    Revoke(RequestId, Incarnation),
+    Revoke(RequestId, Incarnation, Duration),
     /// Entry to companion.
     Drain,
     /// Entry to companion.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -141,8 +141,8 @@
             let replaces = replaces.map(|claim| *claim);
             Answer::Claim(EntryApiClient::claim(client, shard, *claim, replaces).await?)
         }
-        Call::Revoke(request, incarnation) => {
-            Answer::Revoke(CompanionApiClient::revoke(client, request, incarnation).await?)
+        Call::Revoke(request, incarnation, uptime) => {
+            Answer::Revoke(CompanionApiClient::revoke(client, request, incarnation, uptime).await?)
         }
         Call::Drain => {
             CompanionApiClient::drain(client).await?;
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -64,6 +64,9 @@
     pub const REPEAT: &str = "Monsoontrestle-Repeat";
     /// Entry to companion: who goes first.
     pub const PRIORITY: &str = "Monsoontrestle-Priority";
+    /// Entry to companion: the companion's uptime as known when the target was chosen, in
+    /// milliseconds; a request that it does not know starts only soon after.
+    pub const UPTIME_MS: &str = "Monsoontrestle-Uptime-Ms";
     /// Entry to companion: the route.
     pub const ROUTE: &str = "Monsoontrestle-Route";
     /// From the caller: the team that the work counts against.
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -26,6 +26,8 @@
     pub worker: WorkerId,
     /// The life of this companion.
     pub incarnation: Incarnation,
+    /// How long this life of the companion has lasted, by its own clock.
+    pub uptime: Duration,
     /// Counts the announcements of this life, so that late ones are dropped.
     pub sequence: u64,
     /// The availability zone.
@@ -143,6 +145,8 @@
     Running,
     /// The request has run.
     Done,
+    /// The request may have run and been forgotten since.
+    Forgotten,
     /// Another life of the companion took the call: it can tell nothing.
     WrongIncarnation,
 }
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -292,6 +292,7 @@
         target: name.as_str().into(),
         worker: name.as_str().into(),
         incarnation: Incarnation(1),
+        uptime: Duration::ZERO,
         sequence,
         zone: ZoneName::from("viti-suva"),
         rack: RackName::from("rack-0"),
