Resolve IP numbers without a thread for store and worker calls too

Cause: the HTTP library's own resolver starts a thread for each call that has a time limit; the path of requests had been rid of it, the store's and workers' clients had not. Change: the resolver moves to the platform crate and serves all clients.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,6 +9,8 @@
 use ureq::http::{Request, Response};
 use ureq::{Agent, Body};
 
+use crate::ip_agent;
+
 /// How many idle connections are kept.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -102,7 +104,7 @@
 }
 
 fn new_agent(timeout: Duration) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
@@ -110,8 +112,8 @@
         .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS)
         // Shorter than the whole, so that a connect that fails is told from a lost answer.
         .timeout_connect(Some(timeout / 2))
-        .build()
-        .new_agent()
+        .build();
+    ip_agent(config)
 }
 
 fn read_whole(resp: Response<Body>) -> Result<Response<Vec<u8>>, ureq::Error> {
--- a/crates/wire/src/hop/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -1,17 +1,22 @@
-//! Resolves addresses that are IP numbers, without a look-up.
+//! Agents for processes that are reached by IP numbers, without look-ups of names.
 
-use ureq::Error;
 use ureq::config::Config;
 use ureq::http::Uri;
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
-use ureq::unversioned::transport::NextTimeout;
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
+use ureq::{Agent, Error};
 
 /// Takes the address from the URI.
 ///
 /// The client's own resolver starts a thread for each request that has a
 /// timeout. The system's processes are reached by IP numbers only.
 #[derive(Debug)]
-pub(super) struct IpResolver;
+struct IpResolver;
+
+/// Creates an agent for processes that are reached by IP numbers, without look-ups of names.
+pub fn ip_agent(config: Config) -> Agent {
+    Agent::with_parts(config, DefaultConnector::default(), IpResolver)
+}
 
 impl Resolver for IpResolver {
     fn resolve(
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -1,19 +1,14 @@
 //! One hop of a request over HTTP: sent to the next process, its answer read whole.
 
-mod resolver;
-
 use std::io::{Cursor, Read};
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use platform::ip_agent;
 use tiny_http::{Header, Request, Response};
 use ureq::Agent;
-use ureq::config::Config;
 use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ureq::http::{self, HeaderMap, HeaderName, HeaderValue};
-use ureq::unversioned::transport::DefaultConnector;
-
-use self::resolver::IpResolver;
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -97,11 +92,6 @@
     ip_agent(config)
 }
 
-/// Creates an agent for processes that are reached by IP numbers, without look-ups of names.
-pub fn ip_agent(config: Config) -> Agent {
-    Agent::with_parts(config, DefaultConnector::default(), IpResolver)
-}
-
 /// Sends a request and reads its answer, of at most `limit` bytes.
 ///
 /// # Errors
--- a/examples/requests.rs
+++ b/examples/requests.rs
@@ -318,7 +318,7 @@
             .http_status_as_error(false)
             .timeout_global(Some(Duration::from_secs(10)))
             .build();
-        let agent = wire::hop::ip_agent(config);
+        let agent = platform::ip_agent(config);
         let url = format!("http://{to}/check");
         Self { agent, url }
     }
