--- a/examples/placement/main.rs
+++ b/examples/placement/main.rs
@@ -1,7 +1,7 @@
 //! The placement experiment: harm-aware against baselines and an oracle, on the same load.
 //!
 //! ```text
-//! cargo run --release --example placement -- [policies|parts|urgent] [--seeds N]
+//! cargo run --release --example placement -- [--seeds N] [--desk DESK] [--only POLICY]... [policies|parts|urgent]
 //! ```
 
 mod desk;
@@ -37,6 +37,12 @@
     /// How many runs at once.
     #[bpaf(argument("N"), fallback(3))]
     threads: usize,
+    /// The desk, where one alone is wanted.
+    #[bpaf(argument("DESK"), optional)]
+    desk: Option<String>,
+    /// A policy to run, where not all are wanted; may be repeated.
+    #[bpaf(argument("POLICY"), many)]
+    only: Vec<String>,
     /// What is compared: policies, parts or urgent.
     #[bpaf(positional("PART"), fallback("policies".to_owned()))]
     part: String,
@@ -96,6 +102,9 @@
         _ => Part::Policies,
     };
     for desk in [MANUSCRIPT, TRADING] {
+        if args.desk.as_ref().is_some_and(|name| name != desk.name) {
+            continue;
+        }
         let (policies, load, step) = match part {
             Part::Policies => (policies(), LOAD, STEP),
             Part::Parts => (parts(), LOAD, STEP),
@@ -104,6 +113,7 @@
         println!("\n{} desk, seeds 1-{}", desk.name, args.seeds);
         let rows: Vec<_> = policies
             .iter()
+            .filter(|policy| args.only.is_empty() || args.only.iter().any(|n| n == policy.name))
             .map(|policy| (policy.name, run_seeds(policy, &desk, &load, step, &args)))
             .collect();
         stats::print(&rows);
