Take a dropped answer as unknown, and let health checks not hold up a stop

Cause, first: an answer that a stopping entry drops came back as an error of the call, which was read as a refusal without effect; a committed submission could be told as not run. Change: only errors that are made before the method (parse, request, method, parameters, size) are refusals. Cause, second: a draining pool served on until no request came for 250 ms, and a balancer's health checks come all the time, so that each planned stop took its whole grace of 30 s. Change: health checks do not count as work.

--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -10,16 +10,13 @@
 use tables::TablesDoc;
 use tokio::sync::oneshot;
 use tower::ServiceBuilder;
-use wire::{CompanionApiServer, Reply, RevokeReply, Token, TokenLayer};
+use wire::{CompanionApiServer, DROPPED_CODE, Reply, RevokeReply, Token, TokenLayer};
 
 use crate::event::Event;
 
 /// The largest control message, in bytes.
 const MAX_MESSAGE_BYTES: u32 = 1024 * 1024;
 
-/// The code of the error that an answer which never came is told as.
-const DROPPED_CODE: i32 = -32_001;
-
 /// Hands control calls to the actors.
 struct Rpc {
     events: Sender<Event>,
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -10,8 +10,9 @@
 use tokio::sync::oneshot;
 use tower::ServiceBuilder;
 use wire::{
-    AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, EntryApiServer, Gossip,
-    JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token, TokenLayer,
+    AnnounceReply, Announcement, Claim, ClaimReply, DROPPED_CODE, DoneAck, DoneReport,
+    EntryApiServer, Gossip, JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token,
+    TokenLayer,
 };
 
 use crate::event::Event;
@@ -22,9 +23,6 @@
 /// How many control connections are open at once.
 const MAX_CONNECTIONS: u32 = 4_096;
 
-/// The code of the error that an answer which never came is told as.
-const DROPPED_CODE: i32 = -32_001;
-
 /// Hands control calls to the actors.
 struct Rpc {
     events: Sender<Event>,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -6,6 +6,11 @@
 use base::prelude::*;
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::error::{
+    INVALID_PARAMS_CODE, INVALID_REQUEST_CODE, METHOD_NOT_FOUND_CODE, OVERSIZED_REQUEST_CODE,
+    PARSE_ERROR_CODE,
+};
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
 
@@ -155,10 +160,25 @@
     })
 }
 
-/// Maps a client error; only a refusal by the peer is sure to have had no effect.
+/// The code of the error that takes the place of an answer which never came.
+pub const DROPPED_CODE: i32 = -32_001;
+
+/// Tells whether an error was made before the call reached its method.
+fn is_before_effect(e: &ErrorObjectOwned) -> bool {
+    matches!(
+        e.code(),
+        PARSE_ERROR_CODE
+            | INVALID_REQUEST_CODE
+            | METHOD_NOT_FOUND_CODE
+            | INVALID_PARAMS_CODE
+            | OVERSIZED_REQUEST_CODE
+    )
+}
+
+/// Maps a client error; only a refusal before the method is sure to have had no effect.
 fn map_error(to: SocketAddr, e: &ClientError) -> Error {
     let kind = match e {
-        ClientError::Call(_) => ErrorKind::Refused,
+        ClientError::Call(e) if is_before_effect(e) => ErrorKind::Refused,
         ClientError::RequestTimeout => ErrorKind::Timeout,
         ClientError::ParseError(_) => ErrorKind::Malformed,
         _ => ErrorKind::Interrupted,
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,9 +6,12 @@
 use std::thread::JoinHandle;
 
 use base::prelude::*;
+use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tiny_http::{Request, Server};
 
+use crate::operator::path;
+
 /// How long a connection is idle before the other end is probed.
 const IDLE_BEFORE_PROBE: Duration = Duration::from_secs(30);
 
@@ -27,9 +30,12 @@
 /// The pool takes no request.
 const CLOSED: u8 = 2;
 
-/// How long a draining thread waits for a request before it ends.
+/// How long a draining pool is without work before its threads end.
 const DRAIN_IDLE: Duration = Duration::from_millis(250);
 
+/// How often a draining thread looks whether the pool is without work.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+
 /// How often the end of the threads is looked for.
 const WAIT_STEP: Duration = Duration::from_millis(5);
 
@@ -38,6 +44,8 @@
     server: Arc<Server>,
     addr: SocketAddr,
     mode: Arc<AtomicU8>,
+    /// When the last request came that is no health check.
+    last_work: Arc<Mutex<Instant>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -70,18 +78,21 @@
         let server = Arc::new(server);
         let handler = Arc::new(handler);
         let mode = Arc::new(AtomicU8::new(OPEN));
+        let last_work = Arc::new(Mutex::new(Instant::now()));
         let threads = (0..threads)
             .map(|_| {
                 let server = Arc::clone(&server);
                 let handler = Arc::clone(&handler);
                 let mode = Arc::clone(&mode);
-                std::thread::spawn(move || serve(&server, &mode, &*handler))
+                let last_work = Arc::clone(&last_work);
+                std::thread::spawn(move || serve(&server, &mode, &last_work, &*handler))
             })
             .collect();
         Ok(Self {
             server,
             addr,
             mode,
+            last_work,
             threads,
         })
     }
@@ -103,10 +114,11 @@
         }
     }
 
-    /// Serves on until no request comes, then stops; tells whether all in progress finished.
+    /// Serves on until only health checks come, then stops; tells whether all in progress finished.
     ///
     /// Both parts, serving on and finishing what is in progress, take at most `grace`.
     pub fn stop(self, grace: Duration) -> bool {
+        *self.last_work.lock() = Instant::now();
         self.set_mode(DRAINING);
         if self.wait_for_threads(grace) {
             return true;
@@ -156,18 +168,26 @@
 }
 
 /// Takes requests until the pool stops.
-fn serve(server: &Server, mode: &AtomicU8, handler: &(impl Fn(Request) + ?Sized)) {
+fn serve(
+    server: &Server,
+    mode: &AtomicU8,
+    last_work: &Mutex<Instant>,
+    handler: &(impl Fn(Request) + ?Sized),
+) {
     loop {
         let received = match mode.load(Ordering::Acquire) {
             // `unblock` makes `recv` return an error, as does a closed listener.
             OPEN => server.recv().ok(),
-            DRAINING => match server.recv_timeout(DRAIN_IDLE) {
-                Ok(Some(req)) => Some(req),
-                _ => return,
-            },
+            DRAINING if last_work.lock().elapsed() >= DRAIN_IDLE => return,
+            DRAINING => server.recv_timeout(DRAIN_STEP).ok().flatten(),
             _ => return,
         };
         if let Some(req) = received {
+            // A balancer checks the health of a leaving entry for as long as it is there.
+            let is_probe = [path::LIVE, path::READY].contains(&req.url());
+            if !is_probe && mode.load(Ordering::Acquire) == DRAINING {
+                *last_work.lock() = Instant::now();
+            }
             handler(req);
         }
     }
