--- a/crates/companion/tests/request_table.rs
+++ b/crates/companion/tests/request_table.rs
@@ -49,6 +49,34 @@
     assert_ne!(joined.take(), Some(AdmitStep::Run));
 }
 
+#[test]
+fn revocation_of_an_id_that_may_be_forgotten_proves_nothing() {
+    const LONG_AFTER: Duration = Duration::from_secs(50);
+    let (mut table, now) = table(1, 1);
+    begin(&mut table, now, &meta("a", now));
+    table.finished(now, &"a".into(), Some(answer(3)));
+    table.sweep(now + LONG_AFTER);
+
+    let reply = table.revoke(now + LONG_AFTER, &"a".into(), LIFE, Duration::ZERO);
+
+    assert_eq!(reply, RevokeReply::Forgotten);
+}
+
+#[test]
+fn request_for_a_target_chosen_lately_starts_in_an_old_life() {
+    const LONG_AFTER: Duration = Duration::from_secs(5_000);
+    let (mut table, now) = table(1, 1);
+    let late = now + LONG_AFTER;
+    let lately = AdmitMeta {
+        uptime: LONG_AFTER - Duration::from_secs(2),
+        ..repeat("a", late)
+    };
+
+    let told = begin(&mut table, late, &lately);
+
+    assert_eq!(told.take(), Some(AdmitStep::Run));
+}
+
 #[test]
 fn revoked_id_never_starts() {
     let (mut table, now) = table(1, 1);
--- a/crates/soak/src/cfg.rs
+++ b/crates/soak/src/cfg.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+/// How long the system gets to work off what an hour of faults left in the queue.
+///
+/// Jobs take up to four times what they declare, so that the load is at times above
+/// what the workers can do and the queue long when the faults end.
+const QUIET: Duration = Duration::from_secs(3_600);
+
 /// The settings of a run.
 #[derive(Clone, Debug)]
 pub struct SoakCfg {
@@ -27,7 +33,7 @@
         Self {
             seed,
             span,
-            quiet: Duration::from_secs(900),
+            quiet: QUIET,
             fault_every: Duration::from_secs(20),
             job_every: Duration::from_secs(4),
             request_every: Duration::from_millis(700),
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -28,7 +28,7 @@
         .argument::<u64>("COUNT")
         .fallback(1);
     let hours = long("hours")
-        .help("Virtual hours of faults; a quiet quarter of an hour follows")
+        .help("Virtual hours of faults; a quiet hour follows")
         .argument::<f64>("H")
         .guard(|hours| (0.0..=1000.0).contains(hours), "expected 0 to 1000")
         .fallback(1.0);
