--- a/crates/journal/src/owner.rs
+++ b/crates/journal/src/owner.rs
@@ -1,142 +1,33 @@
 //! Taking, keeping and losing ownership of a shard, and committing to its log.
 
+mod cfg;
 mod commit;
+mod effect;
 mod lease;
 mod recover;
 mod takeover;
 mod trim;
+mod value;
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 
 use base::prelude::*;
 use platform::store::{LeaseId, Revision, StoreCall, StoreReply};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde::{Deserialize, Serialize};
 
 use crate::snapshot::Pointer;
 use crate::{Change, Keys, ShardState};
 
+pub use self::cfg::OwnerCfg;
+pub use self::effect::{DeposedBy, Effect, Ticket, Urgency};
 use self::recover::Reading;
 use self::trim::Snapshotting;
+pub use self::value::OwnerValue;
 
 /// How long to wait before a shard that could not be recovered is tried again.
 const STUCK_RETRY: Duration = Duration::from_secs(15);
 
-/// How an owner is set up.
-#[derive(Clone, Debug)]
-pub struct OwnerCfg {
-    /// The shard.
-    pub shard: ShardId,
-    /// The pool whose jobs it holds.
-    pub pool: PoolName,
-    /// This entry.
-    pub entry: EntryId,
-    /// Where this entry takes control calls.
-    pub rpc_addr: SocketAddr,
-    /// How long the lease lives unless renewed.
-    pub lease_ttl: Duration,
-    /// What is taken off the lease for clocks that run at different rates.
-    pub drift: Duration,
-    /// How long changes are gathered before they are committed together.
-    pub commit_window: Duration,
-    /// How long to wait before a failed step is tried again.
-    pub retry_after: Duration,
-    /// How many bytes of log are written before a snapshot replaces them, at the least.
-    pub snapshot_bytes: u64,
-}
-
-impl OwnerCfg {
-    /// The default time to live of an owner's lease.
-    pub const LEASE_TTL: Duration = Duration::from_secs(4);
-
-    /// The default allowance for clocks that run at different rates.
-    pub const DRIFT: Duration = Duration::from_millis(250);
-
-    /// The default time that changes are gathered.
-    pub const COMMIT_WINDOW: Duration = Duration::from_millis(100);
-
-    /// The default wait before a failed step is tried again.
-    pub const RETRY_AFTER: Duration = Duration::from_millis(250);
-
-    /// The default size of log that a snapshot replaces, at the least.
-    pub const SNAPSHOT_BYTES: u64 = 2 * 1024 * 1024;
-}
-
-/// The value of a shard's owner key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct OwnerValue {
-    /// The shard.
-    pub shard: ShardId,
-    /// The pool whose jobs it holds.
-    pub pool: PoolName,
-    /// The owner.
-    pub entry: EntryId,
-    /// Where the owner takes control calls.
-    pub rpc_addr: SocketAddr,
-    /// The owner's term; 0 while it takes over.
-    pub epoch: Epoch,
-    /// The lease that the key lives under, by which a writer knows its own value.
-    #[serde(default)]
-    pub lease: LeaseId,
-}
-
-/// How urgent a store call is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Urgency {
-    /// It keeps or takes a lease.
-    Lease,
-    /// It commits or recovers.
-    Commit,
-    /// It writes a snapshot or trims what one replaced.
-    Snapshot,
-}
-
-/// Why an owner stood down.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DeposedBy {
-    /// Its lease may have ended, without a word of another owner.
-    LeaseEnd,
-    /// The store holds what another owner wrote, or has forgotten the lease.
-    Another,
-    /// It gave the shard up.
-    Resignation,
-}
-
-/// Matches the end of a proposal to the one who made it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ticket(pub u64);
-
-/// What an owner asks for or tells.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Make a store call and hand its answer to [`Owner::reply`] with the id.
-    Store {
-        /// The id.
-        id: u64,
-        /// How urgent it is.
-        urgency: Urgency,
-        /// The call.
-        call: StoreCall,
-    },
-    /// This entry owns the shard from now on; its state is recovered.
-    Activated(Epoch),
-    /// A change is committed and applied.
-    Committed(Ticket, Change),
-    /// It is not known whether a proposed change is committed.
-    Unknown(Ticket),
-    /// A proposed change is not committed and never will be.
-    Dropped(Ticket),
-    /// This entry no longer owns the shard.
-    Deposed(DeposedBy),
-    /// Another entry holds the shard's owner key.
-    Elsewhere(Box<OwnerValue>),
-    /// The shard cannot be recovered: a record is unreadable.
-    Stuck(Error),
-}
-
 /// A proposed change that is not committed yet.
 #[derive(Clone, Debug)]
 struct Proposal {
--- a/crates/journal/src/owner/takeover.rs
+++ b/crates/journal/src/owner/takeover.rs
@@ -237,15 +237,3 @@
         value.encode()
     }
 }
-
-impl OwnerValue {
-    /// Encodes the value as JSON, which operators can read in the store.
-    pub fn encode(&self) -> Arc<[u8]> {
-        serde_json::to_vec(self).unwrap_or_default().into()
-    }
-
-    /// Decodes a value; `None` if it is unreadable.
-    pub fn decode(buf: &[u8]) -> Option<Self> {
-        serde_json::from_slice(buf).ok()
-    }
-}
--- /dev/null
+++ b/crates/journal/src/owner/value.rs
@@ -0,0 +1,38 @@
+//! The value of a shard's owner key.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use platform::store::LeaseId;
+use serde::{Deserialize, Serialize};
+
+/// The value of a shard's owner key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OwnerValue {
+    /// The shard.
+    pub shard: ShardId,
+    /// The pool whose jobs it holds.
+    pub pool: PoolName,
+    /// The owner.
+    pub entry: EntryId,
+    /// Where the owner takes control calls.
+    pub rpc_addr: SocketAddr,
+    /// The owner's term; 0 while it takes over.
+    pub epoch: Epoch,
+    /// The lease that the key lives under, by which a writer knows its own value.
+    #[serde(default)]
+    pub lease: LeaseId,
+}
+
+impl OwnerValue {
+    /// Encodes the value as JSON, which operators can read in the store.
+    pub fn encode(&self) -> Arc<[u8]> {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+
+    /// Decodes a value; `None` if it is unreadable.
+    pub fn decode(buf: &[u8]) -> Option<Self> {
+        serde_json::from_slice(buf).ok()
+    }
+}
