Share the loop, the control server and the signals of both processes

Cause: entry and companion each carried the same actor loop, control server, runtime start and signal wait (found as the longest duplicates in the tree). Change: crate host holds them once; the processes name only their limits.

--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -6,7 +6,7 @@
 
 use base::SystemClock;
 use base::prelude::*;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, unbounded};
 use jsonrpsee::server::ServerHandle;
 use platform::HttpWorker;
 use slog::{Logger, info};
@@ -17,12 +17,6 @@
 use crate::worker_io::WorkerIo;
 use crate::{CompanionCfg, Event, Node, Ports, rpc};
 
-/// How long the loop sleeps when no timer is set.
-const MAX_SLEEP: Duration = Duration::from_millis(500);
-
-/// How many events the loop takes before it runs timers.
-const EVENTS_PER_RUN: usize = 256;
-
 /// How long a worker call may take.
 const WORKER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -68,18 +62,7 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start_secured(cfg: CompanionCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(RPC_THREADS)
-            .enable_all()
-            .build()
-            .map_err(|e| {
-                Error::new(
-                    ErrorKind::Internal,
-                    "start runtime",
-                    "companion",
-                    e.to_string(),
-                )
-            })?;
+        let runtime = host::start_runtime(RPC_THREADS)?;
         let (events, rx) = unbounded();
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
@@ -210,25 +193,9 @@
     in_flight: &AtomicU32,
 ) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
-    node.run(ports.clock.now());
-    while !stopping.load(Ordering::Acquire) {
-        let now = ports.clock.now();
-        let sleep = node.next_due().map_or(MAX_SLEEP, |due| {
-            due.saturating_duration_since(now).min(MAX_SLEEP)
-        });
-        match rx.recv_timeout(sleep) {
-            Ok(event) => {
-                node.deliver(event);
-                rx.try_iter()
-                    .take(EVENTS_PER_RUN)
-                    .for_each(|event| node.deliver(event));
-            }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
-        node.run(ports.clock.now());
+    host::drive(&mut node, &*ports.clock, rx, stopping, |node| {
         in_flight.store(node.in_flight(), Ordering::Release);
-    }
+    });
 }
 
 /// Runs a companion until it is told to stop by a signal.
@@ -237,17 +204,8 @@
 ///
 /// Returns what kept the companion from starting.
 pub fn run(cfg: CompanionCfg, token: Option<Token>, log: &Logger) -> Result<()> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
     let app = App::start_secured(cfg, token, log)?;
-    let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM]).map_err(|e| {
-        Error::new(
-            ErrorKind::Internal,
-            "watch signals",
-            "operating system",
-            e.to_string(),
-        )
-    })?;
-    signals.forever().next();
+    host::wait_for_stop()?;
     info!(log, "companion: stops as planned");
     app.stop();
     Ok(())
--- a/crates/companion/src/node.rs
+++ b/crates/companion/src/node.rs
@@ -88,3 +88,19 @@
         f.write_str("Node")
     }
 }
+
+impl host::Actors for Node {
+    type Event = Event;
+
+    fn deliver(&mut self, event: Event) {
+        Self::deliver(self, event);
+    }
+
+    fn run(&mut self, now: Instant) {
+        Self::run(self, now);
+    }
+
+    fn next_due(&mut self) -> Option<Instant> {
+        Self::next_due(self)
+    }
+}
--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -4,28 +4,26 @@
 
 use base::prelude::*;
 use crossbeam_channel::Sender;
+use host::{RpcLimits, dropped};
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
-use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::server::ServerHandle;
 use tables::TablesDoc;
 use tokio::sync::oneshot;
-use tower::ServiceBuilder;
-use wire::{CompanionApiServer, DROPPED_CODE, Reply, RevokeReply, Token, TokenLayer};
+use wire::{CompanionApiServer, Reply, RevokeReply, Token};
 
 use crate::event::Event;
 
 /// The largest control message, in bytes.
 const MAX_MESSAGE_BYTES: u32 = 1024 * 1024;
 
+/// How many control connections are open at once.
+const MAX_CONNECTIONS: u32 = 100;
+
 /// Hands control calls to the actors.
 struct Rpc {
     events: Sender<Event>,
 }
 
-fn dropped() -> ErrorObjectOwned {
-    ErrorObjectOwned::owned(DROPPED_CODE, "the companion is stopping", None::<()>)
-}
-
 #[async_trait]
 impl CompanionApiServer for Rpc {
     async fn revoke(
@@ -70,25 +68,9 @@
     events: Sender<Event>,
     token: Option<Token>,
 ) -> Result<(SocketAddr, ServerHandle)> {
-    let bind_error = |e: std::io::Error| {
-        Error::new(
-            ErrorKind::Invalid,
-            "bind control address",
-            addr.to_string(),
-            e.to_string(),
-        )
+    let limits = RpcLimits {
+        message_bytes: MAX_MESSAGE_BYTES,
+        connections: MAX_CONNECTIONS,
     };
-    let cfg = ServerConfig::builder()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .http_only()
-        .build();
-    let server = Server::builder()
-        .set_config(cfg)
-        .set_http_middleware(ServiceBuilder::new().layer(TokenLayer(token)))
-        .build(addr)
-        .await
-        .map_err(bind_error)?;
-    let bound = server.local_addr().map_err(bind_error)?;
-    Ok((bound, server.start(Rpc { events }.into_rpc())))
+    host::serve_rpc(addr, limits, token, Rpc { events }.into_rpc()).await
 }
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -6,7 +6,7 @@
 
 use base::SystemClock;
 use base::prelude::*;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, unbounded};
 use jsonrpsee::server::ServerHandle;
 use platform::HttpStore;
 use platform::store::Store;
@@ -19,12 +19,6 @@
 use crate::telemetry::{MeteredStore, Telemetry};
 use crate::{EntryCfg, Event, Node, Ports, TablesSnapshot, rpc};
 
-/// How long the loop sleeps when no timer is set.
-const MAX_SLEEP: Duration = Duration::from_millis(500);
-
-/// How many events the loop takes before it runs timers.
-const EVENTS_PER_RUN: usize = 256;
-
 /// How long a store call may take.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -66,13 +60,7 @@
     ///
     /// Returns [`ErrorKind::Invalid`] where an address cannot be bound.
     pub fn start_secured(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<Self> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(RPC_THREADS)
-            .enable_all()
-            .build()
-            .map_err(|e| {
-                Error::new(ErrorKind::Internal, "start runtime", "entry", e.to_string())
-            })?;
+        let runtime = host::start_runtime(RPC_THREADS)?;
         let (events, rx) = unbounded();
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
@@ -200,24 +188,7 @@
 ) {
     let mut node = Node::new(cfg, ports, ports.clock.now(), rand::random());
     node.publish_to(snapshot);
-    node.run(ports.clock.now());
-    while !stopping.load(Ordering::Acquire) {
-        let now = ports.clock.now();
-        let sleep = node.next_due().map_or(MAX_SLEEP, |due| {
-            due.saturating_duration_since(now).min(MAX_SLEEP)
-        });
-        match rx.recv_timeout(sleep) {
-            Ok(event) => {
-                node.deliver(event);
-                rx.try_iter()
-                    .take(EVENTS_PER_RUN)
-                    .for_each(|event| node.deliver(event));
-            }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
-        node.run(ports.clock.now());
-    }
+    host::drive(&mut node, &*ports.clock, rx, stopping, |_node| ());
 }
 
 /// Runs an entry until it is told to stop by a signal.
@@ -227,22 +198,8 @@
 /// Returns what kept the entry from starting.
 pub fn run(cfg: EntryCfg, token: Option<Token>, log: &Logger) -> Result<()> {
     let app = App::start_secured(cfg, token, log)?;
-    wait_for_signal()?;
+    host::wait_for_stop()?;
     info!(log, "entry: stops as planned");
     app.stop();
     Ok(())
 }
-
-fn wait_for_signal() -> Result<()> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM]).map_err(|e| {
-        Error::new(
-            ErrorKind::Internal,
-            "watch signals",
-            "operating system",
-            e.to_string(),
-        )
-    })?;
-    signals.forever().next();
-    Ok(())
-}
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -4,15 +4,13 @@
 
 use base::prelude::*;
 use crossbeam_channel::Sender;
+use host::{RpcLimits, dropped};
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
-use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::server::ServerHandle;
 use tokio::sync::oneshot;
-use tower::ServiceBuilder;
 use wire::{
-    AnnounceReply, Announcement, Claim, ClaimReply, DROPPED_CODE, DoneAck, DoneReport,
-    EntryApiServer, Gossip, JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token,
-    TokenLayer,
+    AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, EntryApiServer, Gossip,
+    JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token,
 };
 
 use crate::event::Event;
@@ -41,10 +39,6 @@
     }
 }
 
-fn dropped() -> ErrorObjectOwned {
-    ErrorObjectOwned::owned(DROPPED_CODE, "the entry is stopping", None::<()>)
-}
-
 #[async_trait]
 impl EntryApiServer for Rpc {
     async fn announce(&self, msg: Announcement) -> RpcResult<AnnounceReply> {
@@ -95,27 +89,9 @@
     events: Sender<Event>,
     token: Option<Token>,
 ) -> Result<(SocketAddr, ServerHandle)> {
-    let bind_error = |e: std::io::Error| {
-        Error::new(
-            ErrorKind::Invalid,
-            "bind control address",
-            addr.to_string(),
-            e.to_string(),
-        )
+    let limits = RpcLimits {
+        message_bytes: MAX_MESSAGE_BYTES,
+        connections: MAX_CONNECTIONS,
     };
-    let cfg = ServerConfig::builder()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .max_connections(MAX_CONNECTIONS)
-        .http_only()
-        .build();
-    let server = Server::builder()
-        .set_config(cfg)
-        .set_http_middleware(ServiceBuilder::new().layer(TokenLayer(token)))
-        .build(addr)
-        .await
-        .map_err(bind_error)?;
-    let bound = server.local_addr().map_err(bind_error)?;
-    let handle = server.start(Rpc { events }.into_rpc());
-    Ok((bound, handle))
+    host::serve_rpc(addr, limits, token, Rpc { events }.into_rpc()).await
 }
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,12 @@
+//! Threads around the actors of a process.
+//!
+//! A process is one thread of actors, fed with events by threads that wait for
+//! the outside. What entries and companions need alike for that stands here.
+
+mod actors;
+mod rpc;
+mod signal;
+
+pub use actors::{Actors, drive};
+pub use rpc::{RpcLimits, dropped, serve_rpc, start_runtime};
+pub use signal::wait_for_stop;
