Give the workers of the batch tests the size that was meant

Cause: Resources::new takes cores, the fixtures gave thousandths: workers of 64,000 cores and tasks of 4,000, so that the tests ran at the right ratio but said the wrong thing. Change: 64 cores, tasks of 4 and 40; the benchmark says that its workers are large on purpose.

--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -271,7 +271,7 @@
     world.kill_companion(1);
     world.run(SECOND * 8);
     let most_of_a_worker = |name| JobSpec {
-        resources: Resources::new(40_000, 1_024, 0),
+        resources: Resources::new(40, 1_024, 0),
         ..spec(name, HOUR)
     };
     world.submit(0, most_of_a_worker("runs"));
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -157,7 +157,7 @@
         team: "press".into(),
         class: "proof".into(),
         priority: Priority::Normal,
-        resources: Resources::new(4_000, 1_024, 0),
+        resources: Resources::new(4, 1_024, 0),
         run_time: Some(run_time),
         finish_within: None,
         max_failures: 3,
@@ -278,7 +278,7 @@
             entries: (0..self.entries.len()).map(entry_addr).collect(),
             slots: 8,
             connections: 64,
-            capacity: Resources::new(64_000, 250 * 1_024, 0),
+            capacity: Resources::new(64, 250 * 1_024, 0),
         };
         let ports = companion::Ports {
             clock: Arc::clone(&self.clock) as Arc<dyn Clock>,
--- a/examples/batch/fleet.rs
+++ b/examples/batch/fleet.rs
@@ -18,6 +18,9 @@
 const WORKERS: usize = 10;
 const ENTRY_THREADS: usize = 64;
 
+/// The size of a worker: so large that the store, not the workers, limits the starts.
+const UNLIMITED: Resources = Resources::new(64_000, 250 * 1_024, 0);
+
 /// How long the store takes to answer.
 const STORE_DELAY: Duration = Duration::from_millis(3);
 
@@ -252,7 +255,7 @@
         entries: entries.to_vec(),
         slots: 8,
         connections: 64,
-        capacity: Resources::new(64_000, 250 * 1_024, 0),
+        capacity: UNLIMITED,
     };
     companion::App::start(cfg, &Logger::root(Discard, o!()))
 }
--- a/examples/batch/recover.rs
+++ b/examples/batch/recover.rs
@@ -107,7 +107,7 @@
         Change::Assigned {
             key: key.clone(),
             worker: format!("runner-{}", number % 1_200).into(),
-            granted: Resources::new(4_000, 8_192, 0),
+            granted: Resources::new(4, 8_192, 0),
         },
     ];
     if is_finished {
@@ -125,7 +125,7 @@
         team: "press".into(),
         class: "proof".into(),
         priority: Priority::Normal,
-        resources: Resources::new(4_000, 8_192, 0),
+        resources: Resources::new(4, 8_192, 0),
         run_time: Some(Duration::from_secs(1_200)),
         finish_within: Some(Duration::from_secs(28_800)),
         max_failures: 3,
