Show a shard that cannot be recovered in the status

Cause: an unreadable record stops a shard, and only the logs said so. Change: status lists such a shard with the reason. The new test writes nine bytes in the place of the first record and finds the reason in the view; all else unchanged.

--- a/crates/entry/src/shard/view.rs
+++ b/crates/entry/src/shard/view.rs
@@ -50,13 +50,13 @@
 }
 
 impl ShardActor {
-    /// Tells what the shards owned here hold, and hands over the ends of jobs.
+    /// Tells what the shards owned here hold, which could not be taken over, and hands over the ends of jobs.
     pub(crate) fn view(&mut self, cx: CX![], reply: Reply<ShardsView>) {
         let now = cx.now();
         let mut view = ShardsView::default();
         for shard in self.shards.values_mut() {
             view.ends.extend(shard.ends.0.drain(..));
-            if shard.may_act(now) {
+            if shard.may_act(now) || shard.owner.stuck().is_some() {
                 view.shards.push(shard.view());
             }
         }
@@ -75,6 +75,7 @@
             queued: 0,
             running: 0,
             quarantined: Vec::new(),
+            stuck: self.owner.stuck().map(|e| e.to_string().into()),
         };
         for job in self.owner.state().jobs().values() {
             match job.state {
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -3,8 +3,10 @@
 mod world;
 
 use base::prelude::*;
+use journal::Keys;
+use platform::store::{Expect, StoreCall};
 use wire::timing::{DRIFT, KEEP_FOR};
-use wire::{JobPhase, JobSpec, SubmitReply};
+use wire::{JobPhase, JobSpec, SubmitReply, shard_of_pool};
 
 use world::{GRACE, SECOND, World, spec};
 
@@ -26,6 +28,25 @@
     world
 }
 
+#[test]
+fn shard_with_an_unreadable_record_is_shown_as_stuck() {
+    let mut world = World::new(1, 1);
+    let now = world.now();
+    let garbage = StoreCall::Put {
+        key: Keys::new(shard_of_pool(&"proofs".into())).log(Seq(1)),
+        value: b"no record".as_slice().into(),
+        expect: Expect::Absent,
+        lease: None,
+    };
+    world.store.call(now, &garbage).unwrap();
+
+    world.run(SECOND * 4);
+
+    let shards = world.shards(0);
+    let reason = shards.first().and_then(|shard| shard.stuck.clone());
+    assert!(reason.is_some_and(|reason| reason.contains("decode record")));
+}
+
 #[test]
 fn short_job_finishes_and_takes_effect_once() {
     let mut world = World::new(3, 2);
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -15,6 +15,7 @@
 use platform::worker::{WorkerCall, WorkerReply};
 use slog::{Discard, Logger, o};
 use tables::{Priority, TablesDoc};
+use wire::operator::ShardStatus;
 use wire::{
     Answer, Call, CallPort, CallToken, JobPhase, JobRef, JobSpec, JobStatus, Reply, SubmitReply,
 };
@@ -501,6 +502,12 @@
         })
     }
 
+    /// Returns what an entry tells operators of its shards.
+    pub fn shards(&mut self, at: usize) -> Vec<ShardStatus> {
+        let view = self.ask_now(at, AdminEvent::Shards);
+        view.map(|view| view.shards).unwrap_or_default()
+    }
+
     /// Returns where a job stands by the word of any entry, without letting time pass.
     pub fn peek(&mut self, job: &str) -> Option<JobPhase> {
         (0..self.entries.len()).find_map(|at| {
--- a/crates/ops/src/command/fleet.rs
+++ b/crates/ops/src/command/fleet.rs
@@ -85,6 +85,9 @@
             "shard {}: {} queued, {} running",
             shard.shard, shard.queued, shard.running
         ));
+        if let Some(reason) = &shard.stuck {
+            lines.push(format!("  STUCK: {reason}"));
+        }
         for (worker, reason) in &shard.quarantined {
             lines.push(format!("  {worker} in quarantine: {reason}"));
         }
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -46,7 +46,7 @@
     /// What the entry sees of the store.
     #[serde(default)]
     pub store: Option<StoreHealth>,
-    /// The shards that the entry owns.
+    /// The shards that the entry owns, and those that it could not take over.
     #[serde(default)]
     pub shards: Vec<ShardStatus>,
     /// Checks of the promises in this process.
@@ -78,6 +78,9 @@
     pub running: u64,
     /// Workers that get no more than a probe, with the reason.
     pub quarantined: Vec<(WorkerId, Name)>,
+    /// Why this entry could not take the shard over: a record that it cannot read.
+    #[serde(default)]
+    pub stuck: Option<Name>,
 }
 
 /// How often a promise was checked and found broken.
