Name the time after a lease's end and the companion's parts by standard terms

Cause: riding and door were words of our own. Change: grace period, and a proxy to the target. Names and pages only; the tests of entry, companion and soak pass as before.

--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -13,7 +13,7 @@
 use tokio::runtime::Runtime;
 use wire::{Client, ClientCfg, HttpPool, Token};
 
-use crate::http::Door;
+use crate::http::TargetProxy;
 use crate::worker_io::WorkerIo;
 use crate::{CompanionCfg, Event, Node, Ports, rpc};
 
@@ -67,7 +67,7 @@
         let (rpc_addr, rpc) =
             runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone(), token.clone()))?;
         let in_flight = Arc::new(AtomicU32::new(0));
-        let door = Door::new(
+        let proxy = TargetProxy::new(
             events.clone(),
             cfg.target_addr,
             cfg.connections,
@@ -75,7 +75,7 @@
             Arc::clone(&in_flight),
         );
         let threads = cfg.connections as usize + SPARE_THREADS;
-        let http = HttpPool::start(cfg.http_addr, threads, move |req| door.serve(req))?;
+        let http = HttpPool::start(cfg.http_addr, threads, move |req| proxy.serve(req))?;
         let cfg = Arc::new(CompanionCfg {
             http_addr: http.addr(),
             rpc_addr,
--- a/crates/companion/src/cfg.rs
+++ b/crates/companion/src/cfg.rs
@@ -192,7 +192,7 @@
         token
     })
     .to_options()
-    .descr("Runs beside one target and its worker VM, and is the only door to both.")
+    .descr("Runs beside one target and its worker VM, and admits all work to both.")
     .version(env!("CARGO_PKG_VERSION"))
 }
 
--- a/crates/companion/src/http.rs
+++ b/crates/companion/src/http.rs
@@ -22,7 +22,7 @@
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Passes requests to the target.
-pub(crate) struct Door {
+pub(crate) struct TargetProxy {
     events: Sender<Event>,
     agent: Agent,
     target: SocketAddr,
@@ -30,7 +30,7 @@
     load: Arc<AtomicU32>,
 }
 
-impl Door {
+impl TargetProxy {
     /// Creates the way to a target; `load` tells how many requests are in progress there.
     pub(crate) fn new(
         events: Sender<Event>,
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -3,8 +3,8 @@
 mod after;
 mod calls;
 mod effects;
+mod grace_period;
 mod polls;
-mod riding;
 
 use std::time::UNIX_EPOCH;
 
@@ -16,8 +16,8 @@
 use tables::Pool;
 use wire::{ClaimReply, DoneAck, JobRef, JobStatus, Reply, SubmitReply};
 
+use self::grace_period::{GracePeriod, Term};
 use self::polls::HeldPoll;
-use self::riding::{Riding, Term};
 use super::view::Ends;
 use crate::ports::StorePriority;
 
@@ -97,7 +97,7 @@
     next_job: u64,
     next_group: u64,
     takeover_until: Instant,
-    riding: Option<Riding>,
+    grace_period: Option<GracePeriod>,
     term: Option<Term>,
     store_calls: Vec<ShardStoreCall>,
     pub(super) ends: Ends,
@@ -134,7 +134,7 @@
             next_job: 0,
             next_group: 0,
             takeover_until: now,
-            riding: None,
+            grace_period: None,
             term: None,
             store_calls: Vec::new(),
             ends: Ends::default(),
@@ -195,7 +195,7 @@
             self.decide(now);
             self.answer_polls(now);
         }
-        self.ride(now);
+        self.tick_grace_period(now);
         self.commit(now);
     }
 
@@ -218,7 +218,7 @@
         info!(self.log, "shard: owns {} in epoch {}", self.shard, epoch);
         self.release_polls(None);
         self.forget_all(now);
-        self.riding = None;
+        self.grace_period = None;
         self.takeover_until = now + self.takeover_wait();
         self.commit_grace(now);
         let state = self.owner.state();
--- a/crates/entry/src/shard/owned/effects.rs
+++ b/crates/entry/src/shard/owned/effects.rs
@@ -27,7 +27,7 @@
                 Effect::Unknown(ticket) => self.unknown(ticket),
                 Effect::Dropped(ticket) => self.dropped(ticket),
                 Effect::Deposed(by) => self.deposed(now, by),
-                Effect::Elsewhere(owner) => self.riding_ends(&owner),
+                Effect::Elsewhere(owner) => self.end_grace_period(&owner),
                 Effect::Stuck(e) => error!(self.log, "shard: {} is stuck: {}", self.shard, e),
             }
         }
@@ -147,7 +147,7 @@
         // What became of the cancellations is not known: no answer says so.
         self.cancel_groups.clear();
         match by {
-            DeposedBy::LeaseEnd => self.riding_begins(now),
+            DeposedBy::LeaseEnd => self.begin_grace_period(now),
             DeposedBy::Another | DeposedBy::Resignation => self.release_polls(None),
         }
     }
--- a/crates/entry/src/shard/owned/riding.rs
+++ b/crates/entry/src/shard/owned/grace_period.rs
@@ -18,7 +18,7 @@
 
 /// The time after the end of a lease in which an owner still keeps tasks.
 #[derive(Debug)]
-pub(super) struct Riding {
+pub(super) struct GracePeriod {
     epoch: Epoch,
     until: Instant,
     /// The companions that this owner answered while its lease held.
@@ -40,7 +40,7 @@
 impl Shard {
     /// Tells whether polls may be answered, be it only to keep tasks.
     pub(in crate::shard) fn may_keep(&self, now: Instant) -> bool {
-        self.may_act(now) || self.riding.as_ref().is_some_and(|r| now < r.until)
+        self.may_act(now) || self.grace_period.as_ref().is_some_and(|r| now < r.until)
     }
 
     /// Returns how long a new owner waits before it gives up on a worker it never heard.
@@ -92,7 +92,7 @@
         });
     }
 
-    pub(super) fn riding_begins(&mut self, now: Instant) {
+    pub(super) fn begin_grace_period(&mut self, now: Instant) {
         let Some(term) = self.term.take() else { return };
         let companions = self.workers.iter().filter_map(|(name, worker)| {
             let incarnation = worker.incarnation.filter(|_| worker.losing.is_empty())?;
@@ -108,7 +108,7 @@
             self.shard,
             until - now
         );
-        self.riding = Some(Riding {
+        self.grace_period = Some(GracePeriod {
             epoch: term.epoch,
             until,
             companions: companions.collect(),
@@ -116,8 +116,8 @@
     }
 
     /// Stops keeping tasks: another entry owns the shard.
-    pub(super) fn riding_ends(&mut self, owner: &OwnerValue) {
-        if self.riding.take().is_some() {
+    pub(super) fn end_grace_period(&mut self, owner: &OwnerValue) {
+        if self.grace_period.take().is_some() {
             info!(
                 self.log,
                 "shard: {} is owned by {}", self.shard, owner.entry
@@ -127,9 +127,14 @@
     }
 
     /// Holds a poll, whose answer will keep what runs and start nothing.
-    pub(super) fn poll_riding(&mut self, now: Instant, poll: Box<Poll>, reply: Reply<PollReply>) {
+    pub(super) fn poll_in_grace_period(
+        &mut self,
+        now: Instant,
+        poll: Box<Poll>,
+        reply: Reply<PollReply>,
+    ) {
         let is_known = self
-            .riding
+            .grace_period
             .as_ref()
             .is_some_and(|r| r.companions.get(&poll.worker) == Some(&poll.incarnation));
         if !is_known {
@@ -148,15 +153,17 @@
     }
 
     /// Answers the polls whose wait is over, and stops once the grace is over.
-    pub(super) fn ride(&mut self, now: Instant) {
-        let Some(riding) = &self.riding else { return };
-        let epoch = riding.epoch;
-        if now >= riding.until {
+    pub(super) fn tick_grace_period(&mut self, now: Instant) {
+        let Some(grace_period) = &self.grace_period else {
+            return;
+        };
+        let epoch = grace_period.epoch;
+        if now >= grace_period.until {
             warn!(
                 self.log,
                 "shard: no longer keeps the tasks of {}", self.shard
             );
-            self.riding = None;
+            self.grace_period = None;
             return self.release_polls(None);
         }
         for worker in self.workers.values_mut() {
--- a/crates/entry/src/shard/owned/polls.rs
+++ b/crates/entry/src/shard/owned/polls.rs
@@ -31,7 +31,7 @@
         reply: Reply<PollReply>,
     ) {
         if !self.may_act(now) {
-            return self.poll_riding(now, poll, reply);
+            return self.poll_in_grace_period(now, poll, reply);
         }
         self.placer.worker_seen(
             now,
--- a/crates/soak/src/request_callers.rs
+++ b/crates/soak/src/request_callers.rs
@@ -31,7 +31,7 @@
             }
             Caller::RequestArrives(delivery) => self.request_arrives(delivery),
             Caller::TargetDone(delivery) => self.target_done(delivery),
-            Caller::DoorAnswers { delivery, end } => self.door_answers(delivery, end),
+            Caller::CompanionAnswers { delivery, end } => self.companion_answers(delivery, end),
             _ => {}
         }
     }
@@ -216,12 +216,12 @@
         let fate = self.link(from, to).draw(&mut self.rng);
         for delay in fate.arrivals {
             let end = end.clone();
-            let what = Caller::DoorAnswers { delivery, end };
+            let what = Caller::CompanionAnswers { delivery, end };
             self.after(delay, Happening::Caller(what));
         }
     }
 
-    fn door_answers(&mut self, delivery: u64, end: AttemptEnd) {
+    fn companion_answers(&mut self, delivery: u64, end: AttemptEnd) {
         let sent = &self.requests.deliveries[&delivery];
         self.attempt_ends(sent.request, sent.attempt, end);
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -88,7 +88,7 @@
     },
     RequestArrives(u64),
     TargetDone(u64),
-    DoorAnswers {
+    CompanionAnswers {
         delivery: u64,
         end: route::AttemptEnd,
     },
