Wake every thread of a stopping pool, not just those that drain

Cause: each thread of a pool gets one wake-up when it stops; a thread that drains already could take another's, and the other then waited out the grace twice. Seen: the example's stop held a 3 s run for over 100 s (gdb: main thread in the companions' stop).

--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -37,7 +37,7 @@
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
 /// How often the end of the threads is looked for.
-const WAIT_STEP: Duration = Duration::from_millis(5);
+const WAIT_STEP: Duration = Duration::from_millis(20);
 
 /// Serves HTTP requests on a fixed number of threads, each with one request at a time.
 pub struct HttpPool {
@@ -109,9 +109,13 @@
 
     fn set_mode(&self, mode: u8) {
         self.mode.store(mode, Ordering::Release);
-        for _ in &self.threads {
-            self.server.unblock();
-        }
+        self.wake_threads();
+    }
+
+    /// Wakes as many waiting threads as have not ended.
+    fn wake_threads(&self) {
+        let waiting = self.threads.iter().filter(|thread| !thread.is_finished());
+        waiting.for_each(|_| self.server.unblock());
     }
 
     /// Serves on until only health checks come, then stops; tells whether all in progress finished.
@@ -136,6 +140,8 @@
             if Instant::now() >= until {
                 return false;
             }
+            // A thread that drains already may have taken the wake-up of one that waits.
+            self.wake_threads();
             std::thread::sleep(WAIT_STEP);
         }
     }
