Share the wait for an answer of the actors between both control servers

Cause: the companion's control server carried the entry's ask written out twice. Change: host::ask serves both. No behaviour changes; format and lints of the touched crates are clean and the tests of entry and companion pass as before (no other tests were run on this commit).

--- a/crates/companion/src/rpc.rs
+++ b/crates/companion/src/rpc.rs
@@ -8,8 +8,7 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::ServerHandle;
 use tables::TablesDoc;
-use tokio::sync::oneshot;
-use wire::{CompanionApiServer, Reply, RevokeReply, Token};
+use wire::{CompanionApiServer, RevokeReply, Token};
 
 use crate::event::Event;
 
@@ -32,29 +31,14 @@
         incarnation: Incarnation,
         uptime: Duration,
     ) -> RpcResult<RevokeReply> {
-        let (tx, rx) = oneshot::channel();
-        let reply = Reply::new(move |answer| {
-            // The receiver is gone where the caller gave up: nobody wants the answer.
-            let _ = tx.send(answer);
-        });
-        if self
-            .events
-            .send(Event::Revoke(request, incarnation, uptime, reply))
-            .is_err()
-        {
-            return Err(dropped());
-        }
-        rx.await.map_err(|_closed| dropped())
+        host::ask(&self.events, |reply| {
+            Event::Revoke(request, incarnation, uptime, reply)
+        })
+        .await
     }
 
     async fn tables(&self) -> RpcResult<Option<TablesDoc>> {
-        let (tx, rx) = oneshot::channel();
-        // The receiver is gone where the caller gave up: nobody wants the answer.
-        let reply = Reply::new(move |answer| drop(tx.send(answer)));
-        if self.events.send(Event::Tables(reply)).is_err() {
-            return Err(dropped());
-        }
-        rx.await.map_err(|_closed| dropped())
+        host::ask(&self.events, Event::Tables).await
     }
 
     async fn drain(&self) -> RpcResult<()> {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -4,10 +4,9 @@
 
 use base::prelude::*;
 use crossbeam_channel::Sender;
-use host::{RpcLimits, dropped};
+use host::RpcLimits;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::ServerHandle;
-use tokio::sync::oneshot;
 use wire::{
     AnnounceReply, Announcement, Claim, ClaimReply, DoneAck, DoneReport, EntryApiServer, Gossip,
     JobRef, JobSpec, JobStatus, Poll, PollReply, Reply, SubmitReply, Token,
@@ -29,13 +28,7 @@
 impl Rpc {
     /// Sends an event that owes a reply and waits for it.
     async fn ask<T: Send + 'static>(&self, event: impl FnOnce(Reply<T>) -> Event) -> RpcResult<T> {
-        let (tx, rx) = oneshot::channel();
-        // The receiver may be gone where the caller gave up: then nobody wants the answer.
-        let reply = Reply::new(move |answer| drop(tx.send(answer)));
-        if self.events.send(event(reply)).is_err() {
-            return Err(dropped());
-        }
-        rx.await.map_err(|_closed| dropped())
+        host::ask(&self.events, event).await
     }
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,5 +8,5 @@
 mod signal;
 
 pub use actors::{Actors, drive};
-pub use rpc::{RpcLimits, dropped, serve_rpc, start_runtime};
+pub use rpc::{RpcLimits, ask, dropped, serve_rpc, start_runtime};
 pub use signal::wait_for_stop;
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use crossbeam_channel::Sender;
 use jsonrpsee::Methods;
+use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use tokio::runtime::{Builder, Runtime};
+use tokio::sync::oneshot;
 use tower::ServiceBuilder;
-use wire::{DROPPED_CODE, Token, TokenLayer};
+use wire::{DROPPED_CODE, Reply, Token, TokenLayer};
 
 /// The bounds of a server of control calls.
 #[derive(Clone, Copy, Debug)]
@@ -80,3 +83,21 @@
 pub fn dropped() -> ErrorObjectOwned {
     ErrorObjectOwned::owned(DROPPED_CODE, "the process is stopping", None::<()>)
 }
+
+/// Sends an event that owes a reply and waits for it.
+///
+/// # Errors
+///
+/// Returns [`dropped`] where the actors end before they reply.
+pub async fn ask<E, T: Send + 'static>(
+    events: &Sender<E>,
+    event: impl FnOnce(Reply<T>) -> E,
+) -> RpcResult<T> {
+    let (tx, rx) = oneshot::channel();
+    // The receiver may be gone where the caller gave up: then nobody wants the answer.
+    let reply = Reply::new(move |answer| drop(tx.send(answer)));
+    if events.send(event(reply)).is_err() {
+        return Err(dropped());
+    }
+    rx.await.map_err(|_closed| dropped())
+}
