--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -8,7 +8,7 @@
 use base::prelude::*;
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use jsonrpsee::server::ServerHandle;
-use platform::HttpWorker;
+use ports::HttpWorker;
 use slog::{Logger, info};
 use tokio::runtime::Runtime;
 use wire::{Client, ClientCfg, HttpPool, Token};
--- a/crates/companion/src/event.rs
+++ b/crates/companion/src/event.rs
@@ -1,7 +1,7 @@
 //! What reaches the actors of a companion from outside.
 
 use base::prelude::*;
-use platform::worker::WorkerReply;
+use ports::worker::WorkerReply;
 use tables::{Priority, TablesDoc};
 use wire::{Answer, CallToken, Reply, RevokeReply};
 
--- a/crates/companion/src/ports.rs
+++ b/crates/companion/src/ports.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use base::prelude::*;
-use platform::worker::WorkerCall;
+use ports::worker::WorkerCall;
 use wire::CallPort;
 
 /// The port through which actors call the worker.
--- a/crates/companion/src/tasks/actor.rs
+++ b/crates/companion/src/tasks/actor.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::worker::{UsageSample, WorkerCall, WorkerReply};
+use ports::worker::{UsageSample, WorkerCall, WorkerReply};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use slog::debug;
--- a/crates/companion/src/tasks/keeper.rs
+++ b/crates/companion/src/tasks/keeper.rs
@@ -1,7 +1,7 @@
 //! Decides what the worker runs, given the owner's answers and the worker's own list.
 
 use base::prelude::*;
-use platform::worker::{TaskReport, TaskStart, TaskState, WorkerCall};
+use ports::worker::{TaskReport, TaskStart, TaskState, WorkerCall};
 use wire::timing::{GRANT_WINDOW, KEEP_FOR};
 use wire::{Keep, Order, PollAnswer, PollReply, RunningTask, TaskEnd};
 
--- a/crates/companion/src/worker_io.rs
+++ b/crates/companion/src/worker_io.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use crossbeam_channel::{Sender, unbounded};
 use parking_lot::Mutex;
-use platform::worker::{TaskStart, Worker, WorkerCall, WorkerReply};
+use ports::worker::{TaskStart, Worker, WorkerCall, WorkerReply};
 
 use crate::ports::WorkerPort;
 
--- a/crates/companion/tests/keeper.rs
+++ b/crates/companion/tests/keeper.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use companion::{KeeperCfg, TaskKeeper, TimedCall, call_in_time};
-use platform::worker::{TaskReport, TaskStart, TaskState, WorkerCall};
+use ports::worker::{TaskReport, TaskStart, TaskState, WorkerCall};
 use wire::timing::{GRANT_WINDOW, KEEP_FOR};
 use wire::{Keep, Order, PollAnswer, PollReply, TaskEnd};
 
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::store::{KeyValue, Revision, StoreCall, StoreReply};
+use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
 use slog::{error, info, warn};
 use stakker::{Actor, CX, after, call};
 use tables::{InForce, Offer, Tables, TablesDoc};
--- a/crates/entry/src/config/sync.rs
+++ b/crates/entry/src/config/sync.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::store::Revision;
+use ports::store::Revision;
 
 /// How often the tables are read, whatever the watch says.
 pub(crate) const READ_EVERY: Duration = Duration::from_secs(1);
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,7 +1,7 @@
 //! What reaches the actors of an entry from outside.
 
 use base::prelude::*;
-use platform::store::StoreReply;
+use ports::store::StoreReply;
 use route::{AttemptEnd, RequestMeta, RequestStep};
 use tables::TablesDoc;
 use wire::operator::{Status, StoreHealth};
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use journal::{Keys, OwnerValue};
 use member::{Heard, View};
-use platform::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
+use ports::store::{Expect, KeyValue, LeaseId, StoreCall, StoreReply};
 use slog::info;
 use stakker::{Actor, CX, after, call};
 use tables::{Tables, TablesDoc};
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use base::prelude::*;
-use platform::store::StoreCall;
+use ports::store::StoreCall;
 use wire::CallPort;
 
 use crate::event::StoreToken;
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use journal::OwnerCfg;
-use platform::store::StoreReply;
+use ports::store::StoreReply;
 use slog::info;
 use stakker::{CX, after};
 use tables::Tables;
--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -11,7 +11,7 @@
 use base::prelude::*;
 use journal::{Change, Job, JobState, Owner, OwnerCfg, Ticket};
 use place::{Decision, JobAsk, PlacedTask, Placer, PlacerCfg};
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 use slog::{Logger, info};
 use tables::Pool;
 use wire::{ClaimReply, DoneAck, JobRef, JobStatus, Reply, SubmitReply};
--- a/crates/entry/src/shard/owned/polls.rs
+++ b/crates/entry/src/shard/owned/polls.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use journal::{Change, Job, JobState};
 use place::WorkerView;
-use platform::worker::TaskStart;
+use ports::worker::TaskStart;
 use slog::warn;
 use wire::timing::{DRIFT, KEEP_FOR, POLL_WAIT};
 use wire::{Keep, Order, Poll, PollAnswer, PollReply, Reply};
--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use parking_lot::{Condvar, Mutex};
-use platform::store::{Store, StoreCall, StoreReply};
+use ports::store::{Store, StoreCall, StoreReply};
 
 pub use self::budget::{Permit, StoreBudget};
 use crate::event::StoreToken;
--- a/crates/entry/src/store_io/budget.rs
+++ b/crates/entry/src/store_io/budget.rs
@@ -3,7 +3,7 @@
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use base::prelude::*;
 
-use platform::store::StoreCall;
+use ports::store::StoreCall;
 
 use crate::ports::StorePriority;
 
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
-use platform::store::{Store, StoreCall, StoreReply};
+use ports::store::{Store, StoreCall, StoreReply};
 use report::Metrics;
 use report::burn::{BurnMeter, BurnSnapshot, Sample};
 use tables::Tables;
--- a/crates/entry/tests/budget.rs
+++ b/crates/entry/tests/budget.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use entry::{Permit, StoreBudget, StorePriority};
-use platform::store::StoreCall;
+use ports::store::StoreCall;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use journal::Keys;
-use platform::store::{Expect, StoreCall};
+use ports::store::{Expect, StoreCall};
 use wire::timing::{DRIFT, KEEP_FOR};
 use wire::{JobPhase, JobSpec, SubmitReply, shard_of_pool};
 
--- a/crates/entry/tests/world/mod.rs
+++ b/crates/entry/tests/world/mod.rs
@@ -11,8 +11,8 @@
 use entry::{AdminEvent, EntryCfg, StorePort, StorePriority, StoreToken};
 use fakes::store::MemStore;
 use fakes::worker::{MemWorker, WorkerSettings};
-use platform::store::{Expect, StoreCall};
-use platform::worker::{WorkerCall, WorkerReply};
+use ports::store::{Expect, StoreCall};
+use ports::worker::{WorkerCall, WorkerReply};
 use slog::{Discard, Logger, o};
 use tables::{Priority, TablesDoc};
 use wire::operator::ShardStatus;
@@ -586,7 +586,7 @@
             limit: 1,
         };
         let now = self.now();
-        let Ok(platform::store::StoreReply::Listed(found)) = self.store.call(now, &call) else {
+        let Ok(ports::store::StoreReply::Listed(found)) = self.store.call(now, &call) else {
             return None;
         };
         let value = journal::OwnerValue::decode(&found.first()?.value)?;
--- a/crates/fakes/src/store/mem.rs
+++ b/crates/fakes/src/store/mem.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 
 use base::prelude::*;
-use platform::store::{
+use ports::store::{
     Expect, KeyValue, LeaseId, MAX_VALUE_BYTES, Revision, StoreCall, StoreReply, WatchEvent,
 };
 
--- a/crates/fakes/src/store/rest.rs
+++ b/crates/fakes/src/store/rest.rs
@@ -3,8 +3,8 @@
 use std::io::Cursor;
 
 use base::prelude::*;
-use platform::protocol::{KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, WATCH_PATH, parse_expect};
-use platform::store::{Expect, KeyValue, Revision, StoreCall, StoreReply};
+use ports::protocol::{KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, WATCH_PATH, parse_expect};
+use ports::store::{Expect, KeyValue, Revision, StoreCall, StoreReply};
 use tiny_http::{Method, Request, Response};
 
 use crate::http::{Query, header, read_body, split_url};
--- a/crates/fakes/src/store/server.rs
+++ b/crates/fakes/src/store/server.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use parking_lot::{Mutex, MutexGuard};
-use platform::store::{Revision, StoreCall, StoreReply};
+use ports::store::{Revision, StoreCall, StoreReply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tiny_http::{Request, Server};
--- a/crates/fakes/src/worker/mem.rs
+++ b/crates/fakes/src/worker/mem.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
-use platform::worker::{TaskStart, TaskState, UsageSample, WorkerCall, WorkerReply};
+use ports::worker::{TaskStart, TaskState, UsageSample, WorkerCall, WorkerReply};
 
 use super::interference::Subject;
 use super::record::{Effect, WorkerRecord};
--- a/crates/fakes/src/worker/server.rs
+++ b/crates/fakes/src/worker/server.rs
@@ -6,8 +6,8 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
-use platform::protocol::WORKER_PATH;
-use platform::worker::{WorkerCall, WorkerReply};
+use ports::protocol::WORKER_PATH;
+use ports::worker::{WorkerCall, WorkerReply};
 use tiny_http::{Request, Response, Server};
 
 use super::{MemWorker, WorkerRecord, WorkerSettings, WorkerSwitches};
--- a/crates/fakes/src/worker/task.rs
+++ b/crates/fakes/src/worker/task.rs
@@ -1,7 +1,7 @@
 //! One task on a worker.
 
 use base::prelude::*;
-use platform::worker::{Checkpoint, TaskReport, TaskStart, TaskState};
+use ports::worker::{Checkpoint, TaskReport, TaskStart, TaskState};
 
 use super::interference::Subject;
 
--- a/crates/fakes/tests/mem_store.rs
+++ b/crates/fakes/tests/mem_store.rs
@@ -3,7 +3,7 @@
 use base::ManualClock;
 use base::prelude::*;
 use fakes::store::MemStore;
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 
 fn put(key: &str, lease: Option<u64>) -> StoreCall {
     StoreCall::Put {
--- a/crates/fakes/tests/mem_store_machine.rs
+++ b/crates/fakes/tests/mem_store_machine.rs
@@ -5,7 +5,7 @@
 use base::ManualClock;
 use base::prelude::*;
 use fakes::store::MemStore;
-use platform::store::{Expect, LeaseId, Revision, StoreCall, StoreReply};
+use ports::store::{Expect, LeaseId, Revision, StoreCall, StoreReply};
 use proptest::prelude::*;
 use proptest::strategy::Union;
 use proptest::test_runner::RngSeed;
--- a/crates/fakes/tests/store.rs
+++ b/crates/fakes/tests/store.rs
@@ -3,8 +3,8 @@
 use base::SystemClock;
 use base::prelude::*;
 use fakes::store::{Outage, StoreServer};
-use platform::HttpStore;
-use platform::store::{Expect, MAX_VALUE_BYTES, Store, StoreCall, StoreReply};
+use ports::HttpStore;
+use ports::store::{Expect, MAX_VALUE_BYTES, Store, StoreCall, StoreReply};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/fakes/tests/worker.rs
+++ b/crates/fakes/tests/worker.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use base::{ManualClock, SystemClock};
 use fakes::worker::{ClassProfile, MemWorker, WorkerServer, WorkerSettings};
-use platform::HttpWorker;
-use platform::worker::{
+use ports::HttpWorker;
+use ports::worker::{
     Checkpoint, TaskReport, TaskStart, TaskState, Worker, WorkerCall, WorkerReply,
 };
 
--- a/crates/journal/src/owner.rs
+++ b/crates/journal/src/owner.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
-use platform::store::{LeaseId, Revision, StoreCall, StoreReply};
+use ports::store::{LeaseId, Revision, StoreCall, StoreReply};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/journal/src/owner/commit.rs
+++ b/crates/journal/src/owner/commit.rs
@@ -1,7 +1,7 @@
 //! Committing groups of changes, one record in flight at a time.
 
 use base::prelude::*;
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 
 use super::{DeposedBy, Effect, InFlight, Owner, Phase, Proposal, Purpose};
 use crate::{Change, Record, RecordBody};
--- a/crates/journal/src/owner/effect.rs
+++ b/crates/journal/src/owner/effect.rs
@@ -1,7 +1,7 @@
 //! What an owner asks for or tells.
 
 use base::prelude::*;
-use platform::store::StoreCall;
+use ports::store::StoreCall;
 
 use super::OwnerValue;
 use crate::Change;
--- a/crates/journal/src/owner/lease.rs
+++ b/crates/journal/src/owner/lease.rs
@@ -1,7 +1,7 @@
 //! Renewing the owner's lease and standing down when it may have ended.
 
 use base::prelude::*;
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 
 use super::{DeposedBy, Owner, Purpose};
 
--- a/crates/journal/src/owner/recover.rs
+++ b/crates/journal/src/owner/recover.rs
@@ -1,7 +1,7 @@
 //! Reading the snapshot and the log behind it.
 
 use base::prelude::*;
-use platform::store::{KeyValue, LeaseId, StoreCall, StoreReply};
+use ports::store::{KeyValue, LeaseId, StoreCall, StoreReply};
 
 use super::{DeposedBy, Owner, Phase};
 use crate::snapshot::{Pointer, decode_chunk};
--- a/crates/journal/src/owner/takeover.rs
+++ b/crates/journal/src/owner/takeover.rs
@@ -1,7 +1,7 @@
 //! Taking over a shard: lease, owner key, and the barrier after the log was read.
 
 use base::prelude::*;
-use platform::store::{Expect, LeaseId, StoreCall, StoreReply};
+use ports::store::{Expect, LeaseId, StoreCall, StoreReply};
 
 use super::recover::Reading;
 use super::{DeposedBy, Effect, Owner, OwnerValue, Phase, Purpose};
--- a/crates/journal/src/owner/trim.rs
+++ b/crates/journal/src/owner/trim.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 
 use super::{Owner, Phase, Purpose};
 use crate::snapshot::{Pointer, encode_chunks};
--- a/crates/journal/src/owner/value.rs
+++ b/crates/journal/src/owner/value.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::store::LeaseId;
+use ports::store::LeaseId;
 use serde::{Deserialize, Serialize};
 
 /// The value of a shard's owner key.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -1,7 +1,7 @@
 //! What the records of a shard add up to.
 
 use base::prelude::*;
-use platform::worker::Checkpoint;
+use ports::worker::Checkpoint;
 use wire::{Claim, JobPhase, JobRef, JobSpec, JobStatus, TaskEnd};
 
 use crate::Change;
--- a/crates/journal/tests/owner.rs
+++ b/crates/journal/tests/owner.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use journal::{Change, DeposedBy, Keys, OwnerCfg, Record, RecordBody};
-use platform::store::{Expect, StoreCall};
+use ports::store::{Expect, StoreCall};
 
 use rig::{Fate, Rig, submitted};
 
@@ -296,7 +296,7 @@
         limit: 100,
     };
     match rig.store.call(rig.now, &call) {
-        Ok(platform::store::StoreReply::Listed(found)) => found.len(),
+        Ok(ports::store::StoreReply::Listed(found)) => found.len(),
         _ => 0,
     }
 }
--- a/crates/journal/tests/rig/mod.rs
+++ b/crates/journal/tests/rig/mod.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use fakes::store::MemStore;
 use journal::{Change, DeposedBy, Effect, Owner, OwnerCfg, Ticket};
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 use tables::Priority;
 use wire::JobSpec;
 
--- a/crates/journal/tests/snapshot.rs
+++ b/crates/journal/tests/snapshot.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use journal::{Change, JOB_RETENTION, Keys, MAX_ENDED, MIN_ENDED, ShardState};
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 use wire::{JobRef, TaskEnd};
 
 use rig::{Fate, Rig, submitted};
--- a/crates/ops/src/apply.rs
+++ b/crates/ops/src/apply.rs
@@ -3,7 +3,7 @@
 use std::time::SystemTime;
 
 use base::prelude::*;
-use platform::store::{Expect, Store};
+use ports::store::{Expect, Store};
 use tables::{Difference, Tables, TablesDoc, diff};
 
 use crate::history::{InForce, Swap, TablesStore};
--- a/crates/ops/src/command/config.rs
+++ b/crates/ops/src/command/config.rs
@@ -5,7 +5,7 @@
 use std::time::SystemTime;
 
 use base::prelude::*;
-use platform::store::Store;
+use ports::store::Store;
 use serde_json::{Value, json};
 use tables::{Difference, Tables, TablesDoc};
 
--- a/crates/ops/src/command/mod.rs
+++ b/crates/ops/src/command/mod.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 
 use base::prelude::*;
-use platform::store::Store;
+use ports::store::Store;
 
 use crate::cli::{Action, EntryFlags, StoreFlags};
 use crate::{EntryPort, Failure, Outcome};
--- a/crates/ops/src/history.rs
+++ b/crates/ops/src/history.rs
@@ -1,7 +1,7 @@
 //! The tables in the store: those in force and those before them.
 
 use base::prelude::*;
-use platform::store::{Expect, KeyValue, Revision, Store, StoreCall, StoreReply};
+use ports::store::{Expect, KeyValue, Revision, Store, StoreCall, StoreReply};
 use tables::TablesDoc;
 
 /// How many earlier generations are kept.
@@ -218,11 +218,11 @@
 fn encode(doc: &TablesDoc) -> Result<Arc<[u8]>> {
     let bytes = serde_json::to_vec(doc)
         .map_err(|e| Error::new(ErrorKind::Internal, "write tables", "store", e.to_string()))?;
-    if bytes.len() > platform::store::MAX_VALUE_BYTES {
+    if bytes.len() > ports::store::MAX_VALUE_BYTES {
         let message = format!(
             "the tables take {} bytes together; the store holds {} at most",
             bytes.len(),
-            platform::store::MAX_VALUE_BYTES
+            ports::store::MAX_VALUE_BYTES
         );
         return Err(Error::new(
             ErrorKind::Invalid,
--- a/crates/ops/src/run.rs
+++ b/crates/ops/src/run.rs
@@ -5,8 +5,8 @@
 
 use base::SystemClock;
 use base::prelude::*;
-use platform::HttpStore;
-use platform::store::Store;
+use ports::HttpStore;
+use ports::store::Store;
 
 use crate::cli::{EntryFlags, StoreFlags};
 use crate::{Command, Context, EntryPort, Exit, HttpEntry, execute};
--- a/crates/ops/tests/it/common.rs
+++ b/crates/ops/tests/it/common.rs
@@ -6,7 +6,7 @@
 use base::ManualClock;
 use base::prelude::*;
 use ops::{Change, Context, EntryPort, TableFiles};
-use platform::store::{Expect, KeyValue, Store, StoreCall, StoreReply};
+use ports::store::{Expect, KeyValue, Store, StoreCall, StoreReply};
 use wire::operator::{JobRequest, JobsNamed, Status};
 use wire::{EntryInfo, JobStatus, SubmitReply};
 
--- a/crates/place/src/sample.rs
+++ b/crates/place/src/sample.rs
@@ -1,7 +1,7 @@
 //! What lagging measurements teach.
 
 use base::prelude::*;
-use platform::worker::UsageSample;
+use ports::worker::UsageSample;
 
 use crate::harm::{ClassId, Mix};
 use crate::placer::Placer;
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use base::{Attempt, Promise, Resources, TaskKey, WorkerId};
 use indexmap::IndexMap;
 use place::{Decision, Ended, EvictWhy, JobAsk, PlacedTask, Placer, PlacerCfg, WorkerView};
-use platform::worker::UsageSample;
+use ports::worker::UsageSample;
 use tables::{Pool, Priority, Quota, Weights};
 
 pub const CORES: u64 = 16;
--- a/crates/soak/src/build.rs
+++ b/crates/soak/src/build.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use companion::CompanionCfg;
 use entry::EntryCfg;
-use platform::store::{Expect, StoreCall};
+use ports::store::{Expect, StoreCall};
 use tables::TablesDoc;
 
 use crate::ports::ProcId;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers with jobs and operators with tables.
 
 use base::prelude::*;
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 use rand::Rng;
 use tables::TablesDoc;
 use wire::{JobRef, JobStatus};
--- a/crates/soak/src/store_calls.rs
+++ b/crates/soak/src/store_calls.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use entry::StoreToken;
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 use rand::Rng;
 
 use crate::ports::Life;
--- a/crates/soak/src/store_side.rs
+++ b/crates/soak/src/store_side.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use entry::StoreToken;
 use fakes::store::MemStore;
-use platform::store::{StoreCall, StoreReply};
+use ports::store::{StoreCall, StoreReply};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use fakes::worker::{ClassProfile, MemWorker, WorkerSettings};
-use platform::worker::{WorkerCall, WorkerReply};
+use ports::worker::{WorkerCall, WorkerReply};
 
 use crate::account::Account;
 use crate::ports::ProcId;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,8 +2,8 @@
 
 use base::ManualClock;
 use base::prelude::*;
-use platform::store::StoreCall;
-use platform::worker::{WorkerCall, WorkerReply};
+use ports::store::StoreCall;
+use ports::worker::{WorkerCall, WorkerReply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::{Answer, Call, CallToken};
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -134,7 +134,7 @@
     /// What runs on the worker, by the worker's own list.
     pub running: Vec<RunningTask>,
     /// Lagging samples that are new since the last answered poll.
-    pub samples: Vec<platform::worker::UsageSample>,
+    pub samples: Vec<ports::worker::UsageSample>,
 }
 
 /// A task that a worker holds.
@@ -154,7 +154,7 @@
 #[derive(Serialize, Deserialize)]
 pub enum Order {
     /// Start a task. The assignment is committed.
-    Start(platform::worker::TaskStart),
+    Start(ports::worker::TaskStart),
     /// Stop a task without a checkpoint: it is cancelled or superseded.
     Stop {
         /// The task.
@@ -230,7 +230,7 @@
     /// It was stopped, with its last checkpoint where there is one.
     Stopped {
         /// Where to resume.
-        checkpoint: Option<platform::worker::Checkpoint>,
+        checkpoint: Option<ports::worker::Checkpoint>,
     },
     /// Its worker once listed it and no longer does: the VM was restarted or replaced.
     Lost,
--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::ip_agent;
+use ports::ip_agent;
 use tiny_http::{Header, Request, Response};
 use ureq::Agent;
 use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
--- a/examples/batch/fleet.rs
+++ b/examples/batch/fleet.rs
@@ -10,7 +10,7 @@
 use fakes::store::{StoreCounts, StoreServer};
 use fakes::worker::{Run, WorkerServer, WorkerSettings};
 use journal::{Keys, OwnerValue};
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 use slog::{Discard, Logger, o};
 use tables::TablesDoc;
 
--- a/examples/batch/recover.rs
+++ b/examples/batch/recover.rs
@@ -4,8 +4,8 @@
 use base::prelude::*;
 use fakes::store::StoreServer;
 use journal::{Change, Effect, Owner, OwnerCfg};
-use platform::HttpStore;
-use platform::store::Store;
+use ports::HttpStore;
+use ports::store::Store;
 use tables::Priority;
 use wire::{JobSpec, TaskEnd};
 
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -12,8 +12,8 @@
 use base::prelude::*;
 use bpaf::{OptionParser, Parser, construct, long};
 use fakes::store::StoreServer;
-use platform::HttpStore;
-use platform::store::{Expect, Store, StoreCall};
+use ports::HttpStore;
+use ports::store::{Expect, Store, StoreCall};
 use tables::TablesDoc;
 use wire::timing::{ANNOUNCE_EVERY, POLL_WAIT};
 use wire::{
--- a/examples/decisions.rs
+++ b/examples/decisions.rs
@@ -10,7 +10,7 @@
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use place::{Decision, Ended, JobAsk, PlacedTask, Placer, PlacerCfg, WorkerView};
-use platform::worker::UsageSample;
+use ports::worker::UsageSample;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tables::{Pool, Priority, Quota, Weights};
--- a/examples/desk/fleet.rs
+++ b/examples/desk/fleet.rs
@@ -12,8 +12,8 @@
 use fakes::store::StoreServer;
 use fakes::target::{ServiceTime, TargetServer, TargetSettings};
 use fakes::worker::{WorkerServer, WorkerSettings};
-use platform::HttpStore;
-use platform::store::{Expect, Store, StoreCall};
+use ports::HttpStore;
+use ports::store::{Expect, Store, StoreCall};
 use slog::{Drain, Logger, o};
 use tables::TablesDoc;
 
--- a/examples/in_force.rs
+++ b/examples/in_force.rs
@@ -18,7 +18,7 @@
 use fakes::worker::{WorkerServer, WorkerSettings};
 use hdrhistogram::Histogram;
 use ops::{Applier, Change, EntryPort, HttpEntry, Loaded, TableFiles};
-use platform::HttpStore;
+use ports::HttpStore;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, o};
--- a/examples/placement/world.rs
+++ b/examples/placement/world.rs
@@ -11,7 +11,7 @@
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use place::{Decision, Ended, EvictWhy, JobAsk, PlacedTask, Placer, WorkerView};
-use platform::worker::UsageSample;
+use ports::worker::UsageSample;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tables::Priority;
--- a/examples/requests.rs
+++ b/examples/requests.rs
@@ -16,8 +16,8 @@
 use fakes::target::{ServiceTime, TargetFault, TargetServer, TargetSettings};
 use fakes::worker::{WorkerServer, WorkerSettings};
 use hdrhistogram::Histogram;
-use platform::HttpStore;
-use platform::store::{Expect, Store, StoreCall};
+use ports::HttpStore;
+use ports::store::{Expect, Store, StoreCall};
 use slog::{Logger, o};
 use tables::TablesDoc;
 use ureq::Agent;
@@ -318,7 +318,7 @@
             .http_status_as_error(false)
             .timeout_global(Some(Duration::from_secs(10)))
             .build();
-        let agent = platform::ip_agent(config);
+        let agent = ports::ip_agent(config);
         let url = format!("http://{to}/check");
         Self { agent, url }
     }
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -12,7 +12,7 @@
 use fakes::target::{ServiceTime, TargetServer, TargetSettings};
 use fakes::worker::{WorkerServer, WorkerSettings};
 use ops::{EntryPort, Exit, HttpEntry};
-use platform::store::{Expect, Store, StoreCall};
+use ports::store::{Expect, Store, StoreCall};
 use rig::{
     Desk, client, companion, generation, secured_companion, try_apply, wait_for_generation,
     wait_until,
@@ -186,7 +186,7 @@
             key: TablesDoc::KEY.into(),
         })
         .expect("read");
-    let platform::store::StoreReply::Got(Some(old)) = old else {
+    let ports::store::StoreReply::Got(Some(old)) = old else {
         panic!("no tables");
     };
     let newer = desk.apply(4);
--- a/tests/config/rig.rs
+++ b/tests/config/rig.rs
@@ -9,8 +9,8 @@
 use entry::EntryCfg;
 use fakes::store::{StoreServer, StoreSwitches};
 use ops::{Applied, Applier, Change, EntryPort, HttpEntry, TableFiles, TablesStore};
-use platform::HttpStore;
-use platform::store::Store;
+use ports::HttpStore;
+use ports::store::Store;
 use slog::{Logger, o};
 use wire::Token;
 
--- a/tests/processes/rig.rs
+++ b/tests/processes/rig.rs
@@ -9,7 +9,7 @@
 use fakes::store::StoreServer;
 use fakes::target::{ServiceTime, TargetServer, TargetSettings};
 use fakes::worker::{WorkerServer, WorkerSettings};
-use platform::store::{Expect, StoreCall, StoreReply};
+use ports::store::{Expect, StoreCall, StoreReply};
 use tables::TablesDoc;
 use ureq::http::{Response, StatusCode};
 use ureq::{Agent, Body};
