--- /dev/null
+++ b/crates/agent/src/app.rs
@@ -0,0 +1,318 @@
+//! A companion as a running process: threads around the actor.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::SystemTime;
+
+use base::SystemClock;
+use base::prelude::*;
+use crossbeam_channel::{Sender, unbounded};
+use host::follow_key;
+use jobs::owner::OWNER_KEY;
+use jobs::report::SyncReport;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use parking_lot::Mutex;
+use ports::store::Store;
+use slog::{Logger, info, warn};
+use tiny_http::{Request, Response};
+use tokio::runtime::{Handle, Runtime};
+use wire::{HttpPool, OwnerApiClient};
+
+use crate::event::{Event, HoldDone};
+use crate::keeper::Keeper;
+use crate::node::{Node, Outside};
+use crate::ports::{HeartbeatDialect, HoldCall, PaceCall, Runner, StartCall, StopCall, WorkerSays};
+
+/// How long a watch of the owner's key waits.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// How many threads hear the worker.
+const HEARTBEAT_THREADS: usize = 2;
+
+/// How many threads carry reports.
+const RPC_THREADS: usize = 1;
+
+/// How many calls to the worker are made at once, beside the hold that waits.
+const CALL_THREADS: usize = 4;
+
+/// How long a report may go without an answer; the owner holds one for less.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// The largest heartbeat, in bytes.
+const MAX_HEARTBEAT: u64 = 4 * 1024 * 1024;
+
+/// How long a stop waits for heartbeats that are being answered.
+const STOP_GRACE: Duration = Duration::from_millis(200);
+
+/// What a companion needs to know.
+#[derive(Clone, Debug)]
+pub struct AgentCfg {
+    /// The VM that the companion and its worker are on.
+    pub vm: Name,
+    /// Where the worker sends heartbeats.
+    pub heartbeat_addr: SocketAddr,
+}
+
+/// Calls to the worker that threads make.
+#[derive(Debug)]
+enum WorkerCall {
+    Hold(Incarnation, HoldCall),
+    Start(Incarnation, StartCall),
+    Stop(Incarnation, StopCall),
+    Pace(PaceCall),
+}
+
+#[derive(Debug)]
+struct Calls {
+    waiting: Sender<WorkerCall>,
+    common: Sender<WorkerCall>,
+    runtime: Handle,
+    events: Sender<Event>,
+    owner: Arc<Mutex<Option<(SocketAddr, HttpClient)>>>,
+    log: Logger,
+}
+
+/// A running companion.
+#[derive(Debug)]
+pub struct App {
+    stopping: Arc<AtomicBool>,
+    heartbeats: HttpPool,
+    actors: JoinHandle<()>,
+    runtime: Runtime,
+    log: Logger,
+}
+
+impl Outside for Calls {
+    fn hold(&self, born: Incarnation, call: HoldCall) {
+        let queue = if call.wait.is_zero() {
+            &self.common
+        } else {
+            &self.waiting
+        };
+        // The threads end only with the process.
+        drop(queue.send(WorkerCall::Hold(born, call)));
+    }
+
+    fn start(&self, born: Incarnation, call: StartCall) {
+        drop(self.common.send(WorkerCall::Start(born, call)));
+    }
+
+    fn stop(&self, born: Incarnation, call: StopCall) {
+        drop(self.common.send(WorkerCall::Stop(born, call)));
+    }
+
+    fn pace(&self, call: PaceCall) {
+        drop(self.common.send(WorkerCall::Pace(call)));
+    }
+
+    fn sync(&self, to: SocketAddr, number: u64, report: SyncReport) {
+        let events = self.events.clone();
+        let failed = move |kind, message: String| {
+            let e = Error::new(kind, "report", to.to_string(), message);
+            drop(events.send(Event::Synced(number, Err(e))));
+        };
+        let client = match self.client(to) {
+            Ok(client) => client,
+            Err(e) => return failed(ErrorKind::Invalid, e.to_string()),
+        };
+        let (events, owner) = (self.events.clone(), Arc::clone(&self.owner));
+        self.runtime.spawn(async move {
+            match tokio::time::timeout(REPORT_TIMEOUT, client.sync(report)).await {
+                Ok(Ok(reply)) => drop(events.send(Event::Synced(number, Ok(reply)))),
+                Ok(Err(e)) => {
+                    // Connections that went silent do so together: none is used again.
+                    *owner.lock() = None;
+                    failed(ErrorKind::Interrupted, e.to_string());
+                }
+                Err(_elapsed) => {
+                    *owner.lock() = None;
+                    failed(ErrorKind::Timeout, "no answer in time".to_owned());
+                }
+            }
+        });
+    }
+}
+
+impl Calls {
+    fn start(
+        runner: &Arc<dyn Runner>,
+        runtime: Handle,
+        events: &Sender<Event>,
+        log: &Logger,
+    ) -> Self {
+        let spawn = |threads: usize| {
+            let (tx, rx) = unbounded::<WorkerCall>();
+            for _ in 0..threads {
+                let (rx, runner, events) = (rx.clone(), Arc::clone(runner), events.clone());
+                let log = log.clone();
+                std::thread::spawn(move || {
+                    for call in rx {
+                        make(&*runner, call, &events, &log);
+                    }
+                });
+            }
+            tx
+        };
+        Self {
+            waiting: spawn(1),
+            common: spawn(CALL_THREADS),
+            runtime,
+            events: events.clone(),
+            owner: Arc::default(),
+            log: log.clone(),
+        }
+    }
+
+    fn client(&self, to: SocketAddr) -> Result<HttpClient, jsonrpsee::core::ClientError> {
+        let mut kept = self.owner.lock();
+        if let Some((addr, client)) = &*kept
+            && *addr == to
+        {
+            return Ok(client.clone());
+        }
+        info!(self.log, "companion: connects to the owner"; "owner" => %to);
+        let client = HttpClientBuilder::default().build(format!("http://{to}"))?;
+        *kept = Some((to, client.clone()));
+        Ok(client)
+    }
+}
+
+/// Makes one call to the worker and tells the actor of its outcome.
+fn make(runner: &dyn Runner, call: WorkerCall, events: &Sender<Event>, log: &Logger) {
+    let event = match call {
+        WorkerCall::Hold(born, call) => Event::Held(HoldDone {
+            born,
+            fence: call.fence,
+            is_waiting: !call.wait.is_zero(),
+            reply: runner.hold(&call),
+        }),
+        WorkerCall::Start(born, call) => {
+            Event::Started(born, call.run.clone(), runner.start(&call))
+        }
+        WorkerCall::Stop(born, call) => Event::Stopped(born, call.run.clone(), runner.stop(&call)),
+        WorkerCall::Pace(call) => {
+            if let Err(e) = runner.pace(&call) {
+                // The owner orders a throttle anew for as long as it is wanted.
+                warn!(log, "companion: pace failed"; "run" => %call.run, "error" => %e);
+            }
+            return;
+        }
+    };
+    // The actor may have ended first; then nobody wants the outcome.
+    drop(events.send(event));
+}
+
+impl App {
+    /// Binds the address and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Invalid`] where the address cannot be bound.
+    pub fn start(
+        cfg: &AgentCfg,
+        store: Arc<dyn Store>,
+        runner: &Arc<dyn Runner>,
+        dialect: Arc<dyn HeartbeatDialect>,
+        log: &Logger,
+    ) -> Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let runtime = host::start_runtime(RPC_THREADS)?;
+        let (events, rx) = unbounded();
+        let heartbeats = HttpPool::start(cfg.heartbeat_addr, HEARTBEAT_THREADS, {
+            let (events, log) = (events.clone(), log.clone());
+            move |req| hear(req, &*dialect, &events, &log)
+        })?;
+        let calls = Calls::start(runner, runtime.handle().clone(), &events, log);
+        let boot = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let boot = boot.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        let keeper = Keeper::new(Arc::clone(&cfg.vm), boot, log.clone());
+        let stopping = Arc::new(AtomicBool::new(false));
+        let actors = std::thread::spawn({
+            let (stopping, log) = (Arc::clone(&stopping), log.clone());
+            move || {
+                let mut node = Node::new(keeper, Arc::new(calls), log, clock.now());
+                host::drive(&mut node, &*clock, &rx, &stopping, |_| {});
+            }
+        });
+        let sink = move |seen| drop(events.send(Event::OwnerKey(seen)));
+        // The thread ends with the process.
+        drop(follow_key(
+            store,
+            OWNER_KEY.into(),
+            WATCH_WAIT,
+            Arc::clone(&stopping),
+            sink,
+        ));
+        info!(log, "companion: started"; "vm" => %cfg.vm);
+        Ok(Self {
+            stopping,
+            heartbeats,
+            actors,
+            runtime,
+            log: log.clone(),
+        })
+    }
+
+    /// Stops as planned; the worker's tasks go on under their lease.
+    pub fn stop(self) {
+        info!(self.log, "companion: stops as planned");
+        self.heartbeats.stop(STOP_GRACE);
+        self.stopping.store(true, Ordering::Release);
+        drop(self.actors.join());
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Answers a request of the worker.
+fn hear(mut req: Request, dialect: &dyn HeartbeatDialect, events: &Sender<Event>, log: &Logger) {
+    let status = match read(&mut req, dialect) {
+        Ok(Some(says)) => {
+            drop(events.send(Event::Worker(says)));
+            200
+        }
+        Ok(None) => 404,
+        Err(e) => {
+            warn!(log, "companion: heartbeat not read"; "error" => %e);
+            400
+        }
+    };
+    if let Err(e) = req.respond(Response::empty(status)) {
+        info!(log, "companion: worker did not wait"; "error" => %e);
+    }
+}
+
+fn read(req: &mut Request, dialect: &dyn HeartbeatDialect) -> Result<Option<WorkerSays>> {
+    let mut body = Vec::new();
+    req.as_reader()
+        .take(MAX_HEARTBEAT)
+        .read_to_end(&mut body)
+        .map_err(|e| {
+            Error::new(
+                ErrorKind::Interrupted,
+                "read heartbeat",
+                "worker",
+                e.to_string(),
+            )
+        })?;
+    dialect.read(&req.method().to_string(), req.url(), &body)
+}
+
+/// Runs a companion until it is told to stop by a signal.
+///
+/// # Errors
+///
+/// Returns what kept the companion from starting.
+pub fn run(
+    cfg: &AgentCfg,
+    store: Arc<dyn Store>,
+    runner: &Arc<dyn Runner>,
+    dialect: Arc<dyn HeartbeatDialect>,
+    log: &Logger,
+) -> Result<()> {
+    let app = App::start(cfg, store, runner, dialect, log)?;
+    host::wait_for_stop()?;
+    app.stop();
+    Ok(())
+}
--- a/crates/companion/src/cfg.rs
+++ b/crates/companion/src/cfg.rs
@@ -91,8 +91,19 @@
 /// The memory of a worker by default, in mebibytes.
 const DEFAULT_MEMORY_MIB: u64 = 250 * 1024;
 
+/// What the companion is for, as its help says it.
+pub const SUMMARY: &str = "Runs beside one target and its worker VM, and admits all work to both.";
+
 /// Parses the command line of the companion.
 pub fn companion_flags() -> OptionParser<CompanionFlags> {
+    companion_parser()
+        .to_options()
+        .descr(SUMMARY)
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Parses the flags of the companion, as a part of a command line.
+pub fn companion_parser() -> impl Parser<CompanionFlags> {
     let target = long("target")
         .env("MONSOONTRESTLE_TARGET")
         .help("Name of the target beside this process")
@@ -191,9 +202,6 @@
         log_format,
         token
     })
-    .to_options()
-    .descr("Runs beside one target and its worker VM, and admits all work to both.")
-    .version(env!("CARGO_PKG_VERSION"))
 }
 
 impl CompanionFlags {
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use admit::{AdmitStep, RequestTable, StoredAnswer, TableLimits};
 pub use app::{App, run};
-pub use cfg::{CompanionCfg, CompanionFlags, companion_flags};
+pub use cfg::{CompanionCfg, CompanionFlags, SUMMARY, companion_flags, companion_parser};
 pub use event::{AdmitEvent, AdmitMeta, Event};
 pub use node::Node;
 pub use ports::{Ports, WorkerPort};
--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -3,7 +3,11 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use agent::{AgentCfg, Runner};
 use base::SystemClock;
+use bpaf::{OptionParser, Parser, construct, pure};
+use companion::CompanionFlags;
+use platform::{BootFile, Heartbeats, HttpRunner, KvStore};
 
 fn main() -> ExitCode {
     match run() {
@@ -15,8 +19,52 @@
     }
 }
 
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+enum Command {
+    Plain(CompanionFlags),
+    Site,
+}
+
 fn run() -> eyre::Result<()> {
-    let flags = companion::companion_flags().run();
+    match options().run() {
+        Command::Plain(flags) => serve(flags),
+        Command::Site => serve_site(),
+    }
+}
+
+fn options() -> OptionParser<Command> {
+    let site = pure(Command::Site)
+        .to_options()
+        .descr(
+            "Runs a companion on the users' platform; settings come from MONSOONTRESTLE_NODE_FILE",
+        )
+        .command("site");
+    let plain = companion::companion_parser().map(Command::Plain);
+    construct!([site, plain])
+        .to_options()
+        .descr(companion::SUMMARY)
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Runs a companion with the settings file that the platform gives.
+fn serve_site() -> eyre::Result<()> {
+    let log = report::decision_logger(Arc::new(SystemClock));
+    let boot = BootFile::from_env()?.read()?;
+    let (Some(heartbeat_addr), Some(worker_addr)) = (boot.heartbeat_addr, boot.worker_addr) else {
+        eyre::bail!("the settings name no worker");
+    };
+    let cfg = AgentCfg {
+        vm: boot.vm,
+        heartbeat_addr,
+    };
+    let store = Arc::new(KvStore::new(boot.store_addr));
+    let runner: Arc<dyn Runner> = Arc::new(HttpRunner::new(worker_addr));
+    agent::run(&cfg, store, &runner, Arc::new(Heartbeats), &log)?;
+    Ok(())
+}
+
+fn serve(flags: CompanionFlags) -> eyre::Result<()> {
     let log = report::logger(flags.log_format, Arc::new(SystemClock));
     let token = flags.token.resolve()?;
     companion::run(flags.resolve()?, token, &log)?;
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -1,12 +1,15 @@
 //! Runs the `monsoontrestle` command.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use base::SystemClock;
-use bpaf::{Args, OptionParser, ParseFailure, Parser, construct};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, pure};
 use entry::EntryFlags;
+use lead::LeadCfg;
 use ops::Exit;
+use platform::{BootFile, Callers, KvStore};
 
 const SUMMARY: &str =
     "A scheduler for latency-critical services and batch work that share the same VMs";
@@ -16,6 +19,7 @@
 #[derive(Clone, Debug)]
 enum Command {
     Entry(EntryFlags),
+    Site,
     Operator(ops::Command),
 }
 
@@ -29,6 +33,13 @@
                 Exit::Fault.into()
             }
         },
+        Ok(Command::Site) => match serve_site() {
+            Ok(()) => Exit::Done.into(),
+            Err(e) => {
+                eprintln!("monsoontrestle: {e}");
+                Exit::Fault.into()
+            }
+        },
         Err(failure) => explain(failure),
     }
 }
@@ -40,6 +51,21 @@
     Ok(())
 }
 
+/// Runs an entry with the settings file that the platform gives.
+fn serve_site() -> eyre::Result<()> {
+    let log = report::decision_logger(Arc::new(SystemClock));
+    let boot = BootFile::from_env()?.read()?;
+    let (Some(front), Some(ready)) = (boot.front_addr, boot.ready_addr) else {
+        eyre::bail!("the settings name no address for callers");
+    };
+    let rpc = SocketAddr::new(boot.ip, boot.rpc_port);
+    let cfg = LeadCfg::new(boot.vm, front, ready, rpc, boot.retention)
+        .within(boot.min_store_lease, boot.max_worker_lease);
+    let store = Arc::new(KvStore::new(boot.store_addr));
+    lead::run(&cfg, store, Arc::new(Callers), &log)?;
+    Ok(())
+}
+
 fn options() -> OptionParser<Command> {
     let codes = Exit::ALL.map(|exit| format!("{} {}", exit.code(), exit.meaning()));
     let footer = format!("Exit codes: {}", codes.join("; "));
@@ -48,8 +74,12 @@
         .to_options()
         .descr("Serves callers and schedules work; runs on the entry VMs")
         .command("entry");
+    let site = pure(Command::Site)
+        .to_options()
+        .descr("Runs an entry on the users' platform; settings come from MONSOONTRESTLE_NODE_FILE")
+        .command("site");
     let operator = ops::command().map(Command::Operator);
-    construct!([entry, operator])
+    construct!([entry, site, operator])
         .to_options()
         .descr(SUMMARY)
         .footer(footer.as_str())
--- a/crates/fakes/src/store/mem.rs
+++ b/crates/fakes/src/store/mem.rs
@@ -5,7 +5,8 @@
 
 use base::prelude::*;
 use ports::store::{
-    Expect, KeyValue, LeaseId, MAX_VALUE_BYTES, Revision, StoreCall, StoreReply, WatchEvent,
+    Expect, KeyValue, KeyWrite, LeaseId, MAX_TXN_ROWS, MAX_VALUE_BYTES, Revision, StoreCall,
+    StoreReply, WatchEvent,
 };
 
 /// How many changes are kept for watches unless set otherwise.
@@ -83,6 +84,11 @@
             } => self.put(key, value, *expect, *lease),
             StoreCall::Delete { key, expect } => Ok(self.delete(key, *expect)),
             StoreCall::DeleteRange { from, to } => Ok(self.delete_range(from, to)),
+            StoreCall::Txn {
+                expected,
+                writes,
+                deletes,
+            } => self.transact(expected, writes, deletes),
             StoreCall::LeaseGrant { ttl } => Ok(self.grant(now, *ttl)),
             StoreCall::LeaseRenew { lease } => Ok(self.renew(now, *lease)),
             StoreCall::LeaseRevoke { lease } => Ok(self.revoke(*lease)),
@@ -190,6 +196,51 @@
         self.done()
     }
 
+    fn transact(
+        &mut self,
+        expected: &[(Name, Expect)],
+        writes: &[KeyWrite],
+        deletes: &[Name],
+    ) -> Result<StoreReply> {
+        let rows = expected.len() + writes.len() + deletes.len();
+        let is_large = |w: &KeyWrite| w.value.len() > MAX_VALUE_BYTES;
+        if rows > MAX_TXN_ROWS || writes.iter().any(is_large) {
+            let message = format!("a transaction of {rows} rows is too large");
+            return Err(Error::new(ErrorKind::Refused, "txn", "store", message));
+        }
+        let leases = writes.iter().filter_map(|w| w.lease);
+        if leases.into_iter().any(|id| !self.leases.contains_key(&id)) {
+            return Ok(StoreReply::LeaseGone);
+        }
+        if !expected.iter().all(|(key, e)| self.is_expected(key, *e)) {
+            let current = expected.iter().filter_map(|(key, _)| self.get(key));
+            return Ok(StoreReply::Conflicts {
+                current: current.collect(),
+            });
+        }
+        // All keys of a transaction get one revision.
+        let revision = self.revision + 1;
+        for write in writes {
+            self.revision = revision - 1;
+            self.record(&write.key, Some(&write.value));
+            let entry = Entry {
+                value: Arc::clone(&write.value),
+                revision,
+                lease: write.lease,
+            };
+            self.keys.insert(Arc::clone(&write.key), entry);
+        }
+        for key in deletes {
+            if self.keys.remove(key).is_some() {
+                self.revision = revision - 1;
+                self.record(key, None);
+            }
+        }
+        Ok(StoreReply::Done {
+            revision: self.revision,
+        })
+    }
+
     fn grant(&mut self, now: Instant, ttl: Duration) -> StoreReply {
         let lease = self.next_lease;
         self.next_lease += 1;
--- a/crates/fakes/src/store/rest.rs
+++ b/crates/fakes/src/store/rest.rs
@@ -3,7 +3,9 @@
 use std::io::Cursor;
 
 use base::prelude::*;
-use ports::protocol::{KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, WATCH_PATH, parse_expect};
+use ports::protocol::{
+    KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, TXN_PATH, WATCH_PATH, parse_expect,
+};
 use ports::store::{Expect, KeyValue, Revision, StoreCall, StoreReply};
 use tiny_http::{Method, Request, Response};
 
@@ -19,6 +21,9 @@
     if path == WATCH_PATH {
         return parse_watch(&query);
     }
+    if path == TXN_PATH && method == Method::Post {
+        return parse_txn(req);
+    }
     if let Some(rest) = path.strip_prefix(LEASES_PATH) {
         return parse_lease_call(&method, rest, &query);
     }
@@ -41,6 +46,10 @@
         Ok(StoreReply::Leased { lease, ttl }) => status(200)
             .with_header(header(LEASE, lease))
             .with_header(header(TTL_MS, ttl.as_millis())),
+        Ok(reply @ StoreReply::Conflicts { .. }) => {
+            Response::from_data(postcard::to_stdvec(&reply).expect("a reply can be encoded"))
+                .with_status_code(409)
+        }
         Ok(reply @ (StoreReply::Listed(_) | StoreReply::Watched { .. })) => {
             Response::from_data(postcard::to_stdvec(&reply).expect("a reply can be encoded"))
         }
@@ -53,6 +62,16 @@
     Response::from_data(Vec::new()).with_status_code(code)
 }
 
+fn parse_txn(req: &mut Request) -> Option<StoreCall> {
+    let body = read_body(req).ok()?;
+    let (expected, writes, deletes) = postcard::from_bytes(&body).ok()?;
+    Some(StoreCall::Txn {
+        expected,
+        writes,
+        deletes,
+    })
+}
+
 fn parse_watch(query: &Query) -> Option<StoreCall> {
     Some(StoreCall::Watch {
         prefix: query.get("prefix")?.into(),
--- /dev/null
+++ b/crates/host/src/follow.rs
@@ -0,0 +1,111 @@
+//! A thread that follows one key of the store.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+
+use base::prelude::*;
+use ports::store::{KeyValue, Revision, Store, StoreCall, StoreReply};
+
+/// How long to wait after a failed call, or before an absent key is read again.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// What a follower sees of its key.
+#[derive(Clone, Debug)]
+pub enum KeySeen {
+    /// The key as it is; `None` if there is none.
+    Is(Option<KeyValue>),
+    /// The store could not be asked.
+    Unreached(Error),
+}
+
+/// Follows `key` until `stopping` is set; each watch waits at most `wait`.
+///
+/// A watch that stays silent is given up soon after `wait`, so that a connection
+/// that died without a sign costs no more than that.
+pub fn follow_key(
+    store: Arc<dyn Store>,
+    key: Name,
+    wait: Duration,
+    stopping: Arc<AtomicBool>,
+    sink: impl Fn(KeySeen) + Send + 'static,
+) -> JoinHandle<()> {
+    std::thread::spawn(move || {
+        let follower = Follower { store, key, wait };
+        while !stopping.load(Ordering::Acquire) {
+            if let Err(e) = follower.follow(&stopping, &sink) {
+                sink(KeySeen::Unreached(e));
+                std::thread::sleep(RETRY_AFTER);
+            }
+        }
+    })
+}
+
+struct Follower {
+    store: Arc<dyn Store>,
+    key: Name,
+    wait: Duration,
+}
+
+impl Follower {
+    /// Reads the key and watches it until a call fails or history is lost.
+    fn follow(&self, stopping: &AtomicBool, sink: &dyn Fn(KeySeen)) -> Result<()> {
+        let key = Arc::clone(&self.key);
+        let StoreReply::Got(found) = self.store.call(&StoreCall::Get { key })? else {
+            return Err(self.unexpected("get"));
+        };
+        let Some(revision) = found.as_ref().map(|kv| kv.revision) else {
+            sink(KeySeen::Is(None));
+            std::thread::sleep(RETRY_AFTER);
+            return Ok(());
+        };
+        sink(KeySeen::Is(found));
+        self.watch(revision, stopping, sink)
+    }
+
+    fn watch(
+        &self,
+        mut after: Revision,
+        stopping: &AtomicBool,
+        sink: &dyn Fn(KeySeen),
+    ) -> Result<()> {
+        while !stopping.load(Ordering::Acquire) {
+            let call = StoreCall::Watch {
+                prefix: Arc::clone(&self.key),
+                after,
+                wait: self.wait,
+            };
+            let reply = self.store.call(&call)?;
+            let StoreReply::Watched {
+                events,
+                revision,
+                compacted,
+            } = reply
+            else {
+                return Err(self.unexpected("watch"));
+            };
+            if compacted {
+                return Ok(());
+            }
+            if let Some(event) = events.into_iter().rfind(|e| e.key == self.key) {
+                let revision = event.revision;
+                let kv = event.value.map(|value| KeyValue {
+                    key: event.key,
+                    value,
+                    revision,
+                });
+                sink(KeySeen::Is(kv));
+            }
+            after = after.max(revision);
+        }
+        Ok(())
+    }
+
+    fn unexpected(&self, step: &'static str) -> Error {
+        Error::new(
+            ErrorKind::Malformed,
+            step,
+            "store",
+            "an answer of another kind",
+        )
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,9 +4,11 @@
 //! the outside. What entries and companions need alike for that stands here.
 
 mod actors;
+mod follow;
 mod rpc;
 mod signal;
 
 pub use actors::{Actors, drive};
+pub use follow::{KeySeen, follow_key};
 pub use rpc::{RpcLimits, ask, dropped, serve_rpc, start_runtime};
 pub use signal::wait_for_stop;
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,264 @@
+//! A job in the owner's memory: its tasks, and which of them may start.
+
+use base::prelude::*;
+use ports::store::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobRecord, Progress, StageSpec, TaskId, TaskProgress};
+
+/// Where a job stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted; no task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Tells whether nothing of the job will run any more.
+    pub fn has_ended(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// A task of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Whether its work is done.
+    pub is_done: bool,
+    /// The VMs on which a run of it may go on, with the run.
+    pub live: Vec<(Name, Attempt)>,
+    /// How often it failed.
+    pub failures: u32,
+    /// The last run ordered or seen.
+    pub last: Attempt,
+    /// The last checkpoint.
+    pub checkpoint: Option<Name>,
+    /// The VMs on which it failed or stood still.
+    pub avoid: Vec<Name>,
+}
+
+impl Task {
+    /// Tells whether the task has neither ended nor a run.
+    pub fn is_waiting(&self) -> bool {
+        !self.is_done && self.live.is_empty()
+    }
+
+    fn progress(&self) -> TaskProgress {
+        TaskProgress {
+            is_done: self.is_done,
+            failures: self.failures,
+            checkpoint: self.checkpoint.clone(),
+        }
+    }
+}
+
+/// One occurrence of a stage.
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub(crate) occurrence: u32,
+    pub(crate) stage: u32,
+    /// The position of its first task.
+    pub(crate) first: usize,
+    pub(crate) tasks: usize,
+    pub(crate) waiting: u32,
+    pub(crate) done: u32,
+}
+
+impl Part {
+    pub(crate) fn range(&self) -> std::ops::Range<usize> {
+        self.first..self.first + self.tasks
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks
+    }
+}
+
+/// A job in the owner's memory.
+#[derive(Debug)]
+pub struct Job {
+    pub(crate) id: JobId,
+    pub(crate) record: JobRecord,
+    pub(crate) state: JobState,
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) parts: Vec<Part>,
+    /// Whether an earlier owner accepted it, so that workers may run tasks we know nothing of.
+    pub(crate) is_inherited: bool,
+    /// When this owner first knew it.
+    pub(crate) since: Instant,
+    pub(crate) ended_unix_ms: Option<u64>,
+    pub(crate) stored: Stored,
+}
+
+/// What of a job is in the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Stored {
+    /// The revision of the record, once it is stored.
+    pub(crate) record: Option<Revision>,
+    /// The revision of the progress, 0 if there is none.
+    pub(crate) progress: Revision,
+    /// Rises with each change of the progress.
+    pub(crate) version: u64,
+    /// The version that is stored.
+    pub(crate) stored_version: u64,
+    /// Whether a write is on its way.
+    pub(crate) in_flight: bool,
+}
+
+impl Job {
+    pub(crate) fn new(id: JobId, record: JobRecord, now: Instant) -> Self {
+        let occurrences = record.spec.schedule.map_or(1, |s| s.occurrences);
+        let mut parts = Vec::new();
+        let mut first = 0;
+        for occurrence in 0..occurrences {
+            for (stage, spec) in (0..).zip(&record.spec.stages) {
+                parts.push(Part {
+                    occurrence,
+                    stage,
+                    first,
+                    tasks: spec.tasks as usize,
+                    waiting: spec.tasks,
+                    done: 0,
+                });
+                first += spec.tasks as usize;
+            }
+        }
+        Self {
+            id,
+            record,
+            state: JobState::Queued,
+            tasks: vec![Task::default(); first],
+            parts,
+            is_inherited: false,
+            since: now,
+            ended_unix_ms: None,
+            stored: Stored::default(),
+        }
+    }
+
+    /// Restores what was stored of the job's progress.
+    pub(crate) fn restore(&mut self, progress: Progress, revision: Revision) {
+        self.state = progress.state;
+        self.ended_unix_ms = progress.ended_unix_ms;
+        self.stored.progress = revision;
+        for (position, stored) in progress.tasks {
+            if let Some(task) = self.tasks.get_mut(position as usize) {
+                task.is_done = stored.is_done;
+                task.failures = stored.failures;
+                task.checkpoint = stored.checkpoint;
+            }
+        }
+        for part in &mut self.parts {
+            let tasks = &self.tasks[part.range()];
+            part.done = count(tasks, |t| t.is_done);
+            part.waiting = count(tasks, Task::is_waiting);
+        }
+    }
+
+    /// Returns what the store keeps of the job's progress.
+    pub(crate) fn progress(&self) -> Progress {
+        let fresh = TaskProgress::default();
+        let tasks = (0..)
+            .zip(&self.tasks)
+            .map(|(position, task)| (position, task.progress()))
+            .filter(|(_, progress)| *progress != fresh)
+            .collect();
+        Progress {
+            state: self.state,
+            tasks,
+            ended_unix_ms: self.ended_unix_ms,
+        }
+    }
+
+    /// Marks that the progress has to be stored.
+    pub(crate) fn touch(&mut self) {
+        self.stored.version += 1;
+    }
+
+    pub(crate) fn is_stored(&self) -> bool {
+        self.stored.record.is_some() && self.stored.stored_version == self.stored.version
+    }
+
+    pub(crate) fn stage(&self, part: &Part) -> &StageSpec {
+        &self.record.spec.stages[part.stage as usize]
+    }
+
+    pub(crate) fn stage_of(&self, task: &TaskId) -> &StageSpec {
+        &self.record.spec.stages[task.stage as usize]
+    }
+
+    /// Returns the part and position of a task, if the job has it.
+    pub(crate) fn find(&self, id: &TaskId) -> Option<(usize, usize)> {
+        let stages = self.record.spec.stages.len();
+        if id.stage as usize >= stages {
+            return None;
+        }
+        let at = id.occurrence as usize * stages + id.stage as usize;
+        let part = self.parts.get(at)?;
+        ((id.index as usize) < part.tasks).then_some((at, part.first + id.index as usize))
+    }
+
+    pub(crate) fn task_id(&self, part: &Part, position: usize) -> TaskId {
+        TaskId {
+            job: self.id.clone(),
+            occurrence: part.occurrence,
+            stage: part.stage,
+            index: u32::try_from(position - part.first).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Changes a task and keeps the counts of its part.
+    pub(crate) fn update(&mut self, part: usize, position: usize, change: impl FnOnce(&mut Task)) {
+        let task = &mut self.tasks[position];
+        let part = &mut self.parts[part];
+        let before = (task.is_waiting(), task.is_done);
+        change(task);
+        part.waiting -= u32::from(before.0);
+        part.waiting += u32::from(task.is_waiting());
+        part.done -= u32::from(before.1);
+        part.done += u32::from(task.is_done);
+    }
+
+    /// Tells whether tasks of a part may start at a time of day.
+    pub(crate) fn is_due(&self, part: &Part, unix_ms: u64) -> bool {
+        let due = self.record.spec.schedule.is_none_or(|s| {
+            unix_ms >= s.first_unix_ms + u64::from(part.occurrence) * s.interval_ms
+        });
+        due && self.stage(part).after.iter().all(|stage| {
+            let at = part.occurrence as usize * self.record.spec.stages.len() + *stage as usize;
+            self.parts.get(at).is_some_and(Part::is_done)
+        })
+    }
+
+    /// Tells whether all tasks are done.
+    pub(crate) fn is_all_done(&self) -> bool {
+        self.parts.iter().all(Part::is_done)
+    }
+
+    /// Returns the estimated time of the longest chain of stages from `part` on, in milliseconds.
+    pub(crate) fn chain_ms(&self, part: &Part) -> u64 {
+        let stages = &self.record.spec.stages;
+        let mut tail = vec![0_u64; stages.len()];
+        for (at, stage) in stages.iter().enumerate().rev() {
+            tail[at] += stage.estimate_ms;
+            for before in &stage.after {
+                let before = *before as usize;
+                tail[before] = tail[before].max(tail[at]);
+            }
+        }
+        tail[part.stage as usize]
+    }
+}
+
+fn count(tasks: &[Task], is: impl Fn(&Task) -> bool) -> u32 {
+    u32::try_from(tasks.iter().filter(|t| is(t)).count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/jobs/src/owner.rs
@@ -0,0 +1,225 @@
+//! The entry that owns the jobs: accepts them, places their tasks, takes note of ends.
+//!
+//! An owner is fenced three ways. Its writes expect its own key in the store,
+//! its orders carry a fence that workers compare, and its leases end by the
+//! workers' clocks. So one that was deposed without noticing does no harm.
+
+mod adopt;
+mod callers;
+mod commit;
+mod ends;
+mod gang;
+mod order;
+mod pace;
+mod place;
+mod record;
+mod stall;
+mod sync;
+mod takeover;
+mod worker;
+
+use base::prelude::*;
+use ports::store::{Revision, StoreCall};
+use slog::{Logger, info, warn};
+
+use self::commit::Commits;
+use self::worker::Worker;
+use crate::report::SyncReply;
+use crate::{Job, JobState, Told};
+
+pub use self::order::Urgency;
+pub use self::record::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
+pub use self::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
+
+/// Matches an answer to the call that waits for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Token(pub u64);
+
+/// What an owner needs to know.
+#[derive(Clone, Debug)]
+pub struct OwnerCfg {
+    /// The epoch, higher than that of every earlier owner.
+    pub epoch: Epoch,
+    /// The key that names the owner in the store.
+    pub owner_key: Name,
+    /// The revision at which this owner wrote it.
+    pub owner_revision: Revision,
+    /// How long workers run tasks after a report that was answered.
+    pub worker_lease: Duration,
+    /// How long an earlier owner may go on after the start of this one.
+    pub predecessor_grace: Duration,
+    /// How long states of ended jobs are told.
+    pub retention: Duration,
+}
+
+/// What the owner wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Tell a caller the outcome.
+    Tell(Token, Told),
+    /// Answer a companion.
+    Sync(Token, Box<SyncReply>),
+    /// Make a store call and pass its reply to [`Owner::store_reply`].
+    Store(u64, StoreCall),
+    /// Look in the store for a job that is not known here, and tell the caller.
+    Look(Token, JobId),
+    /// Another entry owns the jobs.
+    StepDown(&'static str),
+}
+
+/// The state of the entry that owns the jobs.
+#[derive(Debug)]
+pub struct Owner {
+    cfg: OwnerCfg,
+    log: Logger,
+    jobs: IndexMap<JobId, Job>,
+    /// Ids of the jobs that have not ended.
+    active: IndexSet<JobId>,
+    workers: IndexMap<Name, Worker>,
+    commits: Commits,
+    accepting: IndexMap<JobId, Vec<Token>>,
+    cancelling: IndexMap<JobId, Vec<Token>>,
+    effects: Vec<Effect>,
+    /// Whether something changed that may let a task start.
+    is_round_due: bool,
+    /// Whether inherited jobs wait for workers that an earlier owner may have used.
+    had_unheard: bool,
+}
+
+impl Owner {
+    /// Creates an owner without jobs; see [`Owner::load`].
+    pub fn new(cfg: OwnerCfg, log: Logger) -> Self {
+        Self {
+            cfg,
+            log,
+            jobs: IndexMap::new(),
+            active: IndexSet::new(),
+            workers: IndexMap::new(),
+            commits: Commits::default(),
+            accepting: IndexMap::new(),
+            cancelling: IndexMap::new(),
+            effects: Vec::new(),
+            is_round_due: true,
+            had_unheard: true,
+        }
+    }
+
+    /// Returns the owner's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.cfg.epoch
+    }
+
+    /// Does what is due and returns what has to be done outside.
+    pub fn run(&mut self, now: Instant, unix_ms: u64) -> Vec<Effect> {
+        self.expire_workers(now);
+        self.find_stalled(now);
+        self.place_tasks(now, unix_ms);
+        self.pace_fillers(now);
+        self.answer_syncs(now);
+        self.forget_ended(unix_ms);
+        self.commit(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Acts as no owner for now: gives no orders and extends no leases.
+    pub fn pause(&mut self) -> Vec<Effect> {
+        self.dismiss_companions();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns when [`Owner::run`] has something to do even if nothing happens.
+    pub fn next_due(&self, now: Instant) -> Instant {
+        let mut due = now + IDLE_PERIOD;
+        for worker in self.workers.values() {
+            due = due.min(worker.next_due(now, self.cfg.worker_lease));
+        }
+        due.min(self.commits.next_due().unwrap_or(due))
+    }
+
+    /// Returns how many jobs have not ended, how many tasks run and how many workers are known.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let runs = self.workers.values().map(|w| w.runs.len()).sum();
+        (self.active.len(), runs, self.workers.len())
+    }
+
+    /// Refuses what waits for answers, as the owner steps down.
+    pub fn step_down(mut self) -> Vec<Effect> {
+        let waiting = self.accepting.drain(..).chain(self.cancelling.drain(..));
+        for token in waiting.flat_map(|(_, tokens)| tokens) {
+            self.effects.push(Effect::Tell(token, Told::Unsure));
+        }
+        self.dismiss_companions();
+        self.effects
+    }
+
+    /// Hands the reports that wait back, so that companions look for another owner.
+    fn dismiss_companions(&mut self) {
+        for worker in self.workers.values_mut() {
+            if let Some(parked) = worker.parked.take() {
+                self.effects
+                    .push(Effect::Sync(parked.token, Box::default()));
+            }
+        }
+    }
+
+    /// Ends a job in memory; its progress is stored by a later commit.
+    fn end_job(&mut self, id: &JobId, state: JobState, unix_ms: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        info!(self.log, "owner: job ended";
+            "job" => %id, "state" => ?state, "route" => %job.record.terms.route,
+            "after_ms" => unix_ms.saturating_sub(job.record.accepted_unix_ms));
+        job.state = state;
+        job.ended_unix_ms = Some(unix_ms);
+        job.touch();
+        self.active.swap_remove(id);
+        self.commits.mark_progress(id);
+        self.stop_all(id);
+        self.is_round_due = true;
+    }
+
+    /// Orders a stop of every run of a job.
+    fn stop_all(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        for live in job.tasks.iter().flat_map(|t| &t.live) {
+            if let Some(worker) = self.workers.get_mut(&live.0) {
+                worker.stop_job(id);
+            }
+        }
+    }
+
+    /// Forgets a run that is certain not to go on; its task may start again.
+    fn release(&mut self, vm: &Name, run: &crate::TaskRun) {
+        if let Some(job) = self.jobs.get_mut(&run.task.job)
+            && let Some((part, position)) = job.find(&run.task)
+        {
+            job.update(part, position, |task| {
+                task.live
+                    .retain(|(at, attempt)| at != vm || *attempt != run.attempt);
+            });
+        }
+        self.is_round_due = true;
+    }
+
+    /// Takes all runs off a worker on which nothing runs any more.
+    fn release_all(&mut self, vm: &Name, why: &'static str) {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        let runs: Vec<_> = worker.runs.drain(..).map(|(run, _)| run).collect();
+        worker.recount();
+        if !runs.is_empty() {
+            warn!(self.log, "owner: runs lost"; "vm" => %vm, "why" => why, "runs" => runs.len());
+        }
+        for run in runs {
+            info!(self.log, "owner: run lost"; "run" => %run, "vm" => %vm, "why" => why);
+            self.release(vm, &run);
+        }
+    }
+}
+
+/// How often the owner looks around when nothing happens.
+const IDLE_PERIOD: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/jobs/src/owner/adopt.rs
@@ -0,0 +1,211 @@
+//! What workers list as running.
+
+use base::prelude::*;
+use slog::{info, warn};
+
+use super::Owner;
+use super::worker::{FULL_PACE, Phase, Run};
+use crate::report::{Listing, RejectKind, Rejected, RunningRow};
+use crate::{JobState, StageSpec, Task, TaskRun};
+
+impl Owner {
+    /// Takes in the runs that a worker lists as running, and the starts its companion holds.
+    pub(super) fn take_running(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        rows: &[RunningRow],
+        open: &[TaskRun],
+        is_first: bool,
+    ) {
+        for row in rows {
+            if !self.update_run(now, vm, row) && !(is_first && self.adopt(now, vm, row)) {
+                info!(self.log, "owner: run is not wanted"; "run" => %row.run, "vm" => %vm);
+                if let Some(worker) = self.workers.get_mut(vm) {
+                    worker.strays.push(row.run.clone());
+                }
+            }
+        }
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        for id in open {
+            if let Some(run) = worker.runs.get_mut(id)
+                && let Phase::Ordered { is_taken, .. } = &mut run.phase
+            {
+                *is_taken = true;
+            }
+        }
+        self.drop_vanished(vm, rows, open);
+    }
+
+    /// Takes in how a known run goes on.
+    fn update_run(&mut self, now: Instant, vm: &Name, row: &RunningRow) -> bool {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return false;
+        };
+        let Some(run) = worker.runs.get_mut(&row.run) else {
+            return false;
+        };
+        if matches!(run.phase, Phase::Ordered { .. }) {
+            run.phase = Phase::Running;
+            run.progressed = now;
+            info!(self.log, "owner: run started"; "run" => %row.run, "vm" => %vm,
+                "ordered_ms_ago" => now.duration_since(run.since).as_millis());
+        }
+        if row.percent > run.percent {
+            run.percent = row.percent;
+            run.progressed = now;
+        }
+        run.gauge = row.gauge;
+        if let Some(job) = self.jobs.get_mut(&row.run.task.job)
+            && let Some((part, position)) = job.find(&row.run.task)
+        {
+            if job.state == JobState::Queued {
+                job.state = JobState::Running;
+            }
+            if row.checkpoint.is_some() {
+                job.update(part, position, |task| {
+                    task.checkpoint = row.checkpoint.clone()
+                });
+            }
+        }
+        true
+    }
+
+    /// Takes over a run that an earlier owner started; tells whether it is wanted.
+    fn adopt(&mut self, now: Instant, vm: &Name, row: &RunningRow) -> bool {
+        let Some(job) = self.jobs.get_mut(&row.run.task.job) else {
+            return false;
+        };
+        let Some((part, position)) = job.find(&row.run.task) else {
+            return false;
+        };
+        let stage = job.stage_of(&row.run.task).clone();
+        let task = &job.tasks[position];
+        if job.state.has_ended() || task.is_done {
+            return false;
+        }
+        if !task.live.is_empty() && !stage.speculative {
+            return false;
+        }
+        let mut run = new_run(&stage, now);
+        run.phase = Phase::Running;
+        run.percent = row.percent;
+        run.gauge = row.gauge;
+        job.state = JobState::Running;
+        job.update(part, position, |task| {
+            task.live.push((Arc::clone(vm), row.run.attempt));
+            task.last = task.last.max(row.run.attempt);
+            if row.checkpoint.is_some() {
+                task.checkpoint = row.checkpoint.clone();
+            }
+        });
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.insert(row.run.clone(), run);
+        }
+        info!(self.log, "owner: run adopted"; "run" => %row.run, "vm" => %vm);
+        true
+    }
+
+    /// Releases runs that the worker listed before and lists no more, without an end.
+    fn drop_vanished(&mut self, vm: &Name, rows: &[RunningRow], open: &[TaskRun]) {
+        let Some(worker) = self.workers.get(vm) else {
+            return;
+        };
+        let is_listed = |id: &TaskRun| rows.iter().any(|r| r.run == *id) || open.contains(id);
+        let vanished: Vec<TaskRun> = worker
+            .runs
+            .iter()
+            .filter(|(id, run)| run.phase == Phase::Running && !is_listed(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in vanished {
+            warn!(self.log, "owner: run vanished"; "run" => %id, "vm" => %vm);
+            if let Some(worker) = self.workers.get_mut(vm) {
+                worker.remove(&id);
+            }
+            self.release(vm, &id);
+        }
+    }
+
+    /// Ends the adoption of a worker: what it neither lists nor holds does not run there.
+    pub(super) fn adopted(&mut self, vm: &Name, listing: &Listing, open: &[TaskRun]) {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        worker.is_adopted = true;
+        worker.inherited_until = None;
+        let is_listed = |id: &TaskRun| listing.running.iter().any(|r| r.run == *id);
+        // Starts sent under an earlier fence, answered or not, have no effect any more.
+        let lost: Vec<TaskRun> = worker
+            .runs
+            .keys()
+            .filter(|id| !is_listed(id) && !open.contains(id))
+            .cloned()
+            .collect();
+        info!(self.log, "owner: worker adopted";
+            "vm" => %vm, "running" => listing.running.len(), "lost" => lost.len());
+        for id in lost {
+            if let Some(worker) = self.workers.get_mut(vm) {
+                worker.remove(&id);
+            }
+            self.release(vm, &id);
+        }
+        self.commits.mark_vm(vm);
+        self.is_round_due = true;
+    }
+
+    /// Takes note of a start that will never take effect.
+    pub(super) fn take_reject(&mut self, now: Instant, vm: &Name, rejected: &Rejected) {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        let Some(run) = worker.remove(&rejected.run) else {
+            return;
+        };
+        info!(self.log, "owner: start rejected";
+            "run" => %rejected.run, "vm" => %vm, "why" => ?rejected.why,
+            "ordered_ms_ago" => now.duration_since(run.since).as_millis());
+        if matches!(rejected.why, RejectKind::Room | RejectKind::Invalid) {
+            self.avoid(vm, &rejected.run);
+        }
+        self.release(vm, &rejected.run);
+    }
+
+    /// Keeps a task away from a worker where it did not do well.
+    pub(super) fn avoid(&mut self, vm: &Name, run: &TaskRun) {
+        if let Some(job) = self.jobs.get_mut(&run.task.job)
+            && let Some((part, position)) = job.find(&run.task)
+        {
+            let avoid = |task: &mut Task| {
+                if !task.avoid.contains(vm) {
+                    task.avoid.push(Arc::clone(vm));
+                }
+            };
+            job.update(part, position, avoid);
+        }
+    }
+}
+
+/// Creates a run of a task of `stage` that has just been ordered.
+pub(super) fn new_run(stage: &StageSpec, now: Instant) -> Run {
+    Run {
+        phase: Phase::Ordered {
+            sent: None,
+            is_taken: false,
+        },
+        charged: stage.charged(),
+        demand_milli: stage.room.cpu_milli,
+        is_filler: stage.filler,
+        is_standing: stage.standing,
+        tail_target_ms: stage.tail_target_ms.filter(|_| stage.standing),
+        since: now,
+        percent: 0.0,
+        progressed: now,
+        gauge: 0.0,
+        pace: FULL_PACE,
+        pace_sent: None,
+        ticket: None,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/callers.rs
@@ -0,0 +1,207 @@
+//! What callers ask.
+
+use base::prelude::*;
+use slog::info;
+
+use super::{Effect, Owner, Token};
+use crate::{Ask, Job, JobRecord, JobSpec, JobState, RouteTerms, Told};
+
+/// When callers come back after the store was out of reach: about the time such outages last.
+pub(super) const STORE_AWAY_RETRY: Duration = Duration::from_secs(2);
+
+/// When callers come back for a job that is just being stored.
+const STORING_RETRY: Duration = Duration::from_secs(1);
+
+/// The most tasks of a job, over all its occurrences.
+const MAX_TASKS: u64 = 20_000;
+
+impl Owner {
+    /// Takes what a caller asks; [`Effect::Tell`] or [`Effect::Look`] answers it.
+    pub fn ask(&mut self, now: Instant, unix_ms: u64, token: Token, ask: Ask) {
+        match ask {
+            Ask::Submit { job, spec, terms } => {
+                self.submit(now, unix_ms, token, job, *spec, *terms);
+            }
+            Ask::Status { job, route } => self.status(token, job, &route),
+            Ask::Cancel { job, route } => self.cancel(now, unix_ms, token, job, &route),
+            Ask::Waiting { route } => self.waiting(token, &route),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+        token: Token,
+        id: JobId,
+        spec: JobSpec,
+        terms: RouteTerms,
+    ) {
+        if let Some(job) = self.jobs.get(&id) {
+            if job.stored.record.is_some() {
+                self.tell(token, Told::Accepted);
+            } else {
+                self.accepting.entry(id).or_default().push(token);
+            }
+            return;
+        }
+        if let Err(reason) = check(&spec) {
+            info!(self.log, "owner: job invalid"; "job" => %id, "reason" => reason);
+            let reason = reason.into();
+            self.tell(token, Told::Invalid { reason });
+            return;
+        }
+        if self.commits.is_store_away(now) {
+            self.refuse(token, &id, "the store is out of reach", STORE_AWAY_RETRY);
+            return;
+        }
+        let record = JobRecord {
+            spec,
+            terms,
+            accepted_unix_ms: unix_ms,
+        };
+        self.jobs
+            .insert(id.clone(), Job::new(id.clone(), record, now));
+        self.active.insert(id.clone());
+        self.commits.mark_record(&id);
+        self.accepting.insert(id, vec![token]);
+    }
+
+    /// Takes note that a job's record is stored.
+    pub(super) fn accepted(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get(id) {
+            info!(self.log, "owner: job accepted";
+                "job" => %id, "route" => %job.record.terms.route, "tasks" => job.tasks.len(),
+                "priority" => job.record.terms.priority);
+        }
+        for token in self.accepting.swap_remove(id).unwrap_or_default() {
+            self.tell(token, Told::Accepted);
+        }
+        self.is_round_due = true;
+    }
+
+    fn status(&mut self, token: Token, id: JobId, route: &RouteName) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.effects.push(Effect::Look(token, id));
+            return;
+        };
+        if job.record.terms.route != *route {
+            self.tell(token, Told::Gone);
+        } else if job.stored.record.is_none() {
+            self.refuse(token, &id, "the job is being stored", STORING_RETRY);
+        } else if job.state.has_ended() && !job.is_stored() {
+            // The end counts only once it is stored.
+            self.tell(token, Told::Status(JobState::Running));
+        } else {
+            self.tell(token, Told::Status(job.state));
+        }
+    }
+
+    fn cancel(&mut self, now: Instant, unix_ms: u64, token: Token, id: JobId, route: &RouteName) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.effects.push(Effect::Look(token, id));
+            return;
+        };
+        if job.record.terms.route != *route {
+            self.tell(token, Told::Gone);
+            return;
+        }
+        if job.stored.record.is_none() {
+            self.refuse(token, &id, "the job is being stored", STORING_RETRY);
+            return;
+        }
+        if !job.state.has_ended() {
+            if self.commits.is_store_away(now) {
+                self.refuse(token, &id, "the store is out of reach", STORE_AWAY_RETRY);
+                return;
+            }
+            self.end_job(&id, JobState::Cancelled, unix_ms);
+        }
+        let is_stored = self.jobs.get(&id).is_some_and(Job::is_stored);
+        if is_stored {
+            self.tell(token, Told::Cancelled);
+        } else {
+            self.cancelling.entry(id).or_default().push(token);
+        }
+    }
+
+    /// Takes note that a job's progress is stored.
+    pub(super) fn cancelled(&mut self, id: &JobId) {
+        if !self.jobs.get(id).is_some_and(Job::is_stored) {
+            return;
+        }
+        for token in self.cancelling.swap_remove(id).unwrap_or_default() {
+            info!(self.log, "owner: cancellation stored"; "job" => %id);
+            self.tell(token, Told::Cancelled);
+        }
+    }
+
+    fn waiting(&mut self, token: Token, route: &RouteName) {
+        let is_waiting = |id: &&JobId| {
+            self.jobs.get(*id).is_some_and(|job| {
+                job.state == JobState::Queued
+                    && job.stored.record.is_some()
+                    && job.record.terms.route == *route
+            })
+        };
+        let waiting = self.active.iter().filter(is_waiting).count();
+        self.tell(token, Told::Waiting(waiting as u64));
+    }
+
+    pub(super) fn tell(&mut self, token: Token, told: Told) {
+        self.effects.push(Effect::Tell(token, told));
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        token: Token,
+        id: &JobId,
+        reason: &'static str,
+        retry_after: Duration,
+    ) {
+        info!(self.log, "owner: refused";
+            "job" => %id, "reason" => reason, "retry_after_ms" => retry_after.as_millis());
+        self.tell(token, Told::refused(reason, retry_after));
+    }
+
+    /// Forgets jobs whose end lies back longer than states are told.
+    pub(super) fn forget_ended(&mut self, unix_ms: u64) {
+        let retention = u64::try_from(self.cfg.retention.as_millis()).unwrap_or(u64::MAX);
+        // Jobs are in the order in which they came; looking at the oldest suffices.
+        let old = self.jobs.values().take(FORGET_SCAN).filter(|job| {
+            let is_old = |ended: u64| ended.saturating_add(retention) < unix_ms;
+            job.ended_unix_ms.is_some_and(is_old) && job.is_stored()
+        });
+        for id in old.map(|job| job.id.clone()).collect::<Vec<_>>() {
+            self.commits.mark_forget(&id);
+        }
+    }
+}
+
+/// How many of the oldest jobs are looked at for forgetting.
+const FORGET_SCAN: usize = 16;
+
+/// Tells what is wrong with a job that can never run.
+fn check(spec: &JobSpec) -> Result<(), &'static str> {
+    if spec.stages.is_empty() {
+        return Err("a job needs a stage");
+    }
+    let mut tasks = 0_u64;
+    for (at, stage) in (0_u32..).zip(&spec.stages) {
+        if stage.tasks == 0 {
+            return Err("a stage needs a task");
+        }
+        if stage.after.iter().any(|before| *before >= at) {
+            return Err("a stage may only come after earlier ones");
+        }
+        tasks += u64::from(stage.tasks);
+    }
+    let occurrences = spec.schedule.map_or(1, |s| s.occurrences);
+    if occurrences == 0 {
+        return Err("a schedule needs an occurrence");
+    }
+    if tasks.saturating_mul(u64::from(occurrences)) > MAX_TASKS {
+        return Err("the job has too many tasks");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jobs/src/owner/place.rs
@@ -0,0 +1,186 @@
+//! Which worker gets which task.
+
+use base::prelude::*;
+use slog::info;
+
+use super::Owner;
+use super::adopt::new_run;
+use super::worker::Worker;
+use crate::job::Part;
+use crate::{Job, StageSpec, TaskId, TaskRun};
+
+/// How many runs of a task an epoch may order before its numbers meet those of the next.
+const RUNS_PER_EPOCH: u64 = 1024;
+
+/// The most processors that fillers and others may ask for together, over those there are.
+const MAX_FILLED: f64 = 1.0;
+
+/// What it costs to go to a worker where the task failed before, in units of load.
+const AVOID_COST: f64 = 10.0;
+
+/// What it costs to be far from the data, in units of load.
+const FAR_COST: f64 = 1.0;
+
+/// What each task with a tail target beside a filler costs, in units of load.
+const DISTURBED_COST: f64 = 0.5;
+
+/// What a full load of fillers beside a task with a tail target costs, in units of load.
+const FILLED_COST: f64 = 1.0;
+
+impl Owner {
+    /// Places the tasks that may start, most urgent first.
+    pub(super) fn place_tasks(&mut self, now: Instant, unix_ms: u64) {
+        if !self.is_round_due && !self.has_schedules() {
+            return;
+        }
+        self.is_round_due = false;
+        for (_, id, part) in self.candidates(unix_ms) {
+            let is_gang = self
+                .jobs
+                .get(&id)
+                .is_some_and(|j| j.stage(&j.parts[part]).gang);
+            if is_gang {
+                self.place_gang(now, &id, part);
+            } else {
+                self.place_part(now, &id, part);
+            }
+        }
+    }
+
+    fn has_schedules(&self) -> bool {
+        self.active.iter().any(|id| {
+            self.jobs
+                .get(id)
+                .is_some_and(|j| j.record.spec.schedule.is_some())
+        })
+    }
+
+    /// Places as many tasks of an occurrence of a stage as there is room for.
+    fn place_part(&mut self, now: Instant, id: &JobId, at: usize) {
+        let Some(range) = self.jobs.get(id).map(|j| j.parts[at].range()) else {
+            return;
+        };
+        for position in range {
+            let Some(job) = self.jobs.get(id) else {
+                return;
+            };
+            if !job.tasks[position].is_waiting() {
+                continue;
+            }
+            let Some(vm) = self.choose(now, job, &job.parts[at], position) else {
+                return;
+            };
+            let attempt = self.next_attempt(&job.tasks[position]);
+            self.order(now, id, at, position, &vm, attempt);
+        }
+    }
+
+    /// Returns the number of a task's next run, higher than any that an earlier owner may have used.
+    pub(super) fn next_attempt(&self, task: &crate::Task) -> Attempt {
+        let base = (self.cfg.epoch.0.saturating_sub(1)) * RUNS_PER_EPOCH;
+        let base = Attempt(u32::try_from(base).unwrap_or(u32::MAX));
+        task.last.max(base).next()
+    }
+
+    /// Orders a run of a task.
+    pub(super) fn order(
+        &mut self,
+        now: Instant,
+        id: &JobId,
+        at: usize,
+        position: usize,
+        vm: &Name,
+        attempt: Attempt,
+    ) {
+        let (Some(job), Some(worker)) = (self.jobs.get_mut(id), self.workers.get_mut(vm)) else {
+            return;
+        };
+        let task: TaskId = job.task_id(&job.parts[at], position);
+        let run = new_run(job.stage(&job.parts[at]), now);
+        job.update(at, position, |task| {
+            task.live.push((Arc::clone(vm), attempt));
+            task.last = attempt;
+        });
+        let run_id = TaskRun { task, attempt };
+        info!(self.log, "owner: run ordered"; "run" => %run_id, "vm" => %vm,
+            "load" => worker.load_with(0), "failures" => job.tasks[position].failures,
+            "resumes" => job.tasks[position].checkpoint.is_some(),
+            "waited_ms" => now.duration_since(job.since).as_millis());
+        worker.insert(run_id, run);
+    }
+
+    /// Chooses the worker for a task.
+    fn choose(&self, now: Instant, job: &Job, part: &Part, position: usize) -> Option<Name> {
+        let stage = job.stage(part);
+        let mut best: Option<(f64, &Name)> = None;
+        for (vm, worker) in &self.workers {
+            if !fits(now, job, part, stage, vm, worker) {
+                continue;
+            }
+            let mut cost = cost(stage, worker);
+            if job.tasks[position].avoid.contains(vm) {
+                cost += AVOID_COST;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, vm));
+            }
+        }
+        best.map(|(_, vm)| Arc::clone(vm))
+    }
+}
+
+/// Tells whether a task of a stage may run on a worker now.
+pub(super) fn fits(
+    now: Instant,
+    job: &Job,
+    part: &Part,
+    stage: &StageSpec,
+    vm: &Name,
+    worker: &Worker,
+) -> bool {
+    let Some(life) = &worker.life else {
+        return false;
+    };
+    if life.pool != job.record.terms.pool || !worker.takes_tasks(now) {
+        return false;
+    }
+    if stage
+        .label
+        .as_ref()
+        .is_some_and(|l| !life.labels.contains(l))
+    {
+        return false;
+    }
+    if stage.filler && worker.load_with(stage.room.cpu_milli) > MAX_FILLED {
+        return false;
+    }
+    if let Some(max) = stage.max_per_worker {
+        let here = job.tasks[part.range()].iter();
+        let here = here
+            .filter(|t| t.live.iter().any(|(at, _)| at == vm))
+            .count();
+        if here >= max as usize {
+            return false;
+        }
+    }
+    stage.charged().fits(&worker.room())
+}
+
+/// Returns what it costs to run a task of a stage on a worker, in units of load.
+pub(super) fn cost(stage: &StageSpec, worker: &Worker) -> f64 {
+    let mut cost = worker.load_with(stage.room.cpu_milli);
+    if stage.filler {
+        cost += DISTURBED_COST * f64::from(worker.serving());
+    }
+    if stage.tail_target_ms.is_some() {
+        let cpu = worker
+            .life
+            .as_ref()
+            .map_or(1, |l| l.capacity.cpu_milli.max(1));
+        cost += FILLED_COST * worker.filler_milli() as f64 / cpu as f64;
+    }
+    if stage.near_rack.is_some() && stage.near_rack.as_ref() != worker.rack() {
+        cost += FAR_COST;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/jobs/src/owner/stall.rs
@@ -0,0 +1,40 @@
+//! Tasks that stand still.
+
+use base::prelude::*;
+use slog::warn;
+
+use super::Owner;
+use super::worker::{FULL_PACE, Phase};
+use crate::TaskRun;
+
+/// How long a task at full speed may show no progress.
+const STALLED_AFTER: Duration = Duration::from_millis(2000);
+
+impl Owner {
+    /// Moves tasks whose progress has stopped, and counts it against their workers.
+    pub(super) fn find_stalled(&mut self, now: Instant) {
+        let mut stalled: Vec<(Name, TaskRun)> = Vec::new();
+        for (vm, worker) in &mut self.workers {
+            let is_fresh = worker
+                .lease_from
+                .is_some_and(|at| now.duration_since(at) < super::sync::SILENT_AFTER);
+            for (id, run) in &mut worker.runs {
+                if run.pace != FULL_PACE || !is_fresh {
+                    run.progressed = now;
+                }
+                let is_still = now.duration_since(run.progressed) >= STALLED_AFTER;
+                if is_still && run.phase == Phase::Running && !run.is_standing {
+                    stalled.push((Arc::clone(vm), id.clone()));
+                }
+            }
+        }
+        for (vm, id) in stalled {
+            warn!(self.log, "owner: run stands still"; "run" => %id, "vm" => %vm);
+            self.avoid(&vm, &id);
+            if let Some(worker) = self.workers.get_mut(&vm) {
+                worker.stop_run(&id);
+                worker.health.failed(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/sync.rs
@@ -0,0 +1,297 @@
+//! Reports of companions, and what they are answered.
+
+use base::prelude::*;
+use slog::{info, warn};
+
+use super::worker::{Parked, Phase, RESEND_AFTER, Worker};
+use super::{Effect, Owner, Token};
+use crate::report::{StartOrder, SyncReply, SyncReport, WorkerReport};
+use crate::{Job, TaskRun};
+
+/// How long a report is held when there is nothing to answer; sets how fresh leases are kept.
+pub(super) const HOLD: Duration = Duration::from_millis(600);
+
+/// How long a worker may be silent and still get tasks.
+pub(super) const SILENT_AFTER: Duration = Duration::from_millis(1500);
+
+/// The factor between fences of two epochs: how many lives of a worker an epoch may meet.
+const FENCES_PER_EPOCH: u64 = 1 << 20;
+
+impl Owner {
+    /// Takes a companion's report; [`Effect::Sync`] answers it.
+    pub fn sync(&mut self, now: Instant, unix_ms: u64, token: Token, report: SyncReport) {
+        if report.epoch > self.cfg.epoch {
+            self.effects.push(Effect::Sync(token, Box::default()));
+            self.effects
+                .push(Effect::StepDown("a companion knows a later owner"));
+            return;
+        }
+        let SyncReport { vm, .. } = &report;
+        let vm = Arc::clone(vm);
+        let worker = self
+            .workers
+            .entry(Arc::clone(&vm))
+            .or_insert_with(Worker::new);
+        if (report.boot, report.number) <= (worker.boot, worker.number) {
+            // Overtaken by a later report.
+            self.effects.push(Effect::Sync(token, Box::default()));
+            return;
+        }
+        (worker.boot, worker.number) = (report.boot, report.number);
+        if let Some(parked) = worker.parked.take() {
+            // An empty answer carries no lease, so that the older report extends nothing.
+            self.effects
+                .push(Effect::Sync(parked.token, Box::default()));
+        }
+        let Some(report) = report.worker else {
+            self.answer_unknown(&vm, token);
+            return;
+        };
+        if !self.take_life(now, &vm, &report) {
+            self.answer_unknown(&vm, token);
+            return;
+        }
+        self.take_report(now, unix_ms, &vm, report);
+        let Some(worker) = self.workers.get_mut(&vm) else {
+            return;
+        };
+        worker.parked = Some(Parked { token, since: now });
+        if worker.lease_from.is_none() {
+            self.commits.mark_vm(&vm);
+        }
+        worker.lease_from = Some(now);
+    }
+
+    /// Answers a companion that knows no worker, or an old life of it.
+    fn answer_unknown(&mut self, vm: &Name, token: Token) {
+        let worker = self.workers.get(vm);
+        let life = worker.and_then(|w| w.life.as_ref());
+        let reply = SyncReply {
+            epoch: self.cfg.epoch,
+            is_owner: true,
+            born: life.map(|l| l.born).unwrap_or_default(),
+            ..SyncReply::default()
+        };
+        self.effects.push(Effect::Sync(token, Box::new(reply)));
+    }
+
+    /// Takes in which life of the worker reports; tells whether it is the latest.
+    fn take_life(&mut self, now: Instant, vm: &Name, report: &WorkerReport) -> bool {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return false;
+        };
+        let known = worker.life.as_ref().map(|l| (l.born, l.id.clone()));
+        if known.as_ref().is_some_and(|(born, _)| report.born < *born) {
+            return false;
+        }
+        let is_new = known.is_none_or(|(born, id)| born != report.born || id != report.id);
+        if is_new {
+            info!(self.log, "owner: worker known";
+                "vm" => %vm, "worker" => %report.id, "born" => report.born.0,
+                "pool" => %report.pool, "capacity" => %report.capacity);
+            // Orders to an earlier life under the same id must not reach this one.
+            worker.raise_fence();
+            worker.ends = Default::default();
+            worker.health = Default::default();
+            worker.strays.clear();
+            worker.lease_from = Some(now);
+            self.is_round_due = true;
+        }
+        let was_draining = worker
+            .life
+            .as_ref()
+            .is_some_and(|l| l.draining_ms.is_some());
+        let is_leaving = report.draining_ms.is_some() && (is_new || !was_draining);
+        let was_gone = !is_new && worker.life.as_ref().is_some_and(|l| l.is_gone);
+        worker.life = Some(WorkerReport {
+            listing: None,
+            open: Vec::new(),
+            rejected: Vec::new(),
+            ..report.clone()
+        });
+        if is_new {
+            self.commits.mark_vm(vm);
+        }
+        if is_leaving {
+            info!(self.log, "owner: worker drains"; "vm" => %vm, "worker" => %report.id);
+            self.evacuate(vm);
+        }
+        if report.is_gone && !was_gone {
+            info!(self.log, "owner: worker left"; "vm" => %vm, "worker" => %report.id);
+            if let Some(worker) = self.workers.get_mut(vm) {
+                worker.inherited_until = None;
+                worker.raise_fence();
+            }
+            self.release_all(vm, "worker left");
+            self.commits.mark_vm(vm);
+        }
+        true
+    }
+
+    /// Stops standing tasks on a worker that leaves, so that they go on elsewhere early.
+    fn evacuate(&mut self, vm: &Name) {
+        if let Some(worker) = self.workers.get_mut(vm) {
+            let standing: Vec<TaskRun> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.is_standing)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in standing {
+                worker.stop_run(&id);
+            }
+        }
+    }
+
+    /// Takes in what the worker runs and what has ended there.
+    fn take_report(&mut self, now: Instant, unix_ms: u64, vm: &Name, report: WorkerReport) {
+        let fence = self.fence(vm);
+        for rejected in &report.rejected {
+            self.take_reject(now, vm, rejected);
+        }
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.noted_rejects = report.rejected.into_iter().map(|r| r.run).collect();
+        }
+        let Some(listing) = report.listing.filter(|l| l.fence == fence) else {
+            return;
+        };
+        let is_first = self.workers.get(vm).is_some_and(|w| !w.is_adopted);
+        self.take_ends(now, unix_ms, vm, &listing.ends);
+        self.take_running(now, vm, &listing.running, &report.open, is_first);
+        if is_first {
+            self.adopted(vm, &listing, &report.open);
+        }
+    }
+
+    /// Returns the fence of orders to the worker's present life.
+    fn fence(&self, vm: &Name) -> u64 {
+        let step = self.workers.get(vm).map_or(0, |w| w.fence_step);
+        self.cfg.epoch.0 * FENCES_PER_EPOCH + step
+    }
+
+    /// Answers the reports that have been held long enough or that bring orders.
+    pub(super) fn answer_syncs(&mut self, now: Instant) {
+        let vms: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.parked.is_some())
+            .map(|(vm, _)| Arc::clone(vm))
+            .collect();
+        for vm in vms {
+            let fence = self.fence(&vm);
+            self.answer_sync(now, &vm, fence);
+        }
+    }
+
+    fn answer_sync(&mut self, now: Instant, vm: &Name, fence: u64) {
+        let epoch = self.cfg.epoch;
+        let lease = self.cfg.worker_lease;
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        let orders = Orders::of(worker, &self.jobs, now);
+        let has_news = !orders.is_empty() || !worker.noted_rejects.is_empty();
+        let is_first = !worker.is_adopted;
+        let Some(parked) = worker.parked.as_ref() else {
+            return;
+        };
+        if !has_news && !is_first && now.duration_since(parked.since) < HOLD {
+            return;
+        }
+        let token = parked.token;
+        orders.mark_sent(worker, now);
+        worker.parked = None;
+        let reply = SyncReply {
+            epoch,
+            is_owner: true,
+            fence,
+            born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
+            lease_ms: Some(u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)),
+            stored_ends: worker.ends.stored,
+            noted_rejects: std::mem::take(&mut worker.noted_rejects),
+            starts: orders.starts,
+            stops: orders.stops,
+            paces: orders.paces,
+        };
+        if !reply.stops.is_empty() {
+            let stops = reply.stops.len();
+            warn!(self.log, "owner: stops ordered"; "vm" => %vm, "runs" => stops);
+        }
+        self.effects.push(Effect::Sync(token, Box::new(reply)));
+    }
+}
+
+/// The orders that a worker has to get.
+#[derive(Debug, Default)]
+struct Orders {
+    starts: Vec<StartOrder>,
+    stops: Vec<TaskRun>,
+    paces: Vec<(TaskRun, u32)>,
+}
+
+impl Orders {
+    fn of(worker: &Worker, jobs: &IndexMap<JobId, Job>, now: Instant) -> Self {
+        let is_due =
+            |sent: &Option<Instant>| sent.is_none_or(|at| now.duration_since(at) >= RESEND_AFTER);
+        let mut orders = Self::default();
+        if !worker.is_adopted {
+            return orders;
+        }
+        for (id, run) in &worker.runs {
+            match &run.phase {
+                Phase::Ordered { sent, is_taken } if !is_taken && is_due(sent) => {
+                    orders.starts.extend(start_order(id, run, jobs));
+                }
+                Phase::Stopping { sent } if is_due(sent) => orders.stops.push(id.clone()),
+                _ => {}
+            }
+            if run.pace_due(now) {
+                orders.paces.push((id.clone(), run.pace));
+            }
+        }
+        orders.stops.extend(worker.strays.iter().cloned());
+        orders
+    }
+
+    fn is_empty(&self) -> bool {
+        self.starts.is_empty() && self.stops.is_empty() && self.paces.is_empty()
+    }
+
+    fn mark_sent(&self, worker: &mut Worker, now: Instant) {
+        for order in &self.starts {
+            if let Some(run) = worker.runs.get_mut(&order.run)
+                && let Phase::Ordered { sent, .. } = &mut run.phase
+            {
+                *sent = Some(now);
+            }
+        }
+        for id in &self.stops {
+            if let Some(run) = worker.runs.get_mut(id)
+                && let Phase::Stopping { sent } = &mut run.phase
+            {
+                *sent = Some(now);
+            }
+        }
+        for (id, _) in &self.paces {
+            if let Some(run) = worker.runs.get_mut(id) {
+                run.pace_sent = Some((run.pace, now));
+            }
+        }
+        worker.strays.clear();
+    }
+}
+
+fn start_order(
+    id: &TaskRun,
+    run: &super::worker::Run,
+    jobs: &IndexMap<JobId, Job>,
+) -> Option<StartOrder> {
+    let job = jobs.get(&id.task.job)?;
+    let (_, position) = job.find(&id.task)?;
+    Some(StartOrder {
+        run: id.clone(),
+        payload: Arc::clone(&job.record.spec.payload),
+        checkpoint: job.tasks[position].checkpoint.clone(),
+        ticket: run.ticket.clone(),
+    })
+}
--- /dev/null
+++ b/crates/jobs/src/owner/takeover.rs
@@ -0,0 +1,129 @@
+//! What a new owner reads from the store.
+
+use base::prelude::*;
+use ports::store::KeyValue;
+use slog::{info, warn};
+
+use super::Owner;
+use super::worker::{Worker, lease_bound};
+use crate::progress::decode;
+use crate::{Job, JobRecord, JobState, Progress, WorkerRecord};
+
+/// What the keys of job records begin with.
+pub const JOB_PREFIX: &str = "mt/job/";
+
+/// What the keys of jobs' progress begin with.
+pub const PROGRESS_PREFIX: &str = "mt/progress/";
+
+/// What the keys of workers that may hold tasks begin with.
+pub const VM_PREFIX: &str = "mt/vm/";
+
+impl Owner {
+    /// Takes in what the store held when this owner's epoch began.
+    pub fn load(
+        &mut self,
+        now: Instant,
+        jobs: &[KeyValue],
+        progress: &[KeyValue],
+        vms: &[KeyValue],
+    ) {
+        for item in jobs {
+            match decode::<JobRecord>(&item.key, &item.value) {
+                Ok(record) => self.load_job(now, item, record),
+                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
+            }
+        }
+        for item in progress {
+            match decode::<Progress>(&item.key, &item.value) {
+                Ok(progress) => self.load_progress(item, progress),
+                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
+            }
+        }
+        let until = now + self.cfg.predecessor_grace + lease_bound(self.cfg.worker_lease);
+        for item in vms {
+            match decode::<WorkerRecord>(&item.key, &item.value) {
+                Ok(record) => self.load_vm(until, item, record),
+                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
+            }
+        }
+        info!(self.log, "owner: took over";
+            "epoch" => self.cfg.epoch.0, "jobs" => self.jobs.len(),
+            "active" => self.active.len(), "workers" => self.workers.len());
+    }
+
+    fn load_job(&mut self, now: Instant, item: &KeyValue, record: JobRecord) {
+        let id = JobId::from(item.key.strip_prefix(JOB_PREFIX).unwrap_or(&item.key));
+        let mut job = Job::new(id.clone(), record, now);
+        job.is_inherited = true;
+        job.stored.record = Some(item.revision);
+        self.active.insert(id.clone());
+        self.jobs.insert(id, job);
+    }
+
+    fn load_progress(&mut self, item: &KeyValue, progress: Progress) {
+        let id = JobId::from(item.key.strip_prefix(PROGRESS_PREFIX).unwrap_or(&item.key));
+        let Some(job) = self.jobs.get_mut(&id) else {
+            warn!(self.log, "owner: progress without a job ignored"; "job" => %id);
+            return;
+        };
+        job.restore(progress, item.revision);
+        if job.state.has_ended() {
+            self.active.swap_remove(&id);
+        } else if job.state == JobState::Queued && job.tasks.iter().any(|t| t.is_done) {
+            job.state = JobState::Running;
+        }
+    }
+
+    fn load_vm(&mut self, until: Instant, item: &KeyValue, record: WorkerRecord) {
+        let vm: Name = item.key.strip_prefix(VM_PREFIX).unwrap_or(&item.key).into();
+        let mut worker = Worker::new();
+        worker.inherited_until = Some(until);
+        worker.roster.record = Some(record);
+        worker.roster.revision = item.revision;
+        self.workers.insert(vm, worker);
+    }
+
+    /// Tells whether a worker may run tasks that this owner does not know of.
+    pub(super) fn has_unheard(&self) -> bool {
+        self.workers
+            .values()
+            .any(|w| w.inherited_until.is_some() && !w.is_adopted)
+    }
+
+    /// Drops what workers ran whose leases have lapsed.
+    pub(super) fn expire_workers(&mut self, now: Instant) {
+        let lapsed: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| {
+                w.lapses_at(self.cfg.worker_lease)
+                    .is_some_and(|at| at <= now)
+            })
+            .map(|(vm, _)| Arc::clone(vm))
+            .collect();
+        for vm in lapsed {
+            self.expire(&vm);
+        }
+        let has_unheard = self.has_unheard();
+        if self.had_unheard && !has_unheard {
+            info!(
+                self.log,
+                "owner: all workers of the predecessor are heard or lapsed"
+            );
+            self.is_round_due = true;
+        }
+        self.had_unheard = has_unheard;
+    }
+
+    fn expire(&mut self, vm: &Name) {
+        warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm);
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.lease_from = None;
+            worker.inherited_until = None;
+            worker.raise_fence();
+            worker.strays.clear();
+            self.commits.mark_vm(vm);
+        }
+        self.release_all(vm, "lease lapsed");
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/progress.rs
@@ -0,0 +1,67 @@
+//! What the store keeps of jobs and workers.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobSpec, JobState, RouteTerms};
+
+/// A job as it was accepted; never changes.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The job.
+    pub spec: JobSpec,
+    /// What its route asked.
+    pub terms: RouteTerms,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+}
+
+/// How far a job has come.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Progress {
+    /// Its state.
+    pub state: JobState,
+    /// Its tasks that differ from new ones, by position.
+    pub tasks: Vec<(u32, TaskProgress)>,
+    /// When it ended, in milliseconds since the Unix epoch.
+    pub ended_unix_ms: Option<u64>,
+}
+
+/// How far a task has come.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// Whether its work is done.
+    pub is_done: bool,
+    /// How often it failed.
+    pub failures: u32,
+    /// Its last stored checkpoint.
+    pub checkpoint: Option<Name>,
+}
+
+/// A life of a worker that may hold tasks.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// The worker's id.
+    pub id: WorkerId,
+    /// When the life began, in milliseconds since the Unix epoch.
+    pub born: Incarnation,
+}
+
+/// Encodes a record for the store.
+pub(crate) fn encode<T: Serialize>(record: &T) -> Result<Arc<[u8]>> {
+    postcard::to_stdvec(record)
+        .map(Arc::from)
+        .map_err(|e| Error::new(ErrorKind::Internal, "encode record", "store", e.to_string()))
+}
+
+/// Decodes a record from the store.
+pub(crate) fn decode<T: for<'de> Deserialize<'de>>(key: &str, bytes: &[u8]) -> Result<T> {
+    postcard::from_bytes(bytes).map_err(|e| {
+        let message = format!("{key}: {e}");
+        Error::new(ErrorKind::Malformed, "decode record", "store", message)
+    })
+}
--- /dev/null
+++ b/crates/lead/src/cfg.rs
@@ -0,0 +1,77 @@
+//! The settings of an entry.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+/// How many callers are served at once: some tens of clients share an entry.
+const FRONT_THREADS: usize = 48;
+
+/// How long the owner's key outlives its last renewal: twice the longest answer of a slow store,
+/// several times over.
+const OWNER_LEASE: Duration = Duration::from_secs(2);
+
+/// How long the owner goes on, beyond its lease, while the store does not answer. With the
+/// workers' leases it outlasts the store's usual outages of four to five seconds twice over.
+const OUTAGE_GRACE: Duration = Duration::from_secs(3);
+
+/// How long workers run tasks after a report that was answered: outlasts an election.
+const WORKER_LEASE: Duration = Duration::from_millis(4500);
+
+/// The share of the longest lease that workers grant which is used at most, in percent.
+const WORKER_LEASE_SHARE: u32 = 75;
+
+/// What an entry needs to know.
+#[derive(Clone, Debug)]
+pub struct LeadCfg {
+    /// The entry's name.
+    pub name: Name,
+    /// Where callers are served.
+    pub front_addr: SocketAddr,
+    /// Where readiness is told.
+    pub ready_addr: SocketAddr,
+    /// Where companions and other entries are served.
+    pub rpc_addr: SocketAddr,
+    /// How many callers are served at once.
+    pub threads: usize,
+    /// How long the owner's key outlives its last renewal.
+    pub owner_lease: Duration,
+    /// How long the owner goes on, beyond its lease, while the store does not answer.
+    pub outage_grace: Duration,
+    /// How long workers run tasks after a report that was answered.
+    pub worker_lease: Duration,
+    /// How long states of ended jobs are told.
+    pub retention: Duration,
+}
+
+impl LeadCfg {
+    /// Creates settings with the usual times.
+    pub fn new(
+        name: Name,
+        front_addr: SocketAddr,
+        ready_addr: SocketAddr,
+        rpc_addr: SocketAddr,
+        retention: Duration,
+    ) -> Self {
+        Self {
+            name,
+            front_addr,
+            ready_addr,
+            rpc_addr,
+            threads: FRONT_THREADS,
+            owner_lease: OWNER_LEASE,
+            outage_grace: OUTAGE_GRACE,
+            worker_lease: WORKER_LEASE,
+            retention,
+        }
+    }
+
+    /// Keeps within what the store and the workers grant.
+    #[must_use]
+    pub fn within(mut self, min_store_lease: Duration, max_worker_lease: Duration) -> Self {
+        self.owner_lease = self.owner_lease.max(min_store_lease);
+        let longest = max_worker_lease * WORKER_LEASE_SHARE / 100;
+        self.worker_lease = self.worker_lease.min(longest);
+        self
+    }
+}
--- /dev/null
+++ b/crates/lead/src/node.rs
@@ -0,0 +1,449 @@
+//! The actor of an entry: takes part in the election, and owns the jobs while elected.
+
+use std::time::SystemTime;
+
+use base::prelude::*;
+use crossbeam_channel::Sender;
+use host::KeySeen;
+use jobs::owner::{JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
+use jobs::report::{SyncReply, SyncReport};
+use jobs::{Ask, Effect, Owner, OwnerCfg, Token, Told};
+use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::{Logger, info, warn};
+use stakker::{ActorOwn, CX, FixedTimerKey, Stakker, actor, call, ret_nop};
+use wire::Reply;
+
+use crate::elector::{Change, Elector, ElectorCfg};
+use crate::{Event, StoreToken};
+
+/// The most that a claim is delayed, so that entries do not all claim at once.
+const CLAIM_JITTER: Duration = Duration::from_millis(60);
+
+/// When callers come back while no entry owns the jobs: about how long an election takes.
+const ELECTION_RETRY: Duration = Duration::from_secs(1);
+
+/// How often a load of the store is tried again.
+const LOAD_RETRY: Duration = Duration::from_millis(200);
+
+/// The largest number of keys that a load reads under one prefix.
+const LOAD_LIMIT: usize = usize::MAX;
+
+/// What an entry's actor needs to know.
+#[derive(Clone, Debug)]
+pub struct NodeCfg {
+    /// The election.
+    pub elector: ElectorCfg,
+    /// How long workers run tasks after a report that was answered.
+    pub worker_lease: Duration,
+    /// How long states of ended jobs are told.
+    pub retention: Duration,
+}
+
+/// The outside of an entry, as its actor sees it.
+pub trait Ports: Send + Sync + std::fmt::Debug {
+    /// Makes a store call; [`Event::Store`] with the token follows.
+    fn store(&self, token: StoreToken, call: StoreCall);
+
+    /// Asks the owner and passes its answer on.
+    fn forward(&self, to: std::net::SocketAddr, ask: Ask, patience: Duration, reply: Reply<Told>);
+}
+
+type Clocks = (Instant, SystemTime);
+
+/// What a new owner has loaded so far.
+#[derive(Debug)]
+struct Load {
+    epoch: Epoch,
+    revision: Revision,
+    parts: [Option<Vec<KeyValue>>; 3],
+}
+
+const LOADED: [&str; 3] = [JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX];
+
+/// The actor's state.
+struct Lead {
+    cfg: NodeCfg,
+    clock: Arc<dyn Clock>,
+    ports: Arc<dyn Ports>,
+    log: Logger,
+    rng: SmallRng,
+    elector: Elector,
+    election_sent: Option<Clocks>,
+    load: Option<Load>,
+    owner: Option<Owner>,
+    callers: IndexMap<Token, Reply<Told>>,
+    companions: IndexMap<Token, Reply<SyncReply>>,
+    lookers: IndexMap<u64, Token>,
+    next: u64,
+    timer: FixedTimerKey,
+}
+
+impl Lead {
+    fn init(
+        cx: CX![],
+        cfg: NodeCfg,
+        clock: Arc<dyn Clock>,
+        ports: Arc<dyn Ports>,
+        log: Logger,
+        seed: u64,
+    ) -> Option<Self> {
+        call!([cx], run());
+        Some(Self {
+            elector: Elector::new(cfg.elector.clone()),
+            cfg,
+            clock,
+            ports,
+            log,
+            rng: SmallRng::seed_from_u64(seed),
+            election_sent: None,
+            load: None,
+            owner: None,
+            callers: IndexMap::new(),
+            companions: IndexMap::new(),
+            lookers: IndexMap::new(),
+            next: 0,
+            timer: FixedTimerKey::default(),
+        })
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn token(&mut self) -> Token {
+        self.next += 1;
+        Token(self.next)
+    }
+
+    /// Does what is due and sets the timer for what comes next.
+    fn run(&mut self, cx: CX![]) {
+        let (now, wall) = (cx.now(), self.clock.wall());
+        if self.election_sent.is_none() {
+            let nonce = Nonce(self.rng.random());
+            if let Some(step) = self.elector.run(now, wall, nonce) {
+                self.election_call(now, wall, step);
+            }
+        }
+        let may_lead = self.elector.may_lead(now, wall);
+        if let Some(owner) = self.owner.as_mut() {
+            let effects = if may_lead {
+                owner.run(now, unix_ms(wall))
+            } else {
+                owner.pause()
+            };
+            self.carry_out(cx, effects);
+        }
+        let due = [
+            self.elector.next_due(),
+            self.owner.as_ref().map(|o| o.next_due(now)),
+        ];
+        let due = due.into_iter().flatten().min();
+        cx.timer_del(self.timer);
+        if let Some(due) = due {
+            // A due time in the past must not spin the loop.
+            let due = due.max(now + Duration::from_millis(1));
+            self.timer = stakker::at!(due, [cx], run());
+        }
+    }
+
+    fn election_call(&mut self, now: Instant, wall: SystemTime, step: StoreCall) {
+        self.election_sent = Some((now, wall));
+        self.ports.store(StoreToken::Election, step);
+    }
+
+    fn event(&mut self, cx: CX![], event: Event) {
+        let now = cx.now();
+        match event {
+            Event::Caller(ask, patience, reply) => self.caller(now, *ask, patience, reply),
+            Event::Forwarded(ask, reply) => self.own(now, *ask, reply),
+            Event::Sync(report, reply) => self.sync(now, *report, reply),
+            Event::OwnerKey(KeySeen::Is(kv)) => self.key_seen(cx, kv.as_ref()),
+            Event::OwnerKey(KeySeen::Unreached(e)) => {
+                warn!(self.log, "entry: owner key not read"; "error" => %e);
+            }
+            Event::Store(token, reply) => self.store_reply(cx, token, reply),
+            Event::Resign => self.resign(cx),
+        }
+        self.run(cx);
+    }
+
+    /// Serves a caller of this entry, here or at the owner.
+    fn caller(&mut self, now: Instant, ask: Ask, patience: Duration, reply: Reply<Told>) {
+        if self.owner.is_some() {
+            self.own(now, ask, reply);
+            return;
+        }
+        match self.elector.owner() {
+            Some(owner) if owner.name != self.cfg.elector.me.name => {
+                self.ports.forward(owner.addr, ask, patience, reply);
+            }
+            _ => reply.send(no_owner()),
+        }
+    }
+
+    /// Serves what is asked of the owner.
+    fn own(&mut self, now: Instant, ask: Ask, reply: Reply<Told>) {
+        let may_lead = self.elector.may_lead(now, self.clock.wall());
+        let (token, unix_ms) = (self.token(), self.unix_ms());
+        match self.owner.as_mut().filter(|_| may_lead) {
+            Some(owner) => {
+                self.callers.insert(token, reply);
+                owner.ask(now, unix_ms, token, ask);
+            }
+            None => reply.send(no_owner()),
+        }
+    }
+
+    fn sync(&mut self, now: Instant, report: SyncReport, reply: Reply<SyncReply>) {
+        let may_lead = self.elector.may_lead(now, self.clock.wall());
+        let (token, unix_ms) = (self.token(), self.unix_ms());
+        match self.owner.as_mut().filter(|_| may_lead) {
+            Some(owner) => {
+                self.companions.insert(token, reply);
+                owner.sync(now, unix_ms, token, report);
+            }
+            None => reply.send(SyncReply::default()),
+        }
+    }
+
+    fn key_seen(&mut self, cx: CX![], kv: Option<&KeyValue>) {
+        let jitter = self.rng.random_range(Duration::ZERO..CLAIM_JITTER);
+        let before = self.elector.owner().cloned();
+        let change = self.elector.key_seen(cx.now(), jitter, kv);
+        let after = self.elector.owner();
+        if before.as_ref() != after {
+            info!(self.log, "entry: owner seen";
+                "owner" => after.map(|o| o.name.to_string()), "epoch" => after.map(|o| o.epoch.0));
+        }
+        self.changed(cx, change);
+    }
+
+    fn store_reply(&mut self, cx: CX![], token: StoreToken, reply: Result<StoreReply>) {
+        let now = cx.now();
+        match token {
+            StoreToken::Election => self.election_reply(cx, reply),
+            StoreToken::Commit(id) => {
+                if let Some(owner) = self.owner.as_mut() {
+                    owner.store_reply(now, id, reply);
+                }
+            }
+            StoreToken::Load(epoch, part) => self.loaded(cx, epoch, part, reply),
+            StoreToken::Look(id) => self.looked(id, reply),
+        }
+    }
+
+    fn election_reply(&mut self, cx: CX![], reply: Result<StoreReply>) {
+        let (now, wall) = (cx.now(), self.clock.wall());
+        if let Err(e) = &reply {
+            warn!(self.log, "entry: election call failed"; "error" => %e);
+        }
+        let is_reached = reply
+            .as_ref()
+            .map_or_else(|e| e.kind() == ErrorKind::Refused, |_| true);
+        if let Some(owner) = self.owner.as_mut() {
+            owner.store_reached(now, is_reached);
+        }
+        let sent = self.election_sent.take().unwrap_or((now, wall));
+        let (next, change) = self.elector.reply(now, sent, reply);
+        if let Some(next) = next {
+            self.election_call(now, wall, next);
+        }
+        self.changed(cx, change);
+    }
+
+    fn changed(&mut self, cx: CX![], change: Option<Change>) {
+        match change {
+            Some(Change::Elected { epoch, revision }) => {
+                info!(self.log, "entry: elected"; "epoch" => epoch.0);
+                self.load = Some(Load {
+                    epoch,
+                    revision,
+                    parts: [None, None, None],
+                });
+                (0..LOADED.len()).for_each(|part| self.load_part(epoch, part));
+            }
+            Some(Change::Deposed(why)) => self.step_down(cx, why),
+            None => {}
+        }
+    }
+
+    fn load_part(&self, epoch: Epoch, part: usize) {
+        let call = StoreCall::List {
+            prefix: LOADED[part].into(),
+            after: None,
+            limit: LOAD_LIMIT,
+        };
+        self.ports.store(StoreToken::Load(epoch, part), call);
+    }
+
+    fn loaded(&mut self, cx: CX![], epoch: Epoch, part: usize, reply: Result<StoreReply>) {
+        let Some(load) = self.load.as_mut().filter(|l| l.epoch == epoch) else {
+            return;
+        };
+        match reply {
+            Ok(StoreReply::Listed(items)) => load.parts[part] = Some(items),
+            Ok(_) => warn!(self.log, "entry: unexpected reply to a load"),
+            Err(e) => {
+                warn!(self.log, "entry: load failed"; "error" => %e);
+                stakker::after!(LOAD_RETRY, [cx], load_again(epoch, part));
+            }
+        }
+        self.begin_to_own(cx);
+    }
+
+    fn load_again(&mut self, _cx: CX![], epoch: Epoch, part: usize) {
+        if self.load.as_ref().is_some_and(|l| l.epoch == epoch) {
+            self.load_part(epoch, part);
+        }
+    }
+
+    /// Owns the jobs once all is loaded.
+    fn begin_to_own(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let is_complete = |l: &Load| l.parts.iter().all(Option::is_some);
+        if !self.load.as_ref().is_some_and(is_complete) {
+            return;
+        }
+        let Some(load) = self.load.take() else {
+            return;
+        };
+        let elector = &self.cfg.elector;
+        let cfg = OwnerCfg {
+            epoch: load.epoch,
+            owner_key: OWNER_KEY.into(),
+            owner_revision: load.revision,
+            worker_lease: self.cfg.worker_lease,
+            predecessor_grace: elector.lease + elector.outage_grace,
+            retention: self.cfg.retention,
+        };
+        let mut owner = Owner::new(cfg, self.log.clone());
+        let [jobs, progress, vms] = load.parts.map(Option::unwrap_or_default);
+        owner.load(now, &jobs, &progress, &vms);
+        self.owner = Some(owner);
+    }
+
+    /// Answers a caller who asked for a job that was not known.
+    fn looked(&mut self, id: u64, reply: Result<StoreReply>) {
+        let Some(token) = self.lookers.swap_remove(&id) else {
+            return;
+        };
+        let told = match reply {
+            Ok(StoreReply::Got(None)) => Told::Gone,
+            Ok(_) => Told::refused("the job is not loaded", ELECTION_RETRY),
+            Err(e) => {
+                warn!(self.log, "entry: look failed"; "error" => %e);
+                Told::refused("the store is out of reach", ELECTION_RETRY)
+            }
+        };
+        self.tell(token, told);
+    }
+
+    fn tell(&mut self, token: Token, told: Told) {
+        if let Some(reply) = self.callers.swap_remove(&token) {
+            reply.send(told);
+        }
+    }
+
+    fn carry_out(&mut self, cx: CX![], effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Tell(token, told) => self.tell(token, told),
+                Effect::Sync(token, answer) => {
+                    if let Some(reply) = self.companions.swap_remove(&token) {
+                        reply.send(*answer);
+                    }
+                }
+                Effect::Store(id, call) => self.ports.store(StoreToken::Commit(id), call),
+                Effect::Look(token, job) => {
+                    self.next += 1;
+                    let id = self.next;
+                    self.lookers.insert(id, token);
+                    let key = format!("{JOB_PREFIX}{job}").into();
+                    self.ports
+                        .store(StoreToken::Look(id), StoreCall::Get { key });
+                }
+                Effect::StepDown(why) => {
+                    self.elector.depose(cx.now());
+                    self.step_down(cx, why);
+                }
+            }
+        }
+    }
+
+    fn step_down(&mut self, cx: CX![], why: &'static str) {
+        self.load = None;
+        let Some(owner) = self.owner.take() else {
+            return;
+        };
+        warn!(self.log, "entry: no longer the owner"; "epoch" => owner.epoch().0, "why" => why);
+        let effects = owner.step_down();
+        self.carry_out(cx, effects);
+    }
+
+    fn resign(&mut self, cx: CX![]) {
+        if let Some(step) = self.elector.resign() {
+            self.step_down(cx, "the process stops");
+            self.election_call(cx.now(), self.clock.wall(), step);
+        }
+    }
+}
+
+fn unix_ms(wall: SystemTime) -> u64 {
+    let since = wall.duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn no_owner() -> Told {
+    Told::refused("no entry owns the jobs", ELECTION_RETRY)
+}
+
+/// The actor of one entry in a deterministic runtime, whose time is passed in.
+pub struct Node {
+    stakker: Stakker,
+    lead: ActorOwn<Lead>,
+}
+
+impl Node {
+    /// Creates the actor; the same seed and the same events make the same decisions.
+    pub fn new(
+        cfg: NodeCfg,
+        clock: Arc<dyn Clock>,
+        ports: Arc<dyn Ports>,
+        log: Logger,
+        seed: u64,
+    ) -> Self {
+        let mut stakker = Stakker::new(clock.now());
+        let s = &mut stakker;
+        let lead = actor!(s, Lead::init(cfg, clock, ports, log, seed), ret_nop!());
+        Self { stakker, lead }
+    }
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Node")
+    }
+}
+
+impl host::Actors for Node {
+    type Event = Event;
+
+    fn deliver(&mut self, event: Event) {
+        call!([self.lead], event(event));
+    }
+
+    fn run(&mut self, now: Instant) {
+        self.stakker.run(now, false);
+    }
+
+    fn next_due(&mut self) -> Option<Instant> {
+        self.stakker.next_expiry()
+    }
+}
+
+/// Sends events into an actor from threads.
+pub(crate) type Events = Sender<Event>;
--- /dev/null
+++ b/crates/lead/src/rpc.rs
@@ -0,0 +1,44 @@
+//! The calls that an entry takes from companions and other entries.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use host::RpcLimits;
+use jobs::report::{SyncReply, SyncReport};
+use jobs::{Ask, Told};
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::ServerHandle;
+use wire::OwnerApiServer;
+
+use crate::Event;
+use crate::node::Events;
+
+/// The largest message: a worker's list of some thousand runs.
+const MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
+
+/// How many connections are open at once: two for each companion, some for each entry.
+const CONNECTIONS: u32 = 2600;
+
+struct Api {
+    events: Events,
+}
+
+/// Starts the server of control calls.
+pub(crate) async fn serve(addr: SocketAddr, events: Events) -> Result<(SocketAddr, ServerHandle)> {
+    let limits = RpcLimits {
+        message_bytes: MESSAGE_BYTES,
+        connections: CONNECTIONS,
+    };
+    host::serve_rpc(addr, limits, None, Api { events }.into_rpc()).await
+}
+
+#[async_trait]
+impl OwnerApiServer for Api {
+    async fn sync(&self, report: SyncReport) -> RpcResult<SyncReply> {
+        host::ask(&self.events, |reply| Event::Sync(Box::new(report), reply)).await
+    }
+
+    async fn ask(&self, ask: Ask) -> RpcResult<Told> {
+        host::ask(&self.events, |reply| Event::Forwarded(Box::new(ask), reply)).await
+    }
+}
--- /dev/null
+++ b/crates/lead/src/store_pool.rs
@@ -0,0 +1,53 @@
+//! Threads that make store calls.
+
+use base::prelude::*;
+use crossbeam_channel::{Sender, unbounded};
+use ports::store::{Store, StoreCall, StoreReply};
+
+use crate::StoreToken;
+
+/// How many calls are made at once.
+const THREADS: usize = 4;
+
+/// Makes store calls on a few threads and hands the replies to a sink.
+#[derive(Clone, Debug)]
+pub(crate) struct StorePool {
+    urgent: Sender<(StoreToken, StoreCall)>,
+    common: Sender<(StoreToken, StoreCall)>,
+}
+
+impl StorePool {
+    pub(crate) fn start(
+        store: &Arc<dyn Store>,
+        sink: impl Fn(StoreToken, Result<StoreReply>) + Send + Sync + 'static,
+    ) -> Self {
+        let sink = Arc::new(sink);
+        let spawn = |threads: usize| {
+            let (tx, rx) = unbounded::<(StoreToken, StoreCall)>();
+            for _ in 0..threads {
+                let (rx, store, sink) = (rx.clone(), Arc::clone(store), Arc::clone(&sink));
+                std::thread::spawn(move || {
+                    for (token, call) in rx {
+                        sink(token, store.call(&call));
+                    }
+                });
+            }
+            tx
+        };
+        Self {
+            // The election has a thread of its own, so that no slow commit costs the lease.
+            urgent: spawn(1),
+            common: spawn(THREADS),
+        }
+    }
+
+    /// Queues a call.
+    pub(crate) fn submit(&self, token: StoreToken, call: StoreCall) {
+        let queue = match token {
+            StoreToken::Election => &self.urgent,
+            _ => &self.common,
+        };
+        // The threads end only with the process.
+        drop(queue.send((token, call)));
+    }
+}
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -23,8 +23,12 @@
     base: String,
     timeout: Duration,
     agent: Mutex<Agent>,
+    accepted: &'static [u16],
 }
 
+/// Statuses that are answers, whichever server gives them.
+const ANSWERS: [u16; 4] = [200, 404, 409, 410];
+
 impl Client {
     /// Creates a client whose calls last at most `timeout`.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
@@ -33,9 +37,17 @@
             base: format!("http://{addr}"),
             timeout,
             agent: Mutex::new(new_agent(timeout)),
+            accepted: &[],
         }
     }
 
+    /// Takes further statuses as answers that the caller understands.
+    #[must_use]
+    pub fn accepting(mut self, statuses: &'static [u16]) -> Self {
+        self.accepted = statuses;
+        self
+    }
+
     /// Returns the URI of `path`, which may hold a query.
     pub fn uri(&self, path: &str) -> String {
         format!("{}{path}", self.base)
@@ -74,8 +86,9 @@
         step: &'static str,
         resp: Response<Vec<u8>>,
     ) -> Result<Response<Vec<u8>>> {
-        let kind = match resp.status().as_u16() {
-            200 | 404 | 409 | 410 => return Ok(resp),
+        let status = resp.status().as_u16();
+        let kind = match status {
+            _ if ANSWERS.contains(&status) || self.accepted.contains(&status) => return Ok(resp),
             429 | 503 => ErrorKind::Overloaded,
             400 | 413 => ErrorKind::Refused,
             _ => ErrorKind::Interrupted,
--- a/crates/ports/src/http_store.rs
+++ b/crates/ports/src/http_store.rs
@@ -8,7 +8,7 @@
 
 use crate::client::Client;
 use crate::protocol::{
-    ESCAPED, KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, WATCH_PATH, format_expect,
+    ESCAPED, KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, TXN_PATH, WATCH_PATH, format_expect,
 };
 use crate::store::{KeyValue, LeaseId, Store, StoreCall, StoreReply};
 
@@ -37,6 +37,7 @@
                     current: self.conflicting(call, key, resp)?,
                 })
             }
+            StoreCall::Txn { .. } if status == 409 => self.body(call, &resp),
             _ if status == 410 => Ok(StoreReply::LeaseGone),
             StoreCall::List { .. } | StoreCall::Watch { .. } => self.body(call, &resp),
             StoreCall::LeaseGrant { .. } | StoreCall::LeaseRenew { .. } => self.leased(call, &resp),
@@ -106,7 +107,7 @@
         let req = Request::builder()
             .method(method(call))
             .uri(self.client.uri(&path(call)))
-            .body(body(call))
+            .body(body(call)?)
             .map_err(|e| {
                 self.client
                     .error(ErrorKind::Invalid, call.kind(), e.to_string())
@@ -124,7 +125,7 @@
     match call {
         StoreCall::Get { .. } | StoreCall::List { .. } | StoreCall::Watch { .. } => Method::GET,
         StoreCall::Put { .. } | StoreCall::LeaseRenew { .. } => Method::PUT,
-        StoreCall::LeaseGrant { .. } => Method::POST,
+        StoreCall::Txn { .. } | StoreCall::LeaseGrant { .. } => Method::POST,
         StoreCall::Delete { .. }
         | StoreCall::DeleteRange { .. }
         | StoreCall::LeaseRevoke { .. } => Method::DELETE,
@@ -165,6 +166,7 @@
         StoreCall::DeleteRange { from, to } => {
             format!("{KV_PATH}?from={}&to={}", escape(from), escape(to))
         }
+        StoreCall::Txn { .. } => TXN_PATH.to_owned(),
         StoreCall::LeaseGrant { ttl } => format!("{LEASES_PATH}?ttl_ms={}", ttl.as_millis()),
         StoreCall::LeaseRenew { lease } | StoreCall::LeaseRevoke { lease } => {
             format!("{LEASES_PATH}/{lease}")
@@ -181,10 +183,16 @@
     }
 }
 
-fn body(call: &StoreCall) -> Vec<u8> {
+fn body(call: &StoreCall) -> Result<Vec<u8>> {
     match call {
-        StoreCall::Put { value, .. } => value.to_vec(),
-        _ => Vec::new(),
+        StoreCall::Put { value, .. } => Ok(value.to_vec()),
+        StoreCall::Txn {
+            expected,
+            writes,
+            deletes,
+        } => postcard::to_stdvec(&(expected, writes, deletes))
+            .map_err(|e| Error::new(ErrorKind::Invalid, call.kind(), "store", e.to_string())),
+        _ => Ok(Vec::new()),
     }
 }
 
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -1,4 +1,4 @@
-//! Ports to the platform's store and workers, with their HTTP adapters.
+//! Ports to the store and to workers, with HTTP adapters of this project's own protocol.
 
 mod client;
 mod http_store;
@@ -8,6 +8,7 @@
 pub mod store;
 pub mod worker;
 
+pub use client::Client;
 pub use http_store::HttpStore;
 pub use http_worker::HttpWorker;
 pub use resolver::ip_agent;
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -9,6 +9,7 @@
 //! | put | `PUT /v1/kv/KEY?expect=E&lease=L`, raw value | 200, 409 with what is there, 410 |
 //! | delete | `DELETE /v1/kv/KEY?expect=E` | 200, or 409 with what is there |
 //! | range delete | `DELETE /v1/kv?from=A&to=B` | 200 |
+//! | transaction | `POST /v1/txn`, `postcard` of rows expected, written, deleted | 200, 409 with a [`Conflicts`](crate::store::StoreReply::Conflicts), 410 |
 //! | lease grant | `POST /v1/leases?ttl_ms=N` | 200 |
 //! | lease renewal | `PUT /v1/leases/L` | 200, or 410 |
 //! | lease end | `DELETE /v1/leases/L` | 200, or 410 |
@@ -46,6 +47,9 @@
 /// The path under which leases live.
 pub const LEASES_PATH: &str = "/v1/leases";
 
+/// The path of transactions.
+pub const TXN_PATH: &str = "/v1/txn";
+
 /// The path of watches.
 pub const WATCH_PATH: &str = "/v1/watch";
 
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -38,6 +38,21 @@
     pub revision: Revision,
 }
 
+/// The most rows of a transaction: what it expects, writes and deletes.
+pub const MAX_TXN_ROWS: usize = 32;
+
+/// A key that a transaction writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KeyWrite {
+    /// The key.
+    pub key: Name,
+    /// The value, at most [`MAX_VALUE_BYTES`].
+    pub value: Arc<[u8]>,
+    /// The lease that the key lives under.
+    pub lease: Option<LeaseId>,
+}
+
 /// One call to the store; the store counts each.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -80,6 +95,15 @@
         /// The key after the last.
         to: Name,
     },
+    /// Writes and deletes keys, all or none, if all is as expected.
+    Txn {
+        /// What must be there for the call to take effect.
+        expected: Vec<(Name, Expect)>,
+        /// The keys to write.
+        writes: Vec<KeyWrite>,
+        /// The keys to delete.
+        deletes: Vec<Name>,
+    },
     /// Creates a lease.
     LeaseGrant {
         /// How long the lease lives unless renewed.
@@ -136,6 +160,11 @@
         /// What is there instead.
         current: Option<KeyValue>,
     },
+    /// Something in a transaction was not as expected; nothing changed. Holds what is there.
+    Conflicts {
+        /// The expected keys that exist, as they are.
+        current: Vec<KeyValue>,
+    },
     /// Answers a lease grant or renewal.
     Leased {
         /// The lease.
@@ -183,6 +212,7 @@
             Self::Put { .. } => "put",
             Self::Delete { .. } => "delete",
             Self::DeleteRange { .. } => "delete_range",
+            Self::Txn { .. } => "txn",
             Self::LeaseGrant { .. } => "lease_grant",
             Self::LeaseRenew { .. } => "lease_renew",
             Self::LeaseRevoke { .. } => "lease_revoke",
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -4,5 +4,5 @@
 mod log;
 mod metrics;
 
-pub use log::{Limited, LogFormat, logger};
+pub use log::{Limited, LogFormat, decision_logger, logger};
 pub use metrics::Metrics;
--- a/crates/report/src/log.rs
+++ b/crates/report/src/log.rs
@@ -12,6 +12,8 @@
 const QUEUE_LINES: usize = 4096;
 /// How often one place in the code may log within [`PERIOD`].
 const BURST: u32 = 20;
+/// How often one place may log a decision within [`PERIOD`]: some hundred jobs a second.
+const DECISION_BURST: u32 = 4000;
 const PERIOD: Duration = Duration::from_secs(10);
 
 /// The form of the log.
@@ -57,7 +59,22 @@
     }
 }
 
+/// Creates a logger of decisions, which writes JSON to standard output from a thread of its own.
+///
+/// It keeps each decision that touches a request, so its bound is wider than that of [`logger`].
+pub fn decision_logger(clock: Arc<dyn Clock>) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    root_with(drain, clock, DECISION_BURST)
+}
+
 fn root<D>(drain: D, clock: Arc<dyn Clock>) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    root_with(drain, clock, BURST)
+}
+
+fn root_with<D>(drain: D, clock: Arc<dyn Clock>, burst: u32) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
@@ -65,7 +82,7 @@
         .chan_size(QUEUE_LINES)
         .build()
         .fuse();
-    Logger::root(Limited::new(queue, clock).fuse(), o!())
+    Logger::root(Limited::with_burst(queue, clock, burst).fuse(), o!())
 }
 
 /// A drain that lets each place in the code log a number of times within a period.
@@ -74,6 +91,7 @@
 #[derive(Debug)]
 pub struct Limited<D> {
     drain: D,
+    burst: u32,
     clock: AssertUnwindSafe<Arc<dyn Clock>>,
     places: Mutex<IndexMap<(&'static str, u32), Place>>,
 }
@@ -88,8 +106,14 @@
 impl<D> Limited<D> {
     /// Wraps a drain.
     pub fn new(drain: D, clock: Arc<dyn Clock>) -> Self {
+        Self::with_burst(drain, clock, BURST)
+    }
+
+    /// Wraps a drain that lets each place log `burst` times within a period.
+    pub fn with_burst(drain: D, clock: Arc<dyn Clock>, burst: u32) -> Self {
         Self {
             drain,
+            burst,
             clock: AssertUnwindSafe(clock),
             places: Mutex::default(),
         }
@@ -110,7 +134,7 @@
             held_back = place.held_back;
             *place = fresh;
         }
-        if place.lines >= BURST {
+        if place.lines >= self.burst {
             place.held_back += 1;
             return None;
         }
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -1,6 +1,8 @@
 //! The calls themselves.
 
 use base::prelude::*;
+use jobs::report::{SyncReply, SyncReport};
+use jobs::{Ask, Told};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use tables::TablesDoc;
@@ -71,3 +73,15 @@
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
 }
+
+/// Calls that the owner of the jobs takes.
+#[rpc(server, client, namespace = "owner")]
+pub trait OwnerApi {
+    /// Takes a companion's report, and holds it until there is something to answer.
+    #[method(name = "sync")]
+    async fn sync(&self, report: SyncReport) -> RpcResult<SyncReply>;
+
+    /// Takes what a caller of another entry asks.
+    #[method(name = "ask")]
+    async fn ask(&self, ask: Ask) -> RpcResult<Told>;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,10 @@
 mod stall;
 pub mod timing;
 
-pub use api::{CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer};
+pub use api::{
+    CompanionApiClient, CompanionApiServer, EntryApiClient, EntryApiServer, OwnerApiClient,
+    OwnerApiServer,
+};
 pub use auth::{Token, TokenFlags, TokenLayer, TokenService, token_flags};
 pub use batch::{
     Claim, ClaimReply, DoneAck, DoneReport, JobPhase, JobRef, JobSpec, JobStatus, Keep, Order,
