--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -12,13 +12,10 @@
 use host::follow_key;
 use jobs::owner::OWNER_KEY;
 use jobs::report::SyncReport;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use parking_lot::Mutex;
 use ports::store::Store;
 use slog::{Logger, info, warn};
 use tiny_http::{Request, Response};
-use tokio::runtime::{Handle, Runtime};
-use wire::{HttpPool, OwnerApiClient};
+use wire::{HttpPool, OwnerClient};
 
 use crate::event::{Event, HoldDone};
 use crate::keeper::Keeper;
@@ -31,8 +28,8 @@
 /// How many threads hear the worker.
 const HEARTBEAT_THREADS: usize = 2;
 
-/// How many threads carry reports.
-const RPC_THREADS: usize = 1;
+/// How many threads carry reports: one that is held, and one with news.
+const REPORT_THREADS: usize = 2;
 
 /// How many calls to the worker are made at once, beside the hold that waits.
 const CALL_THREADS: usize = 4;
@@ -68,10 +65,7 @@
 struct Calls {
     waiting: Sender<WorkerCall>,
     common: Sender<WorkerCall>,
-    runtime: Handle,
-    events: Sender<Event>,
-    owner: Arc<Mutex<Option<(SocketAddr, HttpClient)>>>,
-    log: Logger,
+    reports: Sender<(SocketAddr, u64, SyncReport)>,
 }
 
 /// A running companion.
@@ -80,7 +74,6 @@
     stopping: Arc<AtomicBool>,
     heartbeats: HttpPool,
     actors: JoinHandle<()>,
-    runtime: Runtime,
     log: Logger,
 }
 
@@ -108,40 +101,12 @@
     }
 
     fn sync(&self, to: SocketAddr, number: u64, report: SyncReport) {
-        let events = self.events.clone();
-        let failed = move |kind, message: String| {
-            let e = Error::new(kind, "report", to.to_string(), message);
-            drop(events.send(Event::Synced(number, Err(e))));
-        };
-        let client = match self.client(to) {
-            Ok(client) => client,
-            Err(e) => return failed(ErrorKind::Invalid, e.to_string()),
-        };
-        let (events, owner) = (self.events.clone(), Arc::clone(&self.owner));
-        self.runtime.spawn(async move {
-            match tokio::time::timeout(REPORT_TIMEOUT, client.sync(report)).await {
-                Ok(Ok(reply)) => drop(events.send(Event::Synced(number, Ok(reply)))),
-                Ok(Err(e)) => {
-                    // Connections that went silent do so together: none is used again.
-                    *owner.lock() = None;
-                    failed(ErrorKind::Interrupted, e.to_string());
-                }
-                Err(_elapsed) => {
-                    *owner.lock() = None;
-                    failed(ErrorKind::Timeout, "no answer in time".to_owned());
-                }
-            }
-        });
+        drop(self.reports.send((to, number, report)));
     }
 }
 
 impl Calls {
-    fn start(
-        runner: &Arc<dyn Runner>,
-        runtime: Handle,
-        events: &Sender<Event>,
-        log: &Logger,
-    ) -> Self {
+    fn start(runner: &Arc<dyn Runner>, events: &Sender<Event>, log: &Logger) -> Self {
         let spawn = |threads: usize| {
             let (tx, rx) = unbounded::<WorkerCall>();
             for _ in 0..threads {
@@ -158,24 +123,24 @@
         Self {
             waiting: spawn(1),
             common: spawn(CALL_THREADS),
-            runtime,
-            events: events.clone(),
-            owner: Arc::default(),
-            log: log.clone(),
+            reports: Self::start_reports(events),
         }
     }
 
-    fn client(&self, to: SocketAddr) -> Result<HttpClient, jsonrpsee::core::ClientError> {
-        let mut kept = self.owner.lock();
-        if let Some((addr, client)) = &*kept
-            && *addr == to
-        {
-            return Ok(client.clone());
+    /// Starts the threads that carry reports.
+    fn start_reports(events: &Sender<Event>) -> Sender<(SocketAddr, u64, SyncReport)> {
+        let (tx, rx) = unbounded::<(SocketAddr, u64, SyncReport)>();
+        let client = Arc::new(OwnerClient::new(REPORT_TIMEOUT));
+        for _ in 0..REPORT_THREADS {
+            let (rx, client, events) = (rx.clone(), Arc::clone(&client), events.clone());
+            std::thread::spawn(move || {
+                for (to, number, report) in rx {
+                    let reply = client.sync(to, &report);
+                    drop(events.send(Event::Synced(number, reply)));
+                }
+            });
         }
-        info!(self.log, "companion: connects to the owner"; "owner" => %to);
-        let client = HttpClientBuilder::default().build(format!("http://{to}"))?;
-        *kept = Some((to, client.clone()));
-        Ok(client)
+        tx
     }
 }
 
@@ -218,13 +183,12 @@
         log: &Logger,
     ) -> Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let runtime = host::start_runtime(RPC_THREADS)?;
         let (events, rx) = unbounded();
         let heartbeats = HttpPool::start(cfg.heartbeat_addr, HEARTBEAT_THREADS, {
             let (events, log) = (events.clone(), log.clone());
             move |req| hear(req, &*dialect, &events, &log)
         })?;
-        let calls = Calls::start(runner, runtime.handle().clone(), &events, log);
+        let calls = Calls::start(runner, &events, log);
         let boot = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         let boot = boot.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
         let keeper = Keeper::new(Arc::clone(&cfg.vm), boot, log.clone());
@@ -250,7 +214,6 @@
             stopping,
             heartbeats,
             actors,
-            runtime,
             log: log.clone(),
         })
     }
@@ -261,7 +224,6 @@
         self.heartbeats.stop(STOP_GRACE);
         self.stopping.store(true, Ordering::Release);
         drop(self.actors.join());
-        self.runtime.shutdown_background();
     }
 }
 
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -10,6 +10,7 @@
 use host::{KeySeen, follow_key};
 use jobs::owner::{OWNER_KEY, OwnerRecord};
 use jobs::{Ask, Told};
+use jsonrpsee::server::ServerHandle;
 use ports::store::{Store, StoreCall};
 use slog::{Logger, info, warn};
 use tiny_http::{Request, Response};
@@ -48,6 +49,7 @@
     is_leaving: Arc<AtomicBool>,
     front: HttpPool,
     ready: HttpPool,
+    rpc: ServerHandle,
     actors: JoinHandle<()>,
     runtime: Runtime,
     log: Logger,
@@ -64,8 +66,8 @@
         self.store.submit(token, call);
     }
 
-    fn forward(&self, to: SocketAddr, ask: Ask, patience: Duration, reply: Reply<Told>) {
-        self.forwarder.forward(to, ask, patience, reply);
+    fn forward(&self, to: SocketAddr, ask: Ask, reply: Reply<Told>) {
+        self.forwarder.forward(to, ask, reply);
     }
 }
 
@@ -84,7 +86,7 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let runtime = host::start_runtime(RPC_THREADS)?;
         let (events, rx) = unbounded();
-        let (rpc_addr, _server) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
+        let (rpc_addr, rpc) = runtime.block_on(rpc::serve(cfg.rpc_addr, events.clone()))?;
         let stopping = Arc::new(AtomicBool::new(false));
         let is_leaving = Arc::new(AtomicBool::new(false));
         let table = Table::default();
@@ -112,7 +114,7 @@
                 // The actor may have ended first; then nobody wants the reply.
                 move |token, reply| drop(events.send(Event::Store(token, reply)))
             }),
-            forwarder: Forwarder::new(runtime.handle().clone(), log.clone()),
+            forwarder: Forwarder::start(log),
         };
         let node_cfg = node_cfg(cfg, rpc_addr);
         let actors = std::thread::spawn({
@@ -132,6 +134,7 @@
             is_leaving,
             front,
             ready,
+            rpc,
             actors,
             runtime,
             log: log.clone(),
@@ -148,6 +151,8 @@
         let is_finished = self.front.stop(STOP_GRACE);
         info!(self.log, "entry: stopped"; "finished" => is_finished);
         self.ready.abandon();
+        // An error means that the server has stopped already.
+        let _ = self.rpc.stop();
         self.stopping.store(true, Ordering::Release);
         drop(self.actors.join());
         self.runtime.shutdown_background();
--- a/crates/lead/src/event.rs
+++ b/crates/lead/src/event.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub enum Event {
     /// A caller of this entry asks.
-    Caller(Box<Ask>, Duration, Reply<Told>),
+    Caller(Box<Ask>, Reply<Told>),
     /// A caller of another entry asks.
     Forwarded(Box<Ask>, Reply<Told>),
     /// A companion reports.
--- a/crates/lead/src/front.rs
+++ b/crates/lead/src/front.rs
@@ -162,7 +162,7 @@
         // The receiver is gone where the wait has ended: nobody wants the answer.
         let reply = Reply::new(move |told| drop(tx.send(told)));
         let is_change = matches!(ask, Ask::Submit { .. } | Ask::Cancel { .. });
-        let event = Event::Caller(Box::new(ask), patience, reply);
+        let event = Event::Caller(Box::new(ask), reply);
         if self.events.send(event).is_err() {
             return Told::refused("the process is stopping", Duration::from_secs(1));
         }
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -48,7 +48,7 @@
     fn store(&self, token: StoreToken, call: StoreCall);
 
     /// Asks the owner and passes its answer on.
-    fn forward(&self, to: std::net::SocketAddr, ask: Ask, patience: Duration, reply: Reply<Told>);
+    fn forward(&self, to: std::net::SocketAddr, ask: Ask, reply: Reply<Told>);
 }
 
 type Clocks = (Instant, SystemTime);
@@ -158,7 +158,7 @@
     fn event(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
-            Event::Caller(ask, patience, reply) => self.caller(now, *ask, patience, reply),
+            Event::Caller(ask, reply) => self.caller(now, *ask, reply),
             Event::Forwarded(ask, reply) => self.own(now, *ask, reply),
             Event::Sync(report, reply) => self.sync(now, *report, reply),
             Event::OwnerKey(KeySeen::Is(kv)) => self.key_seen(cx, kv.as_ref()),
@@ -172,14 +172,14 @@
     }
 
     /// Serves a caller of this entry, here or at the owner.
-    fn caller(&mut self, now: Instant, ask: Ask, patience: Duration, reply: Reply<Told>) {
+    fn caller(&mut self, now: Instant, ask: Ask, reply: Reply<Told>) {
         if self.owner.is_some() {
             self.own(now, ask, reply);
             return;
         }
         match self.elector.owner() {
             Some(owner) if owner.name != self.cfg.elector.me.name => {
-                self.ports.forward(owner.addr, ask, patience, reply);
+                self.ports.forward(owner.addr, ask, reply);
             }
             _ => reply.send(no_owner()),
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 mod member;
 pub mod operator;
+mod owner_client;
 mod pool;
 mod stall;
 pub mod timing;
@@ -29,5 +30,6 @@
     AnnounceReply, Announcement, EntryInfo, Gossip, HeardTarget, RevokeReply, ShardOwner,
     TargetState,
 };
+pub use owner_client::OwnerClient;
 pub use pool::HttpPool;
 pub use stall::serve_stalled_connections;
