--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -170,7 +170,9 @@
         }
         match done.reply {
             Ok(reply) if reply.born.is_none_or(|born| born == done.born) => {
-                life.hold_after = None;
+                // A hold does not wait while the worker has ends to tell, acknowledged or not.
+                let has_ends = reply.ends.iter().any(|e| e.number > life.stored_ends);
+                life.hold_after = has_ends.then(|| now + LOOK_AFTER);
                 let has_news = take_listing(life, now, done.fence, reply);
                 self.syncs.has_news |= has_news;
             }
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -21,8 +21,8 @@
 /// What it costs to be far from the data, in units of load.
 const FAR_COST: f64 = 1.0;
 
-/// What each task with a tail target beside a filler costs, in units of load.
-const DISTURBED_COST: f64 = 0.5;
+/// What it gains to put tasks with a tail target together, in units of load.
+const PACKED_GAIN: f64 = 1.0;
 
 /// What a full load of fillers beside a task with a tail target costs, in units of load.
 const FILLED_COST: f64 = 1.0;
@@ -151,7 +151,8 @@
     {
         return false;
     }
-    if stage.filler && worker.load_with(stage.room.cpu_milli) > MAX_FILLED {
+    let is_filled = worker.load_with(stage.room.cpu_milli) > MAX_FILLED;
+    if stage.filler && (is_filled || worker.serving() > 0) {
         return false;
     }
     if let Some(max) = stage.max_per_worker {
@@ -169,10 +170,11 @@
 /// Returns what it costs to run a task of a stage on a worker, in units of load.
 pub(super) fn cost(stage: &StageSpec, worker: &Worker) -> f64 {
     let mut cost = worker.load_with(stage.room.cpu_milli);
-    if stage.filler {
-        cost += DISTURBED_COST * f64::from(worker.serving());
-    }
-    if stage.tail_target_ms.is_some() {
+    if stage.tail_target_ms.is_some() && stage.standing {
+        // Tasks with a tail target go together, so that other workers are free for fillers.
+        if worker.serving() > 0 {
+            cost -= PACKED_GAIN + worker.load_with(0);
+        }
         let cpu = worker
             .life
             .as_ref()
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -190,7 +190,9 @@
             return;
         };
         let orders = Orders::of(worker, &self.jobs, now);
-        let has_news = !orders.is_empty() || !worker.noted_rejects.is_empty();
+        let has_news = !orders.is_empty()
+            || !worker.noted_rejects.is_empty()
+            || worker.ends.stored > worker.ends.told;
         let is_first = !worker.is_adopted;
         let Some(parked) = worker.parked.as_ref() else {
             return;
@@ -201,6 +203,7 @@
         let token = parked.token;
         orders.mark_sent(worker, now);
         worker.parked = None;
+        worker.ends.told = worker.ends.stored;
         let reply = SyncReply {
             epoch,
             is_owner: true,
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -93,6 +93,8 @@
     pub(super) waiting: VecDeque<(u64, JobId, u64)>,
     /// Up to this number, all are stored.
     pub(super) stored: u64,
+    /// Up to this number, the companion was told so.
+    pub(super) told: u64,
 }
 
 /// What the store says of a VM.
