--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -67,7 +67,20 @@
     pub max_unavailable: Option<u32>,
 }
 
+/// The share of its room that a task with a tail target uses on average, in percent: such tasks
+/// ask for what they need at their peak.
+const SERVING_USE_PERCENT: u64 = 60;
+
 impl StageSpec {
+    /// Returns the processors that a task is expected to use, in thousandths.
+    pub fn demand_milli(&self) -> u64 {
+        if self.standing && self.tail_target_ms.is_some() {
+            self.room.cpu_milli * SERVING_USE_PERCENT / 100
+        } else {
+            self.room.cpu_milli
+        }
+    }
+
     /// Returns what a task of the stage takes from its worker's room.
     pub fn charged(&self) -> Resources {
         let cpu_milli = if self.filler { 0 } else { self.room.cpu_milli };
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -196,7 +196,7 @@
             is_taken: false,
         },
         charged: stage.charged(),
-        demand_milli: stage.room.cpu_milli,
+        demand_milli: stage.demand_milli(),
         is_filler: stage.filler,
         is_standing: stage.standing,
         tail_target_ms: stage.tail_target_ms.filter(|_| stage.standing),
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -5,7 +5,8 @@
 
 use super::Owner;
 use super::adopt::new_run;
-use super::worker::Worker;
+use super::pace::worst_tail;
+use super::worker::{FULL_PACE, Worker};
 use crate::job::Part;
 use crate::{Job, StageSpec, TaskId, TaskRun};
 
@@ -151,8 +152,7 @@
     {
         return false;
     }
-    let is_filled = worker.load_with(stage.room.cpu_milli) > MAX_FILLED;
-    if stage.filler && (is_filled || worker.serving() > 0) {
+    if stage.filler && !takes_filler(worker, stage.room.cpu_milli) {
         return false;
     }
     if let Some(max) = stage.max_per_worker {
@@ -167,19 +167,33 @@
     stage.charged().fits(&worker.room())
 }
 
+/// Tells whether a worker takes a filler that may use so many thousandths of a core.
+fn takes_filler(worker: &Worker, demand_milli: u64) -> bool {
+    if worker.load_with(demand_milli) > MAX_FILLED {
+        return false;
+    }
+    if worker.serving() == 0 || worker.filled() == 0.0 {
+        return true;
+    }
+    let is_paced = worker
+        .runs
+        .values()
+        .any(|r| r.is_filler && r.pace < FULL_PACE);
+    !is_paced && worker.filled_with(demand_milli) <= worker.fill_limit.share()
+}
+
 /// Returns what it costs to run a task of a stage on a worker, in units of load.
 pub(super) fn cost(stage: &StageSpec, worker: &Worker) -> f64 {
-    let mut cost = worker.load_with(stage.room.cpu_milli);
+    let mut cost = worker.load_with(stage.demand_milli());
+    if stage.filler {
+        cost += worker.filled() + worst_tail(worker).unwrap_or(0.0);
+    }
     if stage.tail_target_ms.is_some() && stage.standing {
         // Tasks with a tail target go together, so that other workers are free for fillers.
         if worker.serving() > 0 {
             cost -= PACKED_GAIN + worker.load_with(0);
         }
-        let cpu = worker
-            .life
-            .as_ref()
-            .map_or(1, |l| l.capacity.cpu_milli.max(1));
-        cost += FILLED_COST * worker.filler_milli() as f64 / cpu as f64;
+        cost += FILLED_COST * worker.filled();
     }
     if stage.near_rack.is_some() && stage.near_rack.as_ref() != worker.rack() {
         cost += FAR_COST;
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -6,6 +6,7 @@
 use ports::store::Revision;
 
 use super::Token;
+use super::pace::FillLimit;
 use crate::report::WorkerReport;
 use crate::{TaskRun, WorkerRecord};
 
@@ -129,6 +130,7 @@
     pub(super) roster: Roster,
     pub(super) health: Health,
     pub(super) paced_at: Option<Instant>,
+    pub(super) fill_limit: FillLimit,
     used: Resources,
     demand_milli: u64,
     serving: u32,
@@ -152,6 +154,7 @@
             roster: Roster::default(),
             health: Health::default(),
             paced_at: None,
+            fill_limit: FillLimit::default(),
             used: Resources::ZERO,
             demand_milli: 0,
             serving: 0,
@@ -214,9 +217,17 @@
         self.serving
     }
 
-    pub(super) fn filler_milli(&self) -> u64 {
+    /// Returns the processors that fillers would use at full speed, over those there are.
+    pub(super) fn filled(&self) -> f64 {
+        self.filled_with(0)
+    }
+
+    /// Returns [`Worker::filled`] with one more filler.
+    pub(super) fn filled_with(&self, demand_milli: u64) -> f64 {
         let fillers = self.runs.values().filter(|r| r.is_filler);
-        fillers.map(|r| r.demand_milli).sum()
+        let milli = demand_milli + fillers.map(|r| r.demand_milli).sum::<u64>();
+        let cpu = self.life.as_ref().map_or(0, |l| l.capacity.cpu_milli);
+        milli as f64 / cpu.max(1) as f64
     }
 
     pub(super) fn rack(&self) -> Option<&Name> {
