--- a/crates/fakes/src/store/mem.rs
+++ b/crates/fakes/src/store/mem.rs
@@ -67,6 +67,10 @@
         self.expire(now);
         match call {
             StoreCall::Get { key } => Ok(StoreReply::Got(self.get(key))),
+            StoreCall::Observe { key } => Ok(StoreReply::Observed {
+                found: self.get(key),
+                at: self.revision,
+            }),
             StoreCall::List {
                 prefix,
                 after,
--- a/crates/fakes/src/store/rest.rs
+++ b/crates/fakes/src/store/rest.rs
@@ -4,7 +4,8 @@
 
 use base::prelude::*;
 use ports::protocol::{
-    KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, TXN_PATH, WATCH_PATH, parse_expect,
+    KV_PATH, LEASE, LEASES_PATH, REVISION, STORE_REVISION, TTL_MS, TXN_PATH, WATCH_PATH,
+    parse_expect,
 };
 use ports::store::{Expect, KeyValue, Revision, StoreCall, StoreReply};
 use tiny_http::{Method, Request, Response};
@@ -39,6 +40,10 @@
     match reply {
         Ok(StoreReply::Got(None)) => status(404),
         Ok(StoreReply::Got(Some(kv))) => key_value(kv, 200),
+        Ok(StoreReply::Observed { found, at }) => {
+            let answer = found.map_or_else(|| status(404), |kv| key_value(kv, 200));
+            answer.with_header(header(STORE_REVISION, at))
+        }
         Ok(StoreReply::Conflict { current: None }) => status(409),
         Ok(StoreReply::Conflict { current: Some(kv) }) => key_value(kv, 409),
         Ok(StoreReply::LeaseGone) => status(410),
@@ -101,7 +106,7 @@
 ) -> Option<StoreCall> {
     let key = key.into();
     match method {
-        Method::Get => Some(StoreCall::Get { key }),
+        Method::Get => Some(StoreCall::Observe { key }),
         Method::Put => Some(StoreCall::Put {
             key,
             value: read_body(req).ok()?.into(),
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -6,9 +6,12 @@
 use base::prelude::*;
 use ports::store::{KeyValue, Revision, Store, StoreCall, StoreReply};
 
-/// How long to wait after a failed call, or before an absent key is read again.
+/// How long to wait after a failed call, or before the key is read again.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// How long to wait before a key is read again whose history was lost.
+const COMPACTED_RETRY: Duration = Duration::from_millis(50);
+
 /// What a follower sees of its key.
 #[derive(Clone, Debug)]
 pub enum KeySeen {
@@ -50,16 +53,12 @@
     /// Reads the key and watches it until a call fails or history is lost.
     fn follow(&self, stopping: &AtomicBool, sink: &dyn Fn(KeySeen)) -> Result<()> {
         let key = Arc::clone(&self.key);
-        let StoreReply::Got(found) = self.store.call(&StoreCall::Get { key })? else {
-            return Err(self.unexpected("get"));
-        };
-        let Some(revision) = found.as_ref().map(|kv| kv.revision) else {
-            sink(KeySeen::Is(None));
-            std::thread::sleep(RETRY_AFTER);
-            return Ok(());
+        let reply = self.store.call(&StoreCall::Observe { key })?;
+        let StoreReply::Observed { found, at } = reply else {
+            return Err(self.unexpected("observe"));
         };
         sink(KeySeen::Is(found));
-        self.watch(revision, stopping, sink)
+        self.watch(at, stopping, sink)
     }
 
     fn watch(
@@ -84,6 +83,7 @@
                 return Err(self.unexpected("watch"));
             };
             if compacted {
+                std::thread::sleep(COMPACTED_RETRY);
                 return Ok(());
             }
             if let Some(event) = events.into_iter().rfind(|e| e.key == self.key) {
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -154,7 +154,9 @@
         // An error means that the server has stopped already.
         let _ = self.rpc.stop();
         self.stopping.store(true, Ordering::Release);
-        drop(self.actors.join());
+        // The actor's thread ends with the process: to wait for it would keep connections open
+        // on which nothing is served any more.
+        drop(self.actors);
         self.runtime.shutdown_background();
     }
 }
--- a/crates/ports/src/http_store.rs
+++ b/crates/ports/src/http_store.rs
@@ -8,7 +8,8 @@
 
 use crate::client::Client;
 use crate::protocol::{
-    ESCAPED, KV_PATH, LEASE, LEASES_PATH, REVISION, TTL_MS, TXN_PATH, WATCH_PATH, format_expect,
+    ESCAPED, KV_PATH, LEASE, LEASES_PATH, REVISION, STORE_REVISION, TTL_MS, TXN_PATH, WATCH_PATH,
+    format_expect,
 };
 use crate::store::{KeyValue, LeaseId, Store, StoreCall, StoreReply};
 
@@ -30,6 +31,14 @@
     fn decode(&self, call: &StoreCall, resp: Response<Vec<u8>>) -> Result<StoreReply> {
         let status = resp.status().as_u16();
         match call {
+            StoreCall::Observe { key } => {
+                let at = self.number(call, &resp, STORE_REVISION)?;
+                let found = match status {
+                    404 => None,
+                    _ => Some(self.key_value(call, key, resp)?),
+                };
+                Ok(StoreReply::Observed { found, at })
+            }
             StoreCall::Get { .. } if status == 404 => Ok(StoreReply::Got(None)),
             StoreCall::Get { key } => Ok(StoreReply::Got(Some(self.key_value(call, key, resp)?))),
             StoreCall::Put { key, .. } | StoreCall::Delete { key, .. } if status == 409 => {
@@ -123,7 +132,10 @@
 
 fn method(call: &StoreCall) -> Method {
     match call {
-        StoreCall::Get { .. } | StoreCall::List { .. } | StoreCall::Watch { .. } => Method::GET,
+        StoreCall::Get { .. }
+        | StoreCall::Observe { .. }
+        | StoreCall::List { .. }
+        | StoreCall::Watch { .. } => Method::GET,
         StoreCall::Put { .. } | StoreCall::LeaseRenew { .. } => Method::PUT,
         StoreCall::Txn { .. } | StoreCall::LeaseGrant { .. } => Method::POST,
         StoreCall::Delete { .. }
@@ -134,7 +146,9 @@
 
 fn path(call: &StoreCall) -> String {
     match call {
-        StoreCall::Get { key } => format!("{KV_PATH}/{}", escape(key)),
+        StoreCall::Get { key } | StoreCall::Observe { key } => {
+            format!("{KV_PATH}/{}", escape(key))
+        }
         StoreCall::List {
             prefix,
             after,
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -4,7 +4,7 @@
 //!
 //! | call | request | answer |
 //! |---|---|---|
-//! | get | `GET /v1/kv/KEY` | 200 with the raw value, or 404 |
+//! | get, observe | `GET /v1/kv/KEY` | 200 with the raw value, or 404; [`STORE_REVISION`] with both |
 //! | list | `GET /v1/kv?prefix=P&after=K&limit=N` | 200 with a [`Listed`](crate::store::StoreReply::Listed) |
 //! | put | `PUT /v1/kv/KEY?expect=E&lease=L`, raw value | 200, 409 with what is there, 410 |
 //! | delete | `DELETE /v1/kv/KEY?expect=E` | 200, or 409 with what is there |
@@ -35,6 +35,9 @@
 /// The header that holds the revision of a key or of the last change.
 pub const REVISION: &str = "x-revision";
 
+/// The header that holds the store's revision when a key was read.
+pub const STORE_REVISION: &str = "x-store-revision";
+
 /// The header that holds the id of a lease.
 pub const LEASE: &str = "x-lease";
 
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -61,6 +61,11 @@
         /// The key.
         key: Name,
     },
+    /// Reads one key, with the revision from which a watch of it goes on.
+    Observe {
+        /// The key.
+        key: Name,
+    },
     /// Reads keys with a prefix, in order, after `after`, at most `limit`.
     List {
         /// What the keys begin with.
@@ -148,6 +153,13 @@
 pub enum StoreReply {
     /// Answers a get; `None` if there is no such key.
     Got(Option<KeyValue>),
+    /// Answers an observation.
+    Observed {
+        /// The key; `None` if there is none.
+        found: Option<KeyValue>,
+        /// The store's revision when it was read.
+        at: Revision,
+    },
     /// Answers a list.
     Listed(Vec<KeyValue>),
     /// The put or delete was done.
@@ -200,7 +212,7 @@
     pub fn is_write(&self) -> bool {
         !matches!(
             self,
-            Self::Get { .. } | Self::List { .. } | Self::Watch { .. }
+            Self::Get { .. } | Self::Observe { .. } | Self::List { .. } | Self::Watch { .. }
         )
     }
 
@@ -208,6 +220,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Get { .. } => "get",
+            Self::Observe { .. } => "observe",
             Self::List { .. } => "list",
             Self::Put { .. } => "put",
             Self::Delete { .. } => "delete",
