--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -50,6 +50,8 @@
     pub vm: Name,
     /// Where the worker sends heartbeats.
     pub heartbeat_addr: SocketAddr,
+    /// How long the worker takes at most to stop a run.
+    pub stop_time: Duration,
 }
 
 /// Calls to the worker that threads make.
@@ -191,7 +193,7 @@
         let calls = Calls::start(runner, &events, log);
         let boot = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         let boot = boot.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-        let keeper = Keeper::new(Arc::clone(&cfg.vm), boot, log.clone());
+        let keeper = Keeper::new(Arc::clone(&cfg.vm), boot, cfg.stop_time, log.clone());
         let stopping = Arc::new(AtomicBool::new(false));
         let actors = std::thread::spawn({
             let (stopping, log) = (Arc::clone(&stopping), log.clone());
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -22,6 +22,9 @@
 /// How soon a start or stop is looked for in the worker's list.
 const LOOK_AFTER: Duration = Duration::from_millis(60);
 
+/// What is added to the time of a stop, for its call to arrive.
+const STOP_MARGIN: Duration = Duration::from_millis(100);
+
 /// What a companion does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -54,6 +57,8 @@
     is_looking: bool,
     hold_after: Option<Instant>,
     looked_at: Option<Instant>,
+    /// When the last stop may have begun.
+    stopped_at: Instant,
 }
 
 /// The state of a companion.
@@ -66,10 +71,13 @@
     pub(crate) life: Option<Life>,
     pub(crate) syncs: Syncs,
     paces: Vec<(TaskRun, u32)>,
+    /// How long a stop takes at most.
+    stop_time: Duration,
 }
 
 impl Life {
-    fn new(beat: Heartbeat) -> Self {
+    /// Creates a life; an earlier process on this VM may have begun a stop just now.
+    fn new(beat: Heartbeat, now: Instant, stop_time: Duration) -> Self {
         Self {
             beat,
             is_gone: false,
@@ -79,7 +87,8 @@
             stored_ends: 0,
             listing: None,
             listed_clock_ms: 0,
-            starts: Starts::default(),
+            starts: Starts::new(stop_time),
+            stopped_at: now,
             is_holding: false,
             is_looking: false,
             hold_after: None,
@@ -87,9 +96,11 @@
         }
     }
 
-    /// Tells whether the worker has listed under the present fence.
+    /// Tells whether the worker has listed under the present fence, with no stop under way.
     fn is_listed(&self) -> bool {
-        self.listing.as_ref().is_some_and(|l| l.fence == self.fence)
+        self.listing
+            .as_ref()
+            .is_some_and(|l| l.fence == self.fence && l.is_settled)
     }
 
     fn is_draining(&self) -> bool {
@@ -99,8 +110,11 @@
 
 impl Keeper {
     /// Creates a companion that knows no worker yet; `boot` rises with each process on the VM.
-    pub fn new(vm: Name, boot: u64, log: Logger) -> Self {
+    ///
+    /// `stop_time` is how long the worker takes at most to stop a run.
+    pub fn new(vm: Name, boot: u64, stop_time: Duration, log: Logger) -> Self {
         Self {
+            stop_time: stop_time + STOP_MARGIN,
             vm,
             boot,
             log,
@@ -141,7 +155,7 @@
         if !is_same {
             info!(self.log, "companion: worker heard";
                 "worker" => %beat.id, "born" => beat.born.0, "pool" => %beat.pool);
-            self.life = Some(Life::new(beat.clone()));
+            self.life = Some(Life::new(beat.clone(), now, self.stop_time));
             self.syncs.has_news = true;
         }
         let Some(life) = self.life.as_mut() else {
@@ -173,7 +187,8 @@
                 // A hold does not wait while the worker has ends to tell, acknowledged or not.
                 let has_ends = reply.ends.iter().any(|e| e.number > life.stored_ends);
                 life.hold_after = has_ends.then(|| now + LOOK_AFTER);
-                let has_news = take_listing(life, now, done.fence, reply);
+                let is_settled = now.duration_since(life.stopped_at) > self.stop_time;
+                let has_news = take_listing(life, now, done.fence, is_settled, reply);
                 self.syncs.has_news |= has_news;
             }
             Ok(_) => {
@@ -300,6 +315,7 @@
         };
         let (worker, fence, born) = (life.beat.id.clone(), life.fence, life.beat.born);
         for run in life.starts.take_due_stops(now) {
+            life.stopped_at = now;
             let call = StopCall {
                 worker: worker.clone(),
                 fence,
@@ -359,7 +375,13 @@
 }
 
 /// Takes in a listing unless a later one is known; tells whether the owner should hear of it now.
-fn take_listing(life: &mut Life, now: Instant, fence: u64, reply: HoldReply) -> bool {
+fn take_listing(
+    life: &mut Life,
+    now: Instant,
+    fence: u64,
+    is_settled: bool,
+    reply: HoldReply,
+) -> bool {
     life.clock = Some(WorkerClock::new(reply.clock_ms, now));
     let known = life
         .listing
@@ -370,12 +392,16 @@
     }
     let listing = Listing {
         fence,
+        is_settled,
         running: reply.running,
         ends: reply.ends,
     };
     life.starts.settle(&listing, reply.clock_ms);
     let last_end = |l: &Listing| l.ends.iter().map(|e| e.number).max();
-    let is_first = life.listing.as_ref().is_none_or(|l| l.fence != fence);
+    let is_first = life
+        .listing
+        .as_ref()
+        .is_none_or(|l| l.fence != fence || l.is_settled != is_settled);
     let has_new_end = life
         .listing
         .as_ref()
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -38,8 +38,11 @@
 }
 
 /// The starts and stops that a companion has not finished.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Starts {
+    /// How long a stop takes at most, in milliseconds; a run that is being stopped may be listed
+    /// neither as running nor as ended.
+    stop_ms: u64,
     open: IndexMap<TaskRun, Open>,
     stops: IndexMap<TaskRun, Stop>,
     rejected: IndexMap<TaskRun, RejectKind>,
@@ -47,6 +50,16 @@
 }
 
 impl Starts {
+    pub(crate) fn new(stop_time: Duration) -> Self {
+        Self {
+            stop_ms: u64::try_from(stop_time.as_millis()).unwrap_or(u64::MAX),
+            open: IndexMap::new(),
+            stops: IndexMap::new(),
+            rejected: IndexMap::new(),
+            tombstones: IndexSet::new(),
+        }
+    }
+
     /// Takes an order to start, unless it is known.
     pub(crate) fn order(&mut self, now: Instant, order: StartOrder) {
         let run = &order.run;
@@ -178,11 +191,12 @@
             true
         });
         let open = &mut self.open;
+        let stop_ms = self.stop_ms;
         self.stops.retain(|run, stop| {
             let Stop::Done(at) = stop else {
                 return true;
             };
-            if clock_ms <= *at || is_running(run) {
+            if is_running(run) || (!has_ended(run) && clock_ms <= *at + stop_ms) {
                 return true;
             }
             open.shift_remove(run);
--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -57,6 +57,7 @@
     let cfg = AgentCfg {
         vm: boot.vm,
         heartbeat_addr,
+        stop_time: boot.stop_time,
     };
     let store = Arc::new(KvStore::new(boot.store_addr));
     let runner: Arc<dyn Runner> = Arc::new(HttpRunner::new(worker_addr));
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -246,6 +246,26 @@
 
     /// Returns the estimated time of the longest chain of stages from `part` on, in milliseconds.
     pub(crate) fn chain_ms(&self, part: &Part) -> u64 {
+        self.tails_ms()[part.stage as usize]
+    }
+
+    /// Returns the estimated time of the longest chain of stages, in milliseconds.
+    pub(crate) fn longest_chain_ms(&self) -> u64 {
+        self.tails_ms().into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns the estimated work of the tasks that are not done, in milliseconds of a core.
+    pub(crate) fn work_left(&self) -> u64 {
+        let work = |part: &Part| {
+            let stage = self.stage(part);
+            let left = part.tasks as u64 - u64::from(part.done);
+            left * stage.estimate_ms * stage.room.cpu_milli / 1000
+        };
+        self.parts.iter().map(work).sum()
+    }
+
+    /// Returns the estimated time from the start of each stage to the end of the job.
+    fn tails_ms(&self) -> Vec<u64> {
         let stages = &self.record.spec.stages;
         let mut tail = vec![0_u64; stages.len()];
         for (at, stage) in stages.iter().enumerate().rev() {
@@ -255,7 +275,7 @@
                 tail[before] = tail[before].max(tail[at]);
             }
         }
-        tail[part.stage as usize]
+        tail
     }
 }
 
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,6 +9,7 @@
 mod commit;
 mod ends;
 mod gang;
+mod neighbours;
 mod order;
 mod pace;
 mod place;
@@ -18,16 +19,19 @@
 mod takeover;
 mod worker;
 
+use std::cell::RefCell;
+
 use base::prelude::*;
 use ports::store::{Revision, StoreCall};
 use slog::{Logger, info, warn};
 
 use self::commit::Commits;
+use self::neighbours::Neighbours;
 use self::worker::Worker;
 use crate::report::SyncReply;
 use crate::{Job, JobState, Told};
 
-pub use self::order::Urgency;
+pub use self::order::{Chance, Urgency};
 pub use self::record::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
 pub use self::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
 
@@ -77,6 +81,8 @@
     active: IndexSet<JobId>,
     workers: IndexMap<Name, Worker>,
     commits: Commits,
+    /// In a cell, as a look at a pair gives its classes their numbers.
+    neighbours: RefCell<Neighbours>,
     accepting: IndexMap<JobId, Vec<Token>>,
     cancelling: IndexMap<JobId, Vec<Token>>,
     effects: Vec<Effect>,
@@ -96,6 +102,7 @@
             active: IndexSet::new(),
             workers: IndexMap::new(),
             commits: Commits::default(),
+            neighbours: RefCell::new(Neighbours::new()),
             accepting: IndexMap::new(),
             cancelling: IndexMap::new(),
             effects: Vec::new(),
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -198,6 +198,8 @@
         charged: stage.charged(),
         demand_milli: stage.demand_milli(),
         is_filler: stage.filler,
+        class: stage.class.clone(),
+        slow_since: None,
         is_standing: stage.standing,
         tail_target_ms: stage.tail_target_ms.filter(|_| stage.standing),
         since: now,
--- a/crates/jobs/src/owner/order.rs
+++ b/crates/jobs/src/owner/order.rs
@@ -11,11 +11,29 @@
 pub struct Urgency {
     /// The rank of the route.
     pub priority: u32,
-    /// When the job was accepted plus the time that its route allows for it, in milliseconds
-    /// since the Unix epoch.
+    /// What the job can still be.
+    pub chance: Chance,
+    /// The work that is left of the job, in milliseconds of a core: worth rises more slowly than
+    /// work, so that short jobs bring more for the same room.
+    pub work_left: u64,
+    /// When the job should be done, in milliseconds since the Unix epoch.
     pub due_unix_ms: u64,
 }
 
+/// What a job can still be if its chain of stages goes on at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Chance {
+    /// Done within its objective.
+    InTime,
+    /// Done within [`LATE_FACTOR`] times its objective, when it is still worth something.
+    Late,
+    /// Neither: it runs when nothing else wants the room.
+    Lost,
+}
+
+/// The multiple of a job's objective after which its result is worth nothing more than its record.
+const LATE_FACTOR: u64 = 3;
+
 /// Occurrences and stages that may be placed now, most urgent first.
 pub(super) type Candidates = Vec<(Urgency, JobId, usize)>;
 
@@ -28,7 +46,7 @@
             };
             for (at, part) in job.parts.iter().enumerate() {
                 if part.waiting > 0 && job.is_due(part, unix_ms) {
-                    found.push((urgency(job, part), id.clone(), at));
+                    found.push((urgency(job, part, unix_ms), id.clone(), at));
                 }
             }
         }
@@ -41,7 +59,9 @@
     }
 }
 
-fn urgency(job: &Job, part: &Part) -> Urgency {
+/// Ranks the tasks of a stage: under overload, work that can be in time goes before work that
+/// cannot, and then what is due first.
+fn urgency(job: &Job, part: &Part, unix_ms: u64) -> Urgency {
     let terms = &job.record.terms;
     let start = job
         .record
@@ -50,10 +70,19 @@
         .map_or(job.record.accepted_unix_ms, |s| {
             s.first_unix_ms + u64::from(part.occurrence) * s.interval_ms
         });
-    let chain = job.chain_ms(part) as f64;
-    let allowed = (chain * terms.stretch) as u64 + terms.slack_ms;
+    let objective = (job.longest_chain_ms() as f64 * terms.stretch) as u64 + terms.slack_ms;
+    let ends = unix_ms + job.chain_ms(part);
+    let chance = if job.stage(part).standing || ends <= start + objective {
+        Chance::InTime
+    } else if ends <= start + objective * LATE_FACTOR {
+        Chance::Late
+    } else {
+        Chance::Lost
+    };
     Urgency {
         priority: terms.priority,
-        due_unix_ms: start + allowed,
+        chance,
+        work_left: job.work_left(),
+        due_unix_ms: start + objective,
     }
 }
--- a/crates/jobs/src/owner/pace.rs
+++ b/crates/jobs/src/owner/pace.rs
@@ -1,15 +1,15 @@
-//! Fillers beside tasks with a tail target: how many a worker takes, and how fast they go.
+//! Fillers beside tasks with a tail target: how fast they go.
 //!
-//! What a filler does to its neighbours differs by pair and shifts with load, and is seen only in
-//! tail latencies that lag by half a second. So each worker has a limit on fillers that rises
-//! while tails are well below their targets and falls when one nears its target; fillers that are
-//! already there are slowed at once.
+//! [`super::neighbours`] decides where fillers go, by what is known of pairs. Where a tail nears
+//! its target all the same, the fillers beside it are slowed, those first that are known to do
+//! harm, and moved if that lasts.
 
 use base::prelude::*;
 use slog::info;
 
 use super::Owner;
 use super::worker::{Phase, Worker};
+use crate::TaskRun;
 
 /// The shares of speed at which fillers may go on, in percent.
 const PACES: [u32; 5] = [100, 60, 30, 10, 0];
@@ -29,93 +29,79 @@
 /// How long the figures must be good before the pace rises.
 const SPEED_EVERY: Duration = Duration::from_millis(900);
 
-/// How long the figures must be good before more fillers may come.
-const WIDEN_EVERY: Duration = Duration::from_millis(500);
+/// How long a filler goes at a slow pace before it is moved to where it may go faster.
+const MOVE_AFTER: Duration = Duration::from_millis(1500);
 
-/// The fillers that a worker with tail targets takes at first, as a share of its processors.
-const FIRST_LIMIT: f64 = 0.2;
+/// The share of its work from which on a filler is not moved any more, in percent.
+const NEARLY_DONE: f64 = 80.0;
 
-/// The least that the limit falls to, as a share of the processors.
-const LEAST_LIMIT: f64 = 0.06;
-
-/// The step by which the limit rises, as a share of the processors.
-const LIMIT_STEP: f64 = 0.05;
-
-/// What the limit falls to when a tail nears its target, as a share of what it was.
-const LIMIT_CUT: f64 = 0.6;
-
-/// The share of the limit that must be in use before it rises.
-const USED_TO_WIDEN: f64 = 0.6;
-
-/// How many fillers a worker takes beside tasks with a tail target.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct FillLimit {
-    /// As a share of the processors.
-    share: f64,
-    changed: Option<Instant>,
-}
-
-impl Default for FillLimit {
-    fn default() -> Self {
-        Self {
-            share: FIRST_LIMIT,
-            changed: None,
-        }
-    }
-}
-
-impl FillLimit {
-    /// Returns the limit as a share of the processors.
-    pub(super) fn share(&self) -> f64 {
-        self.share
-    }
-
-    /// Moves the limit by the worst tail over its target, and the fillers there now.
-    pub(super) fn adapt(&mut self, now: Instant, worst: f64, filled: f64) {
-        let is_settled = |every| {
-            self.changed
-                .is_none_or(|at| now.duration_since(at) >= every)
-        };
-        if worst >= SLOW_FROM && is_settled(SLOW_EVERY) {
-            self.share = (self.share.min(filled) * LIMIT_CUT).max(LEAST_LIMIT);
-            self.changed = Some(now);
-        } else if worst < SPEED_BELOW
-            && filled >= self.share * USED_TO_WIDEN
-            && is_settled(WIDEN_EVERY)
-        {
-            self.share = (self.share + LIMIT_STEP).min(1.0);
-            self.changed = Some(now);
-        }
-    }
-}
+/// The level of pace from which on fillers are slowed whatever is known of their harm.
+const SLOW_ALL_LEVEL: usize = 3;
 
 impl Owner {
-    /// Sets the pace and the limits of fillers by the tail latencies beside them.
+    /// Sets the pace of fillers by the tail latencies beside them.
     pub(super) fn pace_fillers(&mut self, now: Instant) {
+        let mut stuck = Vec::new();
         for (vm, worker) in &mut self.workers {
+            self.neighbours.get_mut().learn(now, worker);
             let Some(worst) = worst_tail(worker) else {
                 worker.paced_at = None;
-                set(worker, 0);
+                worker.pace_level = 0;
+                set(worker, 0, |_| true);
                 continue;
             };
-            let filled = worker.filled();
-            let before = worker.fill_limit.share();
-            worker.fill_limit.adapt(now, worst, filled);
-            self.is_round_due |= worker.fill_limit.share() > before;
-            let level = level(worker);
-            let Some(next) = next_level(now, worker.paced_at, level, worst) else {
-                set(worker, level);
-                continue;
-            };
-            worker.paced_at = Some(now);
-            info!(self.log, "owner: fillers paced";
-                "vm" => %vm, "percent" => PACES[next], "tail_over_target" => worst,
-                "filled" => filled, "limit" => worker.fill_limit.share());
-            set(worker, next);
+            if let Some(next) = next_level(now, worker.paced_at, worker.pace_level, worst) {
+                info!(self.log, "owner: fillers paced";
+                    "vm" => %vm, "percent" => PACES[next], "tail_over_target" => worst,
+                    "filled" => worker.filled());
+                worker.paced_at = Some(now);
+                worker.pace_level = next;
+            }
+            let level = worker.pace_level;
+            let harmful = self.neighbours.get_mut().harmful_to_worst(now, worker);
+            set(worker, level, |class| {
+                level >= SLOW_ALL_LEVEL || class.is_none_or(|c| harmful.contains(c))
+            });
+            stuck.extend(stuck_filler(now, worker).map(|run| (Arc::clone(vm), run)));
+        }
+        for (vm, run) in stuck {
+            self.move_filler(now, &vm, &run);
+        }
+    }
+
+    /// Stops a slowed filler with a checkpoint if another worker takes it at full speed.
+    fn move_filler(&mut self, now: Instant, vm: &Name, run: &TaskRun) {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return;
+        };
+        let Some((part, position)) = job.find(&run.task) else {
+            return;
+        };
+        if !job.stage_of(&run.task).checkpoints {
+            return;
         }
+        let elsewhere = self.choose(now, job, &job.parts[part], position);
+        if elsewhere.is_none_or(|other| other == *vm) {
+            return;
+        }
+        info!(self.log, "owner: slowed filler moves"; "run" => %run, "vm" => %vm);
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.stop_run(run);
+        }
+        self.avoid(vm, run);
     }
 }
 
+/// Returns the filler that has been slow for longest, if any has been for long.
+fn stuck_filler(now: Instant, worker: &Worker) -> Option<TaskRun> {
+    let runs = worker.runs.iter().filter(|(_, r)| {
+        r.is_filler && r.phase == Phase::Running && r.pace <= PACES[2] && r.percent < NEARLY_DONE
+    });
+    let (id, run) = runs.min_by_key(|(_, r)| r.slow_since)?;
+    let is_long = |at: Instant| now.duration_since(at) >= MOVE_AFTER;
+    run.slow_since.is_some_and(is_long).then(|| id.clone())
+}
+
 /// Returns the highest tail latency over its target, if anything here has a target.
 pub(super) fn worst_tail(worker: &Worker) -> Option<f64> {
     let runs = worker.runs.values().filter(|r| r.phase == Phase::Running);
@@ -123,12 +109,6 @@
         .max_by(f64::total_cmp)
 }
 
-fn level(worker: &Worker) -> usize {
-    let fillers = worker.runs.values().filter(|r| r.is_filler);
-    let slowest = fillers.map(|r| r.pace).min().unwrap_or(PACES[0]);
-    PACES.iter().position(|p| *p == slowest).unwrap_or(0)
-}
-
 fn next_level(now: Instant, paced_at: Option<Instant>, level: usize, worst: f64) -> Option<usize> {
     let is_settled = |every| paced_at.is_none_or(|at| now.duration_since(at) >= every);
     let slowest = PACES.len() - 1;
@@ -142,8 +122,19 @@
     None
 }
 
-fn set(worker: &mut Worker, level: usize) {
+/// Sets the pace of the fillers whose class `is_slowed`, and full speed for the others.
+fn set(worker: &mut Worker, level: usize, is_slowed: impl Fn(Option<&Name>) -> bool) {
+    let now_slow = worker.paced_at;
     for run in worker.runs.values_mut().filter(|r| r.is_filler) {
-        run.pace = PACES[level];
+        run.pace = if is_slowed(run.class.as_ref()) {
+            PACES[level]
+        } else {
+            PACES[0]
+        };
+        run.slow_since = if run.pace <= PACES[2] {
+            run.slow_since.or(now_slow)
+        } else {
+            None
+        };
     }
 }
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -5,8 +5,7 @@
 
 use super::Owner;
 use super::adopt::new_run;
-use super::pace::worst_tail;
-use super::worker::{FULL_PACE, Worker};
+use super::worker::Worker;
 use crate::job::Part;
 use crate::{Job, StageSpec, TaskId, TaskRun};
 
@@ -14,7 +13,7 @@
 const RUNS_PER_EPOCH: u64 = 1024;
 
 /// The most processors that fillers and others may ask for together, over those there are.
-const MAX_FILLED: f64 = 1.0;
+const MAX_FILLED: f64 = 1.15;
 
 /// What it costs to go to a worker where the task failed before, in units of load.
 const AVOID_COST: f64 = 10.0;
@@ -25,6 +24,10 @@
 /// What it gains to put tasks with a tail target together, in units of load.
 const PACKED_GAIN: f64 = 1.0;
 
+/// What it gains to put tasks of one class with a tail target together, in units of load: the
+/// fewer classes a worker serves, the more fillers suit it.
+const SAME_CLASS_GAIN: f64 = 1.0;
+
 /// What a full load of fillers beside a task with a tail target costs, in units of load.
 const FILLED_COST: f64 = 1.0;
 
@@ -111,7 +114,13 @@
     }
 
     /// Chooses the worker for a task.
-    fn choose(&self, now: Instant, job: &Job, part: &Part, position: usize) -> Option<Name> {
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        job: &Job,
+        part: &Part,
+        position: usize,
+    ) -> Option<Name> {
         let stage = job.stage(part);
         let mut best: Option<(f64, &Name)> = None;
         for (vm, worker) in &self.workers {
@@ -119,6 +128,12 @@
                 continue;
             }
             let mut cost = cost(stage, worker);
+            if stage.filler {
+                let Some(harm) = self.neighbours.borrow_mut().harm_of(now, worker, stage) else {
+                    continue;
+                };
+                cost += harm;
+            }
             if job.tasks[position].avoid.contains(vm) {
                 cost += AVOID_COST;
             }
@@ -152,7 +167,7 @@
     {
         return false;
     }
-    if stage.filler && !takes_filler(worker, stage.room.cpu_milli) {
+    if stage.filler && worker.load_with(stage.room.cpu_milli) > MAX_FILLED {
         return false;
     }
     if let Some(max) = stage.max_per_worker {
@@ -167,32 +182,17 @@
     stage.charged().fits(&worker.room())
 }
 
-/// Tells whether a worker takes a filler that may use so many thousandths of a core.
-fn takes_filler(worker: &Worker, demand_milli: u64) -> bool {
-    if worker.load_with(demand_milli) > MAX_FILLED {
-        return false;
-    }
-    if worker.serving() == 0 || worker.filled() == 0.0 {
-        return true;
-    }
-    let is_paced = worker
-        .runs
-        .values()
-        .any(|r| r.is_filler && r.pace < FULL_PACE);
-    !is_paced && worker.filled_with(demand_milli) <= worker.fill_limit.share()
-}
-
 /// Returns what it costs to run a task of a stage on a worker, in units of load.
 pub(super) fn cost(stage: &StageSpec, worker: &Worker) -> f64 {
     let mut cost = worker.load_with(stage.demand_milli());
-    if stage.filler {
-        cost += worker.filled() + worst_tail(worker).unwrap_or(0.0);
-    }
     if stage.tail_target_ms.is_some() && stage.standing {
         // Tasks with a tail target go together, so that other workers are free for fillers.
         if worker.serving() > 0 {
             cost -= PACKED_GAIN + worker.load_with(0);
         }
+        if stage.class.is_some() && worker.serves(stage.class.as_ref()) {
+            cost -= SAME_CLASS_GAIN;
+        }
         cost += FILLED_COST * worker.filled();
     }
     if stage.near_rack.is_some() && stage.near_rack.as_ref() != worker.rack() {
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -158,7 +158,7 @@
         let is_first = self.workers.get(vm).is_some_and(|w| !w.is_adopted);
         self.take_ends(now, unix_ms, vm, &listing.ends);
         self.take_running(now, vm, &listing.running, &report.open, is_first);
-        if is_first {
+        if is_first && listing.is_settled {
             self.adopted(vm, &listing, &report.open);
         }
     }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -6,7 +6,6 @@
 use ports::store::Revision;
 
 use super::Token;
-use super::pace::FillLimit;
 use crate::report::WorkerReport;
 use crate::{TaskRun, WorkerRecord};
 
@@ -61,6 +60,10 @@
     /// The processors it would use, fillers' included, in thousandths.
     pub(super) demand_milli: u64,
     pub(super) is_filler: bool,
+    /// What the task runs.
+    pub(super) class: Option<Name>,
+    /// Since when it goes at a slow pace.
+    pub(super) slow_since: Option<Instant>,
     pub(super) is_standing: bool,
     pub(super) tail_target_ms: Option<u64>,
     /// When it was ordered or adopted.
@@ -130,7 +133,12 @@
     pub(super) roster: Roster,
     pub(super) health: Health,
     pub(super) paced_at: Option<Instant>,
-    pub(super) fill_limit: FillLimit,
+    pub(super) pace_level: usize,
+    /// The report whose figures were learned from.
+    pub(super) learned_number: u64,
+    /// When the fillers here, or their pace, last changed.
+    pub(super) mix_since: Option<Instant>,
+    pub(super) last_mix: Vec<(Name, f64)>,
     used: Resources,
     demand_milli: u64,
     serving: u32,
@@ -154,7 +162,10 @@
             roster: Roster::default(),
             health: Health::default(),
             paced_at: None,
-            fill_limit: FillLimit::default(),
+            pace_level: 0,
+            learned_number: 0,
+            mix_since: None,
+            last_mix: Vec::new(),
             used: Resources::ZERO,
             demand_milli: 0,
             serving: 0,
@@ -212,6 +223,12 @@
         (self.demand_milli + demand_milli) as f64 / cpu.max(1) as f64
     }
 
+    /// Tells whether a task of a class with a tail target is here.
+    pub(super) fn serves(&self, class: Option<&Name>) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|r| r.tail_target_ms.is_some() && r.class.as_ref() == class)
+    }
+
     /// Returns how many tasks with a tail target are here.
     pub(super) fn serving(&self) -> u32 {
         self.serving
@@ -219,13 +236,12 @@
 
     /// Returns the processors that fillers would use at full speed, over those there are.
     pub(super) fn filled(&self) -> f64 {
-        self.filled_with(0)
+        let fillers = self.runs.values().filter(|r| r.is_filler);
+        self.share(fillers.map(|r| r.demand_milli).sum())
     }
 
-    /// Returns [`Worker::filled`] with one more filler.
-    pub(super) fn filled_with(&self, demand_milli: u64) -> f64 {
-        let fillers = self.runs.values().filter(|r| r.is_filler);
-        let milli = demand_milli + fillers.map(|r| r.demand_milli).sum::<u64>();
+    /// Returns thousandths of a core as a share of the processors.
+    pub(super) fn share(&self, milli: u64) -> f64 {
         let cpu = self.life.as_ref().map_or(0, |l| l.capacity.cpu_milli);
         milli as f64 / cpu.max(1) as f64
     }
--- a/crates/place/src/harm.rs
+++ b/crates/place/src/harm.rs
@@ -13,10 +13,10 @@
 
 /// A class by its number, given in order of appearance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(crate) struct ClassId(pub(crate) u32);
+pub struct ClassId(pub(crate) u32);
 
 /// The load of each class on a worker, as a share of the worker's processors.
-pub(crate) type Mix = Vec<(ClassId, f64)>;
+pub type Mix = Vec<(ClassId, f64)>;
 
 /// Knows the true harm of pairs, in experiments alone.
 pub trait HarmOracle: fmt::Debug {
@@ -44,7 +44,7 @@
 
 /// The estimates of all pairs.
 #[derive(Debug)]
-pub(crate) struct Harm {
+pub struct Harm {
     cfg: HarmCfg,
     forget: bool,
     classes: IndexSet<ClassName>,
@@ -67,7 +67,8 @@
 const RESIDUAL_CLIP: f64 = 4.0;
 
 impl Harm {
-    pub(crate) fn new(cfg: HarmCfg, forget: bool) -> Self {
+    /// Creates estimates without measurements; `forget` drops those that measurements contradict.
+    pub fn new(cfg: HarmCfg, forget: bool) -> Self {
         Self {
             cfg,
             forget,
@@ -84,7 +85,7 @@
     }
 
     /// Returns the number of a class.
-    pub(crate) fn class(&mut self, name: &ClassName) -> ClassId {
+    pub fn class(&mut self, name: &ClassName) -> ClassId {
         let at = match self.classes.get_index_of(name) {
             Some(at) => at,
             None => self.classes.insert_full(name.clone()).0,
@@ -124,19 +125,14 @@
     }
 
     /// Returns the expected extra time of a victim among `mix`.
-    pub(crate) fn predict(&self, victim: ClassId, mix: &[(ClassId, f64)], now: Instant) -> f64 {
+    pub fn predict(&self, victim: ClassId, mix: &[(ClassId, f64)], now: Instant) -> f64 {
         mix.iter()
             .map(|&(class, load)| self.estimate(victim, class, now).mean * load)
             .sum()
     }
 
     /// Returns the extra time of a victim among `mix`, on the safe side of the uncertainty.
-    pub(crate) fn predict_safely(
-        &self,
-        victim: ClassId,
-        mix: &[(ClassId, f64)],
-        now: Instant,
-    ) -> f64 {
+    pub fn predict_safely(&self, victim: ClassId, mix: &[(ClassId, f64)], now: Instant) -> f64 {
         let mut mean = 0.0;
         let mut variance = 0.0;
         for &(class, load) in mix {
@@ -148,13 +144,7 @@
     }
 
     /// Learns from the extra time of a victim that was measured among `mix`.
-    pub(crate) fn learn(
-        &mut self,
-        victim: ClassId,
-        mix: &[(ClassId, f64)],
-        extra: f64,
-        now: Instant,
-    ) {
+    pub fn learn(&mut self, victim: ClassId, mix: &[(ClassId, f64)], extra: f64, now: Instant) {
         if mix.is_empty() || self.oracle.is_some() {
             return;
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,7 +25,7 @@
 mod usage;
 
 pub use cfg::{Choice, HarmCfg, HealthCfg, LadderCfg, Parts, PlacerCfg, QueueCfg};
-pub use harm::{HarmEstimate, HarmOracle};
+pub use harm::{ClassId, Harm, HarmEstimate, HarmOracle, Mix};
 pub use placer::Placer;
 pub use types::{
     Decision, Ended, EvictWhy, JobAsk, PlacedTask, QuarantineView, Summary, Verdict, WorkerView,
