--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -10,6 +10,10 @@
 /// How long until a start without an answer is made again.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 
+/// How long a run that was taken may be missing from the worker's list, in milliseconds of its
+/// clock: the answer to a start may overtake the start itself.
+const LISTED_WITHIN_MS: u64 = 1000;
+
 /// How far an open start has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
@@ -182,7 +186,7 @@
                 return false;
             }
             if let Progress::Taken(at) = open.progress
-                && clock_ms > at
+                && clock_ms > at + LISTED_WITHIN_MS
             {
                 // It ended, and its end was acknowledged, before we heard of either.
                 never_there.push((run.clone(), RejectKind::Old));
