--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -59,8 +59,18 @@
     looked_at: Option<Instant>,
     /// When the last stop may have begun.
     stopped_at: Instant,
+    /// When the worker last answered, or was first heard.
+    pub(crate) answered_at: Instant,
+    /// Since when nothing listens where the worker takes calls.
+    refused_since: Option<Instant>,
 }
 
+/// How long a worker may leave calls unanswered before its lease is no longer renewed.
+const SILENT_AFTER: Duration = Duration::from_millis(1300);
+
+/// How long nothing may listen where the worker takes calls before it counts as ended.
+const ENDED_AFTER: Duration = Duration::from_millis(250);
+
 /// The state of a companion.
 #[derive(Debug)]
 pub struct Keeper {
@@ -89,6 +99,8 @@
             listed_clock_ms: 0,
             starts: Starts::new(stop_time),
             stopped_at: now,
+            answered_at: now,
+            refused_since: None,
             is_holding: false,
             is_looking: false,
             hold_after: None,
@@ -103,6 +115,21 @@
             .is_some_and(|l| l.fence == self.fence && l.is_settled)
     }
 
+    /// Notes a failed call; tells whether the worker's process has certainly ended.
+    fn refused(&mut self, now: Instant, kind: ErrorKind) -> bool {
+        if kind != ErrorKind::NotListening {
+            self.refused_since = None;
+            return false;
+        }
+        let since = *self.refused_since.get_or_insert(now);
+        now.duration_since(since) >= ENDED_AFTER
+    }
+
+    /// Tells whether the worker has not answered for long.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        now.duration_since(self.answered_at) >= SILENT_AFTER
+    }
+
     fn is_draining(&self) -> bool {
         self.is_gone || self.beat.draining.is_some()
     }
@@ -166,6 +193,11 @@
             life.starts.reject_unsent();
             self.syncs.has_news = true;
         }
+        if life.is_gone {
+            info!(self.log, "companion: worker heard again"; "worker" => %beat.id);
+            life.is_gone = false;
+            self.syncs.has_news = true;
+        }
         if let Some(clock_ms) = beat.clock_ms {
             life.clock = Some(WorkerClock::new(clock_ms, now));
         }
@@ -186,6 +218,8 @@
             Ok(reply) if reply.born.is_none_or(|born| born == done.born) => {
                 // A hold does not wait while the worker has ends to tell, acknowledged or not.
                 let has_ends = reply.ends.iter().any(|e| e.number > life.stored_ends);
+                life.answered_at = now;
+                life.refused_since = None;
                 life.hold_after = has_ends.then(|| now + LOOK_AFTER);
                 let is_settled = now.duration_since(life.stopped_at) > self.stop_time;
                 let has_news = take_listing(life, now, done.fence, is_settled, reply);
@@ -198,6 +232,11 @@
             Err(e) => {
                 warn!(self.log, "companion: hold failed"; "error" => %e);
                 life.hold_after = Some(now + HOLD_RETRY);
+                if life.refused(now, e.kind()) {
+                    warn!(self.log, "companion: worker ended"; "worker" => %life.beat.id);
+                    life.is_gone = true;
+                    self.syncs.has_news = true;
+                }
             }
         }
     }
@@ -349,7 +388,7 @@
     }
 
     /// Returns what to tell the owner of the worker.
-    pub(crate) fn worker_report(&self) -> Option<WorkerReport> {
+    pub(crate) fn worker_report(&self, now: Instant) -> Option<WorkerReport> {
         let life = self.life.as_ref()?;
         let beat = &life.beat;
         Some(WorkerReport {
@@ -363,6 +402,7 @@
                 .draining
                 .map(|left| u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
             is_gone: life.is_gone,
+            is_silent: life.is_silent(now),
             listing: life.listing.clone(),
             open: life.starts.open_runs(),
             rejected: life.starts.rejected(),
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -78,7 +78,11 @@
         let number = self.syncs.next;
         let life = self.life.as_ref();
         let sent = Sent {
-            clock_ms: life.and_then(|l| l.clock).map(|c| c.at_least(now)),
+            // A silent worker's lease is not renewed: it may be gone, and its tasks move.
+            clock_ms: life
+                .filter(|l| !l.is_silent(now))
+                .and_then(|l| l.clock)
+                .map(|c| c.at_least(now)),
             born: life.map(|l| l.beat.born).unwrap_or_default(),
         };
         self.syncs.open.insert(number, sent);
@@ -87,7 +91,7 @@
             boot: self.boot,
             number,
             epoch: self.epoch,
-            worker: self.worker_report(),
+            worker: self.worker_report(now),
         };
         acts.push(Act::Sync(number, Box::new(report)));
     }
--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -13,6 +13,8 @@
 pub enum ErrorKind {
     /// The peer could not be reached; the call had no effect.
     Unreachable,
+    /// Nothing listens at the address: the peer's process does not run, and did nothing.
+    NotListening,
     /// No answer came in time; the call may have taken effect.
     Timeout,
     /// The connection broke after the call was sent; it may have taken effect.
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -19,7 +19,8 @@
         is_first: bool,
     ) {
         for row in rows {
-            if !self.update_run(now, vm, row) && !(is_first && self.adopt(now, vm, row)) {
+            let is_wanted = self.update_run(now, vm, row) || (is_first && self.adopt(now, vm, row));
+            if !is_wanted {
                 info!(self.log, "owner: run is not wanted"; "run" => %row.run, "vm" => %vm);
                 if let Some(worker) = self.workers.get_mut(vm) {
                     worker.strays.push(row.run.clone());
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -7,7 +7,7 @@
 use super::adopt::new_run;
 use super::worker::Worker;
 use crate::job::Part;
-use crate::{Job, StageSpec, TaskId, TaskRun};
+use crate::{Job, StageSpec, TaskRun};
 
 /// How many runs of a task an epoch may order before its numbers meet those of the next.
 const RUNS_PER_EPOCH: u64 = 1024;
@@ -99,7 +99,7 @@
         let (Some(job), Some(worker)) = (self.jobs.get_mut(id), self.workers.get_mut(vm)) else {
             return;
         };
-        let task: TaskId = job.task_id(&job.parts[at], position);
+        let task = job.task_id(&job.parts[at], position);
         let run = new_run(job.stage(&job.parts[at]), now);
         job.update(at, position, |task| {
             task.live.push((Arc::clone(vm), attempt));
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -47,19 +47,23 @@
             self.answer_unknown(&vm, token);
             return;
         };
-        if !self.take_life(now, &vm, &report) {
+        if !self.take_life(&vm, &report) {
             self.answer_unknown(&vm, token);
             return;
         }
+        let is_silent = report.is_silent;
         self.take_report(now, unix_ms, &vm, report);
         let Some(worker) = self.workers.get_mut(&vm) else {
             return;
         };
         worker.parked = Some(Parked { token, since: now });
-        if worker.lease_from.is_none() {
-            self.commits.mark_vm(&vm);
+        // The companion renews nothing for a silent worker, so that its lease lapses.
+        if !is_silent {
+            if worker.lease_from.is_none() {
+                self.commits.mark_vm(&vm);
+            }
+            worker.lease_from = Some(now);
         }
-        worker.lease_from = Some(now);
     }
 
     /// Answers a companion that knows no worker, or an old life of it.
@@ -76,7 +80,7 @@
     }
 
     /// Takes in which life of the worker reports; tells whether it is the latest.
-    fn take_life(&mut self, now: Instant, vm: &Name, report: &WorkerReport) -> bool {
+    fn take_life(&mut self, vm: &Name, report: &WorkerReport) -> bool {
         let Some(worker) = self.workers.get_mut(vm) else {
             return false;
         };
@@ -94,7 +98,6 @@
             worker.ends = Default::default();
             worker.health = Default::default();
             worker.strays.clear();
-            worker.lease_from = Some(now);
             self.is_round_due = true;
         }
         let was_draining = worker
@@ -209,7 +212,9 @@
             is_owner: true,
             fence,
             born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
-            lease_ms: Some(u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)),
+            lease_ms: worker
+                .lease_from
+                .map(|_| u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)),
             stored_ends: worker.ends.stored,
             noted_rejects: std::mem::take(&mut worker.noted_rejects),
             starts: orders.starts,
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -273,7 +273,7 @@
         let is_ready = self
             .life
             .as_ref()
-            .is_some_and(|l| l.draining_ms.is_none() && !l.is_gone);
+            .is_some_and(|l| l.draining_ms.is_none() && !l.is_gone && !l.is_silent);
         let is_heard = self.parked.is_some()
             || self
                 .lease_from
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -41,6 +41,8 @@
     pub draining_ms: Option<u64>,
     /// Whether the worker has left for good.
     pub is_gone: bool,
+    /// Whether it has not answered for so long that its lease is no longer renewed.
+    pub is_silent: bool,
     /// Its latest listing, where there is one.
     pub listing: Option<Listing>,
     /// Starts that the companion holds and whose outcome is open.
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -149,8 +149,8 @@
 
 fn io_kind(kind: io::ErrorKind) -> ErrorKind {
     match kind {
-        io::ErrorKind::ConnectionRefused
-        | io::ErrorKind::HostUnreachable
+        io::ErrorKind::ConnectionRefused => ErrorKind::NotListening,
+        io::ErrorKind::HostUnreachable
         | io::ErrorKind::NetworkUnreachable
         | io::ErrorKind::AddrNotAvailable => ErrorKind::Unreachable,
         io::ErrorKind::TimedOut => ErrorKind::Timeout,
