--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,7 +13,7 @@
 mod worker_clock;
 
 pub use app::{AgentCfg, App, run};
-pub use event::Event;
+pub use event::{Event, HoldDone};
 pub use keeper::{Act, Keeper};
 pub use node::{Node, Outside};
 pub use ports::{
