--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -13,6 +13,7 @@
 use jobs::owner::OWNER_KEY;
 use jobs::report::SyncReport;
 use ports::store::Store;
+use report::Gauges;
 use slog::{Logger, info, warn};
 use tiny_http::{Request, Response};
 use wire::{HttpPool, OwnerClient};
@@ -43,6 +44,9 @@
 /// How long a stop waits for heartbeats that are being answered.
 const STOP_GRACE: Duration = Duration::from_millis(200);
 
+/// Where metrics are served, as `deploy/system.toml` tells the platform.
+pub const METRICS_PORT: u16 = 9464;
+
 /// What a companion needs to know.
 #[derive(Clone, Debug)]
 pub struct AgentCfg {
@@ -52,6 +56,8 @@
     pub heartbeat_addr: SocketAddr,
     /// How long the worker takes at most to stop a run.
     pub stop_time: Duration,
+    /// Where metrics are served.
+    pub metrics_addr: SocketAddr,
 }
 
 /// Calls to the worker that threads make.
@@ -75,6 +81,7 @@
 pub struct App {
     stopping: Arc<AtomicBool>,
     heartbeats: HttpPool,
+    metrics: HttpPool,
     actors: JoinHandle<()>,
     log: Logger,
 }
@@ -108,15 +115,20 @@
 }
 
 impl Calls {
-    fn start(runner: &Arc<dyn Runner>, events: &Sender<Event>, log: &Logger) -> Self {
+    fn start(
+        runner: &Arc<dyn Runner>,
+        events: &Sender<Event>,
+        gauges: &Arc<Gauges>,
+        log: &Logger,
+    ) -> Self {
         let spawn = |threads: usize| {
             let (tx, rx) = unbounded::<WorkerCall>();
             for _ in 0..threads {
                 let (rx, runner, events) = (rx.clone(), Arc::clone(runner), events.clone());
-                let log = log.clone();
+                let (log, gauges) = (log.clone(), Arc::clone(gauges));
                 std::thread::spawn(move || {
                     for call in rx {
-                        make(&*runner, call, &events, &log);
+                        make(&*runner, call, &events, &gauges, &log);
                     }
                 });
             }
@@ -125,19 +137,26 @@
         Self {
             waiting: spawn(1),
             common: spawn(CALL_THREADS),
-            reports: Self::start_reports(events),
+            reports: Self::start_reports(events, gauges),
         }
     }
 
     /// Starts the threads that carry reports.
-    fn start_reports(events: &Sender<Event>) -> Sender<(SocketAddr, u64, SyncReport)> {
+    fn start_reports(
+        events: &Sender<Event>,
+        gauges: &Arc<Gauges>,
+    ) -> Sender<(SocketAddr, u64, SyncReport)> {
         let (tx, rx) = unbounded::<(SocketAddr, u64, SyncReport)>();
         let client = Arc::new(OwnerClient::new(REPORT_TIMEOUT));
         for _ in 0..REPORT_THREADS {
             let (rx, client, events) = (rx.clone(), Arc::clone(&client), events.clone());
+            let gauges = Arc::clone(gauges);
             std::thread::spawn(move || {
                 for (to, number, report) in rx {
+                    let began = Instant::now();
                     let reply = client.sync(to, &report);
+                    gauges.took("report", began.elapsed());
+                    gauges.count("report", outcome(&reply));
                     drop(events.send(Event::Synced(number, reply)));
                 }
             });
@@ -147,7 +166,13 @@
 }
 
 /// Makes one call to the worker and tells the actor of its outcome.
-fn make(runner: &dyn Runner, call: WorkerCall, events: &Sender<Event>, log: &Logger) {
+fn make(
+    runner: &dyn Runner,
+    call: WorkerCall,
+    events: &Sender<Event>,
+    gauges: &Gauges,
+    log: &Logger,
+) {
     let event = match call {
         WorkerCall::Hold(born, call) => Event::Held(HoldDone {
             born,
@@ -167,10 +192,20 @@
             return;
         }
     };
+    match &event {
+        Event::Held(done) => gauges.count("hold", outcome(&done.reply)),
+        Event::Started(_, _, reply) => gauges.count("start", outcome(reply)),
+        Event::Stopped(_, _, reply) => gauges.count("stop", outcome(reply)),
+        _ => {}
+    }
     // The actor may have ended first; then nobody wants the outcome.
     drop(events.send(event));
 }
 
+fn outcome<T>(reply: &Result<T>) -> &'static str {
+    if reply.is_ok() { "answered" } else { "failed" }
+}
+
 impl App {
     /// Binds the address and starts the threads.
     ///
@@ -190,7 +225,9 @@
             let (events, log) = (events.clone(), log.clone());
             move |req| hear(req, &*dialect, &events, &log)
         })?;
-        let calls = Calls::start(runner, &events, log);
+        let gauges = Arc::new(Gauges::new());
+        let metrics = gauges.serve(cfg.metrics_addr)?;
+        let calls = Calls::start(runner, &events, &gauges, log);
         let boot = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         let boot = boot.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
         let keeper = Keeper::new(Arc::clone(&cfg.vm), boot, cfg.stop_time, log.clone());
@@ -215,6 +252,7 @@
         Ok(Self {
             stopping,
             heartbeats,
+            metrics,
             actors,
             log: log.clone(),
         })
@@ -224,6 +262,7 @@
     pub fn stop(self) {
         info!(self.log, "companion: stops as planned");
         self.heartbeats.stop(STOP_GRACE);
+        self.metrics.abandon();
         self.stopping.store(true, Ordering::Release);
         drop(self.actors.join());
     }
--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -1,5 +1,6 @@
 //! Runs the companion.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -58,6 +59,7 @@
         vm: boot.vm,
         heartbeat_addr,
         stop_time: boot.stop_time,
+        metrics_addr: SocketAddr::new(boot.ip, agent::METRICS_PORT),
     };
     let store = Arc::new(KvStore::new(boot.store_addr));
     let runner: Arc<dyn Runner> = Arc::new(HttpRunner::new(worker_addr));
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -23,6 +23,17 @@
 }
 
 impl JobState {
+    /// Returns the state's name, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Tells whether nothing of the job will run any more.
     pub fn has_ended(self) -> bool {
         matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,5 +14,5 @@
 pub use job::{Job, JobState, Task};
 pub use messages::{Ask, Told};
 pub use model::{AdviceTerms, JobSpec, RouteTerms, Schedule, StageSpec, TaskId, TaskRun};
-pub use owner::{Effect, Owner, OwnerCfg, Token};
+pub use owner::{Effect, Owner, OwnerCfg, Stats, Token};
 pub use progress::{JobRecord, Progress, TaskProgress, WorkerRecord};
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -70,6 +70,20 @@
 }
 
 impl Told {
+    /// Returns the outcome's name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Status(_) => "status",
+            Self::Cancelled => "cancelled",
+            Self::Gone => "gone",
+            Self::Waiting(_) => "waiting",
+            Self::Refused { .. } => "refused",
+            Self::Invalid { .. } => "invalid",
+            Self::Unsure => "unsure",
+        }
+    }
+
     /// Creates a refusal.
     pub fn refused(reason: &str, retry_after: Duration) -> Self {
         Self::Refused {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -71,6 +71,15 @@
     StepDown(&'static str),
 }
 
+/// What was counted since it was last taken, for metrics.
+#[derive(Debug, Default)]
+pub struct Stats {
+    /// What was done, and how it ended.
+    pub events: Vec<(&'static str, &'static str)>,
+    /// How long something took.
+    pub times: Vec<(&'static str, Duration)>,
+}
+
 /// The state of the entry that owns the jobs.
 #[derive(Debug)]
 pub struct Owner {
@@ -86,6 +95,7 @@
     accepting: IndexMap<JobId, Vec<Token>>,
     cancelling: IndexMap<JobId, Vec<Token>>,
     effects: Vec<Effect>,
+    stats: Stats,
     /// Whether something changed that may let a task start.
     is_round_due: bool,
     /// Whether inherited jobs wait for workers that an earlier owner may have used.
@@ -106,6 +116,7 @@
             accepting: IndexMap::new(),
             cancelling: IndexMap::new(),
             effects: Vec::new(),
+            stats: Stats::default(),
             is_round_due: true,
             had_unheard: true,
         }
@@ -143,6 +154,11 @@
         due.min(self.commits.next_due().unwrap_or(due))
     }
 
+    /// Takes what was counted since the last time.
+    pub fn take_stats(&mut self) -> Stats {
+        std::mem::take(&mut self.stats)
+    }
+
     /// Returns how many jobs have not ended, how many tasks run and how many workers are known.
     pub fn counts(&self) -> (usize, usize, usize) {
         let runs = self.workers.values().map(|w| w.runs.len()).sum();
@@ -177,6 +193,7 @@
         info!(self.log, "owner: job ended";
             "job" => %id, "state" => ?state, "route" => %job.record.terms.route,
             "after_ms" => unix_ms.saturating_sub(job.record.accepted_unix_ms));
+        self.stats.events.push(("job", state.name()));
         job.state = state;
         job.ended_unix_ms = Some(unix_ms);
         job.touch();
@@ -222,6 +239,7 @@
             warn!(self.log, "owner: runs lost"; "vm" => %vm, "why" => why, "runs" => runs.len());
         }
         for run in runs {
+            self.stats.events.push(("run", "lost"));
             info!(self.log, "owner: run lost"; "run" => %run, "vm" => %vm, "why" => why);
             self.release(vm, &run);
         }
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -51,6 +51,8 @@
         if matches!(run.phase, Phase::Ordered { .. }) {
             run.phase = Phase::Running;
             run.progressed = now;
+            let order_time = now.duration_since(run.since);
+            self.stats.times.push(("order_to_start", order_time));
             info!(self.log, "owner: run started"; "run" => %row.run, "vm" => %vm,
                 "ordered_ms_ago" => now.duration_since(run.since).as_millis());
         }
@@ -168,6 +170,7 @@
         info!(self.log, "owner: start rejected";
             "run" => %rejected.run, "vm" => %vm, "why" => ?rejected.why,
             "ordered_ms_ago" => now.duration_since(run.since).as_millis());
+        self.stats.events.push(("run", "rejected"));
         if matches!(rejected.why, RejectKind::Room | RejectKind::Invalid) {
             self.avoid(vm, &rejected.run);
         }
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -70,6 +70,7 @@
     /// Takes note that a job's record is stored.
     pub(super) fn accepted(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get(id) {
+            self.stats.events.push(("job", "accepted"));
             info!(self.log, "owner: job accepted";
                 "job" => %id, "route" => %job.record.terms.route, "tasks" => job.tasks.len(),
                 "priority" => job.record.terms.priority);
@@ -159,6 +160,7 @@
         reason: &'static str,
         retry_after: Duration,
     ) {
+        self.stats.events.push(("refusal", reason));
         info!(self.log, "owner: refused";
             "job" => %id, "reason" => reason, "retry_after_ms" => retry_after.as_millis());
         self.tell(token, Told::refused(reason, retry_after));
--- a/crates/jobs/src/owner/ends.rs
+++ b/crates/jobs/src/owner/ends.rs
@@ -39,6 +39,7 @@
         info!(self.log, "owner: run ended";
             "run" => %row.run, "vm" => %vm, "how" => ?row.how, "known" => run.is_some(),
             "ran_ms" => run.as_ref().map_or(0, |r| now.duration_since(r.since).as_millis() as u64));
+        self.stats.events.push(("run", row.how.name()));
         self.release(vm, &row.run);
         let is_inherited = run.is_none()
             && self.workers.get(vm).is_some_and(|w| !w.is_adopted)
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -110,6 +110,9 @@
             "load" => worker.load_with(0), "failures" => job.tasks[position].failures,
             "resumes" => job.tasks[position].checkpoint.is_some(),
             "waited_ms" => now.duration_since(job.since).as_millis());
+        self.stats
+            .times
+            .push(("accept_to_order", now.duration_since(job.since)));
         worker.insert(run_id, run);
     }
 
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -113,6 +113,21 @@
     Other,
 }
 
+impl EndKind {
+    /// Returns the kind's name, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// A start that will never take effect.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -12,6 +12,7 @@
 use jobs::{Ask, Told};
 use jsonrpsee::server::ServerHandle;
 use ports::store::{Store, StoreCall};
+use report::Gauges;
 use slog::{Logger, info, warn};
 use tiny_http::{Request, Response};
 use tokio::runtime::Runtime;
@@ -49,6 +50,7 @@
     is_leaving: Arc<AtomicBool>,
     front: HttpPool,
     ready: HttpPool,
+    metrics: HttpPool,
     rpc: ServerHandle,
     actors: JoinHandle<()>,
     runtime: Runtime,
@@ -90,11 +92,14 @@
         let stopping = Arc::new(AtomicBool::new(false));
         let is_leaving = Arc::new(AtomicBool::new(false));
         let table = Table::default();
+        let gauges = Arc::new(Gauges::new());
+        let metrics = gauges.serve(cfg.metrics_addr)?;
 
         let front = Front::new(
             Arc::clone(&dialect),
             Arc::clone(&table),
             events.clone(),
+            Arc::clone(&gauges),
             log.clone(),
         );
         let front = HttpPool::start(cfg.front_addr, cfg.threads, move |req| front.serve(req))?;
@@ -109,7 +114,7 @@
         };
 
         let outside = Outside {
-            store: StorePool::start(&store, {
+            store: StorePool::start(&store, &gauges, {
                 let events = events.clone();
                 // The actor may have ended first; then nobody wants the reply.
                 move |token, reply| drop(events.send(Event::Store(token, reply)))
@@ -121,7 +126,14 @@
             let (stopping, log) = (Arc::clone(&stopping), log.clone());
             move || {
                 let ports: Arc<dyn Ports> = Arc::new(outside);
-                let mut node = Node::new(node_cfg, Arc::clone(&clock), ports, log, rand::random());
+                let mut node = Node::new(
+                    node_cfg,
+                    Arc::clone(&clock),
+                    ports,
+                    gauges,
+                    log,
+                    rand::random(),
+                );
                 host::drive(&mut node, &*clock, &rx, &stopping, |_| {});
             }
         });
@@ -134,6 +146,7 @@
             is_leaving,
             front,
             ready,
+            metrics,
             rpc,
             actors,
             runtime,
@@ -151,6 +164,7 @@
         let is_finished = self.front.stop(STOP_GRACE);
         info!(self.log, "entry: stopped"; "finished" => is_finished);
         self.ready.abandon();
+        self.metrics.abandon();
         // An error means that the server has stopped already.
         let _ = self.rpc.stop();
         self.stopping.store(true, Ordering::Release);
--- a/crates/lead/src/cfg.rs
+++ b/crates/lead/src/cfg.rs
@@ -4,6 +4,9 @@
 
 use base::prelude::*;
 
+/// Where metrics are served, as `deploy/system.toml` tells the platform.
+const METRICS_PORT: u16 = 9464;
+
 /// How many callers are served at once: some tens of clients share an entry.
 const FRONT_THREADS: usize = 48;
 
@@ -32,6 +35,8 @@
     pub ready_addr: SocketAddr,
     /// Where companions and other entries are served.
     pub rpc_addr: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_addr: SocketAddr,
     /// How many callers are served at once.
     pub threads: usize,
     /// How long the owner's key outlives its last renewal.
@@ -58,6 +63,7 @@
             front_addr,
             ready_addr,
             rpc_addr,
+            metrics_addr: SocketAddr::new(rpc_addr.ip(), METRICS_PORT),
             threads: FRONT_THREADS,
             owner_lease: OWNER_LEASE,
             outage_grace: OUTAGE_GRACE,
--- a/crates/lead/src/front.rs
+++ b/crates/lead/src/front.rs
@@ -6,6 +6,7 @@
 use crossbeam_channel::bounded;
 use jobs::{Ask, Told};
 use parking_lot::RwLock;
+use report::Gauges;
 use slog::{Logger, info};
 use tiny_http::{Header, Request, Response};
 use wire::Reply;
@@ -33,6 +34,7 @@
     dialect: Arc<dyn Dialect>,
     table: Table,
     events: Events,
+    gauges: Arc<Gauges>,
     log: Logger,
 }
 
@@ -41,12 +43,14 @@
         dialect: Arc<dyn Dialect>,
         table: Table,
         events: Events,
+        gauges: Arc<Gauges>,
         log: Logger,
     ) -> Self {
         Self {
             dialect,
             table,
             events,
+            gauges,
             log,
         }
     }
@@ -119,6 +123,8 @@
         };
         let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
         let told = self.ask(ask, patience.saturating_sub(RETURN_MARGIN));
+        self.gauges.took("caller", began.elapsed());
+        self.gauges.count(verb_name(head.verb), told.name());
         let is_read = head.verb == Some(Verb::Read);
         if !is_read || matches!(told, Told::Refused { .. } | Told::Unsure | Told::Gone) {
             info!(self.log, "entry: answered";
@@ -174,6 +180,15 @@
     }
 }
 
+fn verb_name(verb: Option<Verb>) -> &'static str {
+    match verb {
+        Some(Verb::Submit) => "submit",
+        Some(Verb::Read) => "read",
+        Some(Verb::Cancel) => "cancel",
+        None => "other",
+    }
+}
+
 /// Reads a body of at most `max` bytes; `None` if it is larger.
 fn read_body(req: &mut Request, max: usize) -> std::io::Result<Option<Vec<u8>>> {
     if req.body_length().is_some_and(|length| length > max) {
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use report::Gauges;
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, Stakker, actor, call, ret_nop};
 use wire::Reply;
@@ -68,6 +69,7 @@
     cfg: NodeCfg,
     clock: Arc<dyn Clock>,
     ports: Arc<dyn Ports>,
+    gauges: Arc<Gauges>,
     log: Logger,
     rng: SmallRng,
     elector: Elector,
@@ -87,6 +89,7 @@
         cfg: NodeCfg,
         clock: Arc<dyn Clock>,
         ports: Arc<dyn Ports>,
+        gauges: Arc<Gauges>,
         log: Logger,
         seed: u64,
     ) -> Option<Self> {
@@ -96,6 +99,7 @@
             cfg,
             clock,
             ports,
+            gauges,
             log,
             rng: SmallRng::seed_from_u64(seed),
             election_sent: None,
@@ -135,6 +139,7 @@
             } else {
                 owner.pause()
             };
+            self.measure();
             self.carry_out(cx, effects);
         }
         let due = [
@@ -150,6 +155,24 @@
         }
     }
 
+    /// Passes on what the owner has counted.
+    fn measure(&mut self) {
+        let Some(owner) = self.owner.as_mut() else {
+            return;
+        };
+        let stats = owner.take_stats();
+        for (kind, outcome) in stats.events {
+            self.gauges.count(kind, outcome);
+        }
+        for (kind, time) in stats.times {
+            self.gauges.took(kind, time);
+        }
+        let (jobs, runs, workers) = owner.counts();
+        self.gauges.set("active_jobs", jobs);
+        self.gauges.set("runs", runs);
+        self.gauges.set("workers", workers);
+    }
+
     fn election_call(&mut self, now: Instant, wall: SystemTime, step: StoreCall) {
         self.election_sent = Some((now, wall));
         self.ports.store(StoreToken::Election, step);
@@ -259,6 +282,7 @@
         match change {
             Some(Change::Elected { epoch, revision }) => {
                 info!(self.log, "entry: elected"; "epoch" => epoch.0);
+                self.gauges.count("ownership", "taken");
                 self.load = Some(Load {
                     epoch,
                     revision,
@@ -379,6 +403,7 @@
         let Some(owner) = self.owner.take() else {
             return;
         };
+        self.gauges.count("ownership", "lost");
         warn!(self.log, "entry: no longer the owner"; "epoch" => owner.epoch().0, "why" => why);
         let effects = owner.step_down();
         self.carry_out(cx, effects);
@@ -413,12 +438,17 @@
         cfg: NodeCfg,
         clock: Arc<dyn Clock>,
         ports: Arc<dyn Ports>,
+        gauges: Arc<Gauges>,
         log: Logger,
         seed: u64,
     ) -> Self {
         let mut stakker = Stakker::new(clock.now());
         let s = &mut stakker;
-        let lead = actor!(s, Lead::init(cfg, clock, ports, log, seed), ret_nop!());
+        let lead = actor!(
+            s,
+            Lead::init(cfg, clock, ports, gauges, log, seed),
+            ret_nop!()
+        );
         Self { stakker, lead }
     }
 }
--- a/crates/lead/src/store_pool.rs
+++ b/crates/lead/src/store_pool.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use crossbeam_channel::{Sender, unbounded};
 use ports::store::{Store, StoreCall, StoreReply};
+use report::Gauges;
 
 use crate::StoreToken;
 
@@ -19,6 +20,7 @@
 impl StorePool {
     pub(crate) fn start(
         store: &Arc<dyn Store>,
+        gauges: &Arc<Gauges>,
         sink: impl Fn(StoreToken, Result<StoreReply>) + Send + Sync + 'static,
     ) -> Self {
         let sink = Arc::new(sink);
@@ -26,9 +28,17 @@
             let (tx, rx) = unbounded::<(StoreToken, StoreCall)>();
             for _ in 0..threads {
                 let (rx, store, sink) = (rx.clone(), Arc::clone(store), Arc::clone(&sink));
+                let gauges = Arc::clone(gauges);
                 std::thread::spawn(move || {
                     for (token, call) in rx {
-                        sink(token, store.call(&call));
+                        let began = Instant::now();
+                        let reply = store.call(&call);
+                        gauges.took("store_call", began.elapsed());
+                        gauges.count(
+                            call.kind(),
+                            if reply.is_ok() { "answered" } else { "failed" },
+                        );
+                        sink(token, reply);
                     }
                 });
             }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,8 +1,10 @@
 //! Metrics, logs and the report on service-level burn.
 
 pub mod burn;
+mod gauges;
 mod log;
 mod metrics;
 
+pub use gauges::{Gauges, METRICS_PATH};
 pub use log::{Limited, LogFormat, decision_logger, logger};
 pub use metrics::Metrics;
