--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -14,7 +14,7 @@
 const QUIET_SHARE: f64 = 0.22;
 
 /// How far a task's own load swings above its mean; that of both sites at their peaks.
-const SWING: f64 = 0.14;
+const SWING: f64 = 0.08;
 
 /// What is kept free below the load at which the tail meets its target.
 const MARGIN: f64 = 0.03;
@@ -71,7 +71,7 @@
 impl Neighbours {
     pub(super) fn new() -> Self {
         let cfg = HarmCfg {
-            prior_mean: 0.8,
+            prior_mean: 0.5,
             prior_deviation: 2.0,
             noise_deviation: 0.12,
             caution: 0.15,
