Take ownership over from an owner that the store does not answer

Cause: while the store turned away the owner's machine (platform_down, nodes leader), new jobs were refused until its lease ran out and another entry won: about 2.3 s.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -31,8 +31,9 @@
 use crate::report::SyncReply;
 use crate::{Job, JobState, Told};
 
+pub use self::callers::STORE_AWAY;
 pub use self::order::{Chance, Urgency};
-pub use self::record::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
+pub use self::record::{EPOCH_KEY, OWNER_KEY, OwnerRecord, Replacement};
 pub use self::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
 
 /// Matches an answer to the call that waits for it.
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -6,6 +6,9 @@
 use super::{Effect, Owner, Token};
 use crate::{Ask, Job, JobRecord, JobSpec, JobState, RouteTerms, Told};
 
+/// Why jobs are refused while the store does not answer the owner.
+pub const STORE_AWAY: &str = "the store is out of reach";
+
 /// When callers come back after the store was out of reach: about the time such outages last.
 pub(super) const STORE_AWAY_RETRY: Duration = Duration::from_secs(2);
 
@@ -52,7 +55,7 @@
             return;
         }
         if self.commits.is_store_away(now) {
-            self.refuse(token, &id, "the store is out of reach", STORE_AWAY_RETRY);
+            self.refuse(token, &id, STORE_AWAY, STORE_AWAY_RETRY);
             return;
         }
         let record = JobRecord {
@@ -113,7 +116,7 @@
         }
         if !job.state.has_ended() {
             if self.commits.is_store_away(now) {
-                self.refuse(token, &id, "the store is out of reach", STORE_AWAY_RETRY);
+                self.refuse(token, &id, STORE_AWAY, STORE_AWAY_RETRY);
                 return;
             }
             self.end_job(&id, JobState::Cancelled, unix_ms);
--- a/crates/jobs/src/owner/commit.rs
+++ b/crates/jobs/src/owner/commit.rs
@@ -4,6 +4,7 @@
 use ports::store::{Expect, KeyValue, KeyWrite, MAX_TXN_ROWS, Revision, StoreCall, StoreReply};
 use slog::{error, warn};
 
+use super::callers::{STORE_AWAY, STORE_AWAY_RETRY};
 use super::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
 use super::{Effect, Owner};
 use crate::progress::encode;
@@ -124,12 +125,7 @@
             self.jobs.swap_remove(&id);
             self.active.swap_remove(&id);
             for token in self.accepting.swap_remove(&id).unwrap_or_default() {
-                self.refuse(
-                    token,
-                    &id,
-                    "the store is out of reach",
-                    super::callers::STORE_AWAY_RETRY,
-                );
+                self.refuse(token, &id, STORE_AWAY, STORE_AWAY_RETRY);
             }
         }
     }
--- a/crates/jobs/src/owner/record.rs
+++ b/crates/jobs/src/owner/record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use ports::store::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::progress::{decode, encode};
@@ -27,6 +28,16 @@
     pub nonce: Nonce,
 }
 
+/// The owner's key as a new owner has written it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Replacement {
+    /// What the key holds.
+    pub record: OwnerRecord,
+    /// The revision of the key.
+    pub revision: Revision,
+}
+
 impl OwnerRecord {
     /// Encodes the record.
     ///
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -8,7 +8,7 @@
 use base::prelude::*;
 use crossbeam_channel::unbounded;
 use host::{KeySeen, follow_key};
-use jobs::owner::{OWNER_KEY, OwnerRecord};
+use jobs::owner::{OWNER_KEY, OwnerRecord, Replacement};
 use jobs::{Ask, Told};
 use jsonrpsee::server::ServerHandle;
 use ports::store::{Store, StoreCall};
@@ -21,7 +21,7 @@
 use crate::cfg::LeadCfg;
 use crate::dialect::Dialect;
 use crate::elector::ElectorCfg;
-use crate::forward::Forwarder;
+use crate::forward::{self, Forwarder};
 use crate::front::{Front, Table};
 use crate::node::{Events, Node, NodeCfg, Ports};
 use crate::store_pool::StorePool;
@@ -61,6 +61,7 @@
 struct Outside {
     store: StorePool,
     forwarder: Forwarder,
+    log: Logger,
 }
 
 impl Ports for Outside {
@@ -68,8 +69,12 @@
         self.store.submit(token, call);
     }
 
-    fn forward(&self, to: SocketAddr, ask: Ask, reply: Reply<Told>) {
-        self.forwarder.forward(to, ask, reply);
+    fn forward(&self, to: &OwnerRecord, ask: Ask, reply: Reply<Told>) {
+        self.forwarder.forward(to.addr, to.epoch, ask, reply);
+    }
+
+    fn tell_replaced(&self, former: &OwnerRecord, by: Replacement) {
+        forward::tell_replaced(former.addr, by, &self.log);
     }
 }
 
@@ -119,7 +124,8 @@
                 // The actor may have ended first; then nobody wants the reply.
                 move |token, reply| drop(events.send(Event::Store(token, reply)))
             }),
-            forwarder: Forwarder::start(log),
+            forwarder: Forwarder::start(&events, log),
+            log: log.clone(),
         };
         let node_cfg = node_cfg(cfg, rpc_addr);
         let actors = std::thread::spawn({
--- a/crates/lead/src/elector.rs
+++ b/crates/lead/src/elector.rs
@@ -3,7 +3,7 @@
 use std::time::SystemTime;
 
 use base::prelude::*;
-use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
+use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord, Replacement};
 use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, Revision, StoreCall, StoreReply};
 
 /// What an elector needs to know.
@@ -29,6 +29,8 @@
         epoch: Epoch,
         /// The revision of the owner's key.
         revision: Revision,
+        /// The owner from whom the key was taken, where it was alive.
+        former: Option<OwnerRecord>,
     },
     /// This entry no longer owns the jobs.
     Deposed(&'static str),
@@ -73,6 +75,8 @@
     is_key_known: bool,
     has_resigned: bool,
     claim_at: Option<Instant>,
+    /// The owner from whom the key is to be taken: it lives, but the store does not answer it.
+    claim_from: Option<(OwnerRecord, Revision)>,
     nonce: Nonce,
 }
 
@@ -86,6 +90,7 @@
             is_key_known: false,
             has_resigned: false,
             claim_at: None,
+            claim_from: None,
             nonce: Nonce(0),
         }
     }
@@ -130,10 +135,16 @@
         if record.is_none() && self.claim_at.is_none() {
             self.claim_at = Some(now + jitter);
         }
-        if record.is_some() {
+        let revision = record.as_ref().map(|(_, revision)| *revision);
+        let seen = self.seen.as_ref().map(|(_, revision)| *revision);
+        if revision.is_some() && revision < seen {
+            // Read before a later owner told of itself.
+            return None;
+        }
+        let is_claimed = self.claim_from.as_ref().map(|(_, from)| *from) == revision;
+        if revision.is_some() && !is_claimed {
             self.claim_at = None;
         }
-        let revision = record.as_ref().map(|(_, revision)| *revision);
         self.seen = record;
         match &self.phase {
             // An older sighting may arrive after the claim; only a later one deposes.
@@ -145,6 +156,31 @@
         }
     }
 
+    /// Takes the key from the owner at `epoch`, to which the store does not answer.
+    ///
+    /// If the store does not answer this entry either, then the claim fails and harms nothing.
+    pub fn claim_from(&mut self, now: Instant, epoch: Epoch) {
+        let is_free = matches!(self.phase, Phase::Following) && self.claim_at.is_none();
+        let owner = self.seen.as_ref().filter(|(owner, _)| owner.epoch == epoch);
+        if let Some(owner) = owner.filter(|_| is_free && !self.has_resigned) {
+            self.claim_from = Some(owner.clone());
+            self.claim_at = Some(now);
+        }
+    }
+
+    /// Takes in that another entry has taken the key.
+    pub fn replaced(&mut self, by: &Replacement) -> Option<Change> {
+        let seen = self.seen.as_ref().map(|(_, revision)| *revision);
+        if seen.is_some_and(|seen| by.revision <= seen) {
+            return None;
+        }
+        self.seen = Some((by.record.clone(), by.revision));
+        self.claim_at = None;
+        let was_leading = matches!(self.phase, Phase::Leading(_));
+        self.phase = Phase::Following;
+        was_leading.then_some(Change::Deposed("another entry has taken over"))
+    }
+
     /// Gives up ownership for good, as the process stops.
     pub fn resign(&mut self) -> Option<Call> {
         self.has_resigned = true;
@@ -162,7 +198,8 @@
     /// Gives up ownership because something showed that it has ended.
     pub fn depose(&mut self, now: Instant) {
         self.phase = Phase::Following;
-        self.claim_at = Some(now + RETRY_AFTER);
+        self.claim_from = None;
+        self.claim_at = self.seen.is_none().then(|| now + RETRY_AFTER);
     }
 
     /// Returns the call that is due, if any; `nonce` marks a claim.
@@ -170,7 +207,8 @@
         match &mut self.phase {
             Phase::Following => {
                 let is_due = self.claim_at.is_some_and(|at| at <= now);
-                if self.has_resigned || !self.is_key_known || !is_due || self.seen.is_some() {
+                let is_taken = self.seen.is_some() && self.claim_from.is_none();
+                if self.has_resigned || !self.is_key_known || !is_due || is_taken {
                     return None;
                 }
                 self.nonce = nonce;
@@ -282,7 +320,11 @@
         record: &OwnerRecord,
         epoch: Option<&KeyValue>,
     ) -> Option<Call> {
-        let mut expected = vec![(OWNER_KEY.into(), Expect::Absent)];
+        let owner = self
+            .claim_from
+            .as_ref()
+            .map_or(Expect::Absent, |(_, r)| Expect::Revision(*r));
+        let mut expected = vec![(OWNER_KEY.into(), owner)];
         let expect = epoch.map_or(Expect::Absent, |kv| Expect::Revision(kv.revision));
         expected.push((EPOCH_KEY.into(), expect));
         let owner = KeyWrite {
@@ -343,6 +385,7 @@
         Some(Change::Elected {
             epoch: record.epoch,
             revision,
+            former: self.claim_from.take().map(|(former, _)| former),
         })
     }
 
--- a/crates/lead/src/event.rs
+++ b/crates/lead/src/event.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use host::KeySeen;
+use jobs::owner::Replacement;
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Told};
 use ports::store::StoreReply;
@@ -31,6 +32,10 @@
     Sync(Box<SyncReport>, Reply<SyncReply>),
     /// The owner's key was seen.
     OwnerKey(KeySeen),
+    /// The owner at an epoch told that the store does not answer it.
+    OwnerWithoutStore(Epoch),
+    /// Another entry owns the jobs.
+    Replaced(Replacement),
     /// The store replied.
     Store(StoreToken, Result<StoreReply>),
     /// The process is told to stop: another entry should own the jobs.
--- a/crates/lead/src/forward.rs
+++ b/crates/lead/src/forward.rs
@@ -4,10 +4,14 @@
 
 use base::prelude::*;
 use crossbeam_channel::{Sender, unbounded};
+use jobs::owner::{Replacement, STORE_AWAY};
 use jobs::{Ask, Told};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use wire::{OwnerClient, Reply};
 
+use crate::Event;
+use crate::node::Events;
+
 /// How long an answer of the owner is waited for: a commit to a slow store, and some more.
 const TIMEOUT: Duration = Duration::from_millis(2000);
 
@@ -27,22 +31,27 @@
 #[derive(Debug)]
 struct Passed {
     to: SocketAddr,
+    epoch: Epoch,
     ask: Ask,
     reply: Reply<Told>,
 }
 
 impl Forwarder {
-    pub(crate) fn start(log: &Logger) -> Self {
+    pub(crate) fn start(events: &Events, log: &Logger) -> Self {
         let (queue, rx) = unbounded::<Passed>();
         let client = Arc::new(OwnerClient::new(TIMEOUT));
         for _ in 0..THREADS {
             let (rx, client, log) = (rx.clone(), Arc::clone(&client), log.clone());
+            let events = events.clone();
             std::thread::spawn(move || {
                 for passed in rx {
                     let told = client.ask(passed.to, &passed.ask).unwrap_or_else(|e| {
                         warn!(log, "entry: owner did not answer"; "error" => %e);
                         explain(&e, &passed.ask)
                     });
+                    if is_without_store(&told) {
+                        drop(events.send(Event::OwnerWithoutStore(passed.epoch)));
+                    }
                     passed.reply.send(told);
                 }
             });
@@ -50,12 +59,33 @@
         Self { queue }
     }
 
-    pub(crate) fn forward(&self, to: SocketAddr, ask: Ask, reply: Reply<Told>) {
+    pub(crate) fn forward(&self, to: SocketAddr, epoch: Epoch, ask: Ask, reply: Reply<Told>) {
+        let passed = Passed {
+            to,
+            epoch,
+            ask,
+            reply,
+        };
         // The threads end only with the process.
-        drop(self.queue.send(Passed { to, ask, reply }));
+        drop(self.queue.send(passed));
     }
 }
 
+/// Tells an owner, without waiting, that another has taken over.
+pub(crate) fn tell_replaced(to: SocketAddr, by: Replacement, log: &Logger) {
+    let log = log.clone();
+    std::thread::spawn(move || {
+        if let Err(e) = OwnerClient::new(TIMEOUT).replaced(to, &by) {
+            // It goes on until its lease and grace end, which the new owner waits for.
+            info!(log, "entry: former owner not told"; "error" => %e);
+        }
+    });
+}
+
+fn is_without_store(told: &Told) -> bool {
+    matches!(told, Told::Refused { reason, .. } if &**reason == STORE_AWAY)
+}
+
 /// Returns what a caller is told whose call got no answer.
 fn explain(e: &Error, ask: &Ask) -> Told {
     let is_change = matches!(ask, Ask::Submit { .. } | Ask::Cancel { .. });
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use crossbeam_channel::Sender;
 use host::KeySeen;
-use jobs::owner::{JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
+use jobs::owner::{JOB_PREFIX, OWNER_KEY, OwnerRecord, PROGRESS_PREFIX, Replacement, VM_PREFIX};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Effect, Owner, OwnerCfg, Token, Told};
 use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
@@ -49,7 +49,10 @@
     fn store(&self, token: StoreToken, call: StoreCall);
 
     /// Asks the owner and passes its answer on.
-    fn forward(&self, to: std::net::SocketAddr, ask: Ask, reply: Reply<Told>);
+    fn forward(&self, to: &OwnerRecord, ask: Ask, reply: Reply<Told>);
+
+    /// Tells an owner that another has taken over, if it can be reached.
+    fn tell_replaced(&self, former: &OwnerRecord, by: Replacement);
 }
 
 type Clocks = (Instant, SystemTime);
@@ -188,6 +191,8 @@
             Event::OwnerKey(KeySeen::Unreached(e)) => {
                 warn!(self.log, "entry: owner key not read"; "error" => %e);
             }
+            Event::OwnerWithoutStore(epoch) => self.elector.claim_from(now, epoch),
+            Event::Replaced(by) => self.replaced(cx, &by),
             Event::Store(token, reply) => self.store_reply(cx, token, reply),
             Event::Resign => self.resign(cx),
         }
@@ -202,7 +207,7 @@
         }
         match self.elector.owner() {
             Some(owner) if owner.name != self.cfg.elector.me.name => {
-                self.ports.forward(owner.addr, ask, reply);
+                self.ports.forward(owner, ask, reply);
             }
             _ => reply.send(no_owner()),
         }
@@ -245,6 +250,13 @@
         self.changed(cx, change);
     }
 
+    fn replaced(&mut self, cx: CX![], by: &Replacement) {
+        info!(self.log, "entry: told of another owner";
+            "owner" => %by.record.name, "epoch" => by.record.epoch.0);
+        let change = self.elector.replaced(by);
+        self.changed(cx, change);
+    }
+
     fn store_reply(&mut self, cx: CX![], token: StoreToken, reply: Result<StoreReply>) {
         let now = cx.now();
         match token {
@@ -280,8 +292,13 @@
 
     fn changed(&mut self, cx: CX![], change: Option<Change>) {
         match change {
-            Some(Change::Elected { epoch, revision }) => {
+            Some(Change::Elected {
+                epoch,
+                revision,
+                former,
+            }) => {
                 info!(self.log, "entry: elected"; "epoch" => epoch.0);
+                self.tell_former(former.as_ref(), revision);
                 self.gauges.count("ownership", "taken");
                 self.load = Some(Load {
                     epoch,
@@ -295,6 +312,16 @@
         }
     }
 
+    fn tell_former(&self, former: Option<&OwnerRecord>, revision: Revision) {
+        if let (Some(former), Some(record)) = (former, self.elector.owner()) {
+            let by = Replacement {
+                record: record.clone(),
+                revision,
+            };
+            self.ports.tell_replaced(former, by);
+        }
+    }
+
     fn load_part(&self, epoch: Epoch, part: usize) {
         let call = StoreCall::List {
             prefix: LOADED[part].into(),
--- a/crates/lead/src/rpc.rs
+++ b/crates/lead/src/rpc.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use host::RpcLimits;
+use jobs::owner::Replacement;
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Told};
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -38,6 +39,12 @@
         host::ask(&self.events, |reply| Event::Sync(Box::new(report), reply)).await
     }
 
+    async fn replaced(&self, by: Replacement) -> RpcResult<()> {
+        // The actor may have ended first; then there is no owner to replace.
+        drop(self.events.send(Event::Replaced(by)));
+        Ok(())
+    }
+
     async fn ask(&self, ask: Ask) -> RpcResult<Told> {
         host::ask(&self.events, |reply| Event::Forwarded(Box::new(ask), reply)).await
     }
--- a/crates/lead/tests/elector.rs
+++ b/crates/lead/tests/elector.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use fakes::store::MemStore;
-use jobs::owner::{OWNER_KEY, OwnerRecord};
+use jobs::owner::{OWNER_KEY, OwnerRecord, Replacement};
 use lead::{Change, Elector, ElectorCfg};
 use ports::store::{KeyValue, StoreCall, StoreReply};
 
@@ -203,3 +203,51 @@
 
     assert!(matches!(change, Some(Change::Deposed(_))));
 }
+
+#[test]
+fn the_key_is_taken_from_an_owner_without_the_store() {
+    let mut rig = Rig::new();
+    let (mut a, mut b) = (elector("a"), elector("b"));
+    rig.elect(&mut a);
+    rig.elect(&mut b);
+
+    b.claim_from(rig.now, Epoch(1));
+    let change = rig.elect(&mut b);
+
+    let Some(Change::Elected {
+        epoch,
+        revision,
+        former,
+    }) = change
+    else {
+        panic!("expected an election, got {change:?}");
+    };
+    assert_eq!(epoch, Epoch(2));
+    assert_eq!(former.map(|f| f.name), Some("a".into()));
+    let by = Replacement {
+        record: b.owner().expect("it owns").clone(),
+        revision,
+    };
+    assert!(matches!(a.replaced(&by), Some(Change::Deposed(_))));
+    assert_eq!(a.owner().map(|o| &*o.name), Some("b"));
+}
+
+#[test]
+fn the_key_is_not_taken_from_a_later_owner() {
+    let mut rig = Rig::new();
+    let (mut a, mut b, mut c) = (elector("a"), elector("b"), elector("c"));
+    rig.elect(&mut a);
+    rig.elect(&mut b);
+    rig.elect(&mut c);
+    b.claim_from(rig.now, Epoch(1));
+    rig.elect(&mut b);
+
+    c.claim_from(rig.now, Epoch(1));
+    let kept = c.run(rig.now, rig.wall, Nonce(9));
+    let change = kept.and_then(|call| {
+        let reply = rig.store.call(rig.now, &call);
+        c.reply(rig.now, (rig.now, rig.wall), reply).1
+    });
+
+    assert_eq!(change, None);
+}
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -1,6 +1,7 @@
 //! The calls themselves.
 
 use base::prelude::*;
+use jobs::owner::Replacement;
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Told};
 use jsonrpsee::core::RpcResult;
@@ -84,4 +85,8 @@
     /// Takes what a caller of another entry asks.
     #[method(name = "ask")]
     async fn ask(&self, ask: Ask) -> RpcResult<Told>;
+
+    /// Tells an owner that another has taken over, in case it cannot read that in the store.
+    #[method(name = "replaced")]
+    async fn replaced(&self, by: Replacement) -> RpcResult<()>;
 }
--- a/crates/wire/src/owner_client.rs
+++ b/crates/wire/src/owner_client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use jobs::owner::Replacement;
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Told};
 use parking_lot::Mutex;
@@ -11,6 +12,9 @@
 use serde::{Deserialize, Serialize};
 use ureq::http::Request;
 
+/// What is said of an answer without result and error.
+const NO_RESULT: &str = "neither result nor error";
+
 /// A call as JSON-RPC writes it.
 #[derive(Serialize)]
 struct RpcCall<'a, T> {
@@ -68,6 +72,19 @@
         self.call(to, "owner_ask", ask)
     }
 
+    /// Tells an owner that another has taken over.
+    ///
+    /// # Errors
+    ///
+    /// Returns what kept the former owner from answering.
+    pub fn replaced(&self, to: SocketAddr, by: &Replacement) -> Result<()> {
+        match self.call::<_, ()>(to, "owner_replaced", by) {
+            // The result of a call that returns nothing is null, which reads as none.
+            Err(e) if e.message() == NO_RESULT => Ok(()),
+            outcome => outcome,
+        }
+    }
+
     fn call<P: Serialize, R: DeserializeOwned>(
         &self,
         to: SocketAddr,
@@ -92,7 +109,7 @@
             .map_err(|e| client.error(ErrorKind::Interrupted, method, e.to_string()))?;
         answer.result.ok_or_else(|| {
             let error = answer.error.map_or_else(
-                || "neither result nor error".to_owned(),
+                || NO_RESULT.to_owned(),
                 |e| format!("error {}: {}", e.code, e.message),
             );
             client.error(ErrorKind::Interrupted, method, error)
