Outlive SIGHUP; fence a worker anew when its companion restarts

Cause found by reading: the companion that came back knew nothing of its former process's starts and stops, and a run missing from one listing was released at once though it might be stopping. The owner now raises the fence when a companion restarts and releases only by settled listings.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -315,7 +315,7 @@
     log: &Logger,
 ) -> Result<()> {
     let app = App::start(cfg, store, runner, dialect, log)?;
-    host::wait_for_stop()?;
+    host::wait_for_stop_with(|| info!(log, "companion: told of new settings; addresses stay"))?;
     app.stop();
     Ok(())
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -11,4 +11,4 @@
 pub use actors::{Actors, drive};
 pub use follow::{KeySeen, follow_key};
 pub use rpc::{RpcLimits, ask, dropped, serve_rpc, start_runtime};
-pub use signal::wait_for_stop;
+pub use signal::{wait_for_stop, wait_for_stop_with};
--- a/crates/host/src/signal.rs
+++ b/crates/host/src/signal.rs
@@ -1,7 +1,7 @@
-//! The signals that begin a planned stop.
+//! The signals that begin a planned stop, and the one that tells of new settings.
 
 use base::prelude::*;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// Waits until the process is told to stop.
@@ -10,7 +10,27 @@
 ///
 /// Returns [`ErrorKind::Internal`] where signals cannot be watched.
 pub fn wait_for_stop() -> Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(|e| {
+    watch(&[SIGINT, SIGTERM])?.forever().next();
+    Ok(())
+}
+
+/// Waits until the process is told to stop, and calls `reload` whenever its settings changed.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Internal`] where signals cannot be watched.
+pub fn wait_for_stop_with(mut reload: impl FnMut()) -> Result<()> {
+    for signal in watch(&[SIGINT, SIGTERM, SIGHUP])?.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        reload();
+    }
+    Ok(())
+}
+
+fn watch(signals: &[i32]) -> Result<Signals> {
+    Signals::new(signals).map_err(|e| {
         let message = e.to_string();
         Error::new(
             ErrorKind::Internal,
@@ -18,7 +38,5 @@
             "operating system",
             message,
         )
-    })?;
-    signals.forever().next();
-    Ok(())
+    })
 }
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -37,7 +37,6 @@
                 *is_taken = true;
             }
         }
-        self.drop_vanished(vm, rows, open);
     }
 
     /// Takes in how a known run goes on.
@@ -112,7 +111,9 @@
     }
 
     /// Releases runs that the worker listed before and lists no more, without an end.
-    fn drop_vanished(&mut self, vm: &Name, rows: &[RunningRow], open: &[TaskRun]) {
+    ///
+    /// Only a settled listing tells so: a run that is being stopped may be in neither list.
+    pub(super) fn drop_vanished(&mut self, vm: &Name, rows: &[RunningRow], open: &[TaskRun]) {
         let Some(worker) = self.workers.get(vm) else {
             return;
         };
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -37,6 +37,12 @@
             self.effects.push(Effect::Sync(token, Box::default()));
             return;
         }
+        if report.boot > worker.boot && worker.boot != 0 {
+            // What the companion's former process had sent and not heard of must not take effect
+            // any more; the next listing shows what did.
+            info!(self.log, "owner: companion restarted"; "vm" => %vm);
+            worker.raise_fence();
+        }
         (worker.boot, worker.number) = (report.boot, report.number);
         if let Some(parked) = worker.parked.take() {
             // An empty answer carries no lease, so that the older report extends nothing.
@@ -161,6 +167,9 @@
         let is_first = self.workers.get(vm).is_some_and(|w| !w.is_adopted);
         self.take_ends(now, unix_ms, vm, &listing.ends);
         self.take_running(now, vm, &listing.running, &report.open, is_first);
+        if !is_first && listing.is_settled {
+            self.drop_vanished(vm, &listing.running, &report.open);
+        }
         if is_first && listing.is_settled {
             self.adopted(vm, &listing, &report.open);
         }
--- a/crates/jobs/tests/rig/mod.rs
+++ b/crates/jobs/tests/rig/mod.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Vm {
     pub name: Name,
+    pub boot: u64,
     pub born: u64,
     pub number: u64,
     pub epoch: Epoch,
@@ -101,6 +102,7 @@
     pub fn add_vm(&mut self, name: &str, cores: u64) {
         let vm = Vm {
             name: name.into(),
+            boot: 1,
             born: 1,
             number: 0,
             epoch: Epoch(0),
@@ -285,7 +287,7 @@
         });
         SyncReport {
             vm: Arc::clone(&self.name),
-            boot: 1,
+            boot: self.boot,
             number: self.number,
             epoch: self.epoch,
             worker: Some(WorkerReport {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -192,3 +192,25 @@
 
     assert_eq!(rig.vm("two").running.len(), on_two);
 }
+
+#[test]
+fn starts_of_a_companions_former_process_are_fenced_before_they_are_made_elsewhere() {
+    let mut rig = busy_rig();
+    let fence = rig.vm("one").fence;
+    let run = rig.vm("one").running.remove(0).run;
+    // The former process had sent the start; its outcome is open.
+    rig.vm("one").open = vec![run.clone()];
+    rig.sync("one");
+    rig.vm("one").open.clear();
+    rig.vm("one").boot = 2;
+    rig.vm("one").is_settled = false;
+
+    rig.sync_all();
+    let runs_again = |rig: &Rig| rig.running().iter().any(|(_, r)| r.task == run.task);
+    assert!(rig.vm("one").fence > fence);
+    assert!(!runs_again(&rig), "a stop may be under way");
+    rig.vm("one").is_settled = true;
+    rig.sync_all();
+
+    assert!(runs_again(&rig), "the task is not forgotten");
+}
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -268,7 +268,7 @@
     log: &Logger,
 ) -> Result<()> {
     let app = App::start(cfg, store, dialect, log)?;
-    host::wait_for_stop()?;
+    host::wait_for_stop_with(|| info!(log, "entry: told of new settings; addresses stay"))?;
     app.stop();
     Ok(())
 }
