--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -23,13 +23,13 @@
 /// What the command line asks for.
 #[derive(Clone, Debug)]
 enum Command {
-    Plain(CompanionFlags),
+    Plain(Box<CompanionFlags>),
     Site,
 }
 
 fn run() -> eyre::Result<()> {
     match options().run() {
-        Command::Plain(flags) => serve(flags),
+        Command::Plain(flags) => serve(*flags),
         Command::Site => serve_site(),
     }
 }
@@ -41,7 +41,7 @@
             "Runs a companion on the users' platform; settings come from MONSOONTRESTLE_NODE_FILE",
         )
         .command("site");
-    let plain = companion::companion_parser().map(Command::Plain);
+    let plain = companion::companion_parser().map(|flags| Command::Plain(Box::new(flags)));
     construct!([site, plain])
         .to_options()
         .descr(companion::SUMMARY)
