--- a/crates/entry/src/store_io.rs
+++ b/crates/entry/src/store_io.rs
@@ -90,10 +90,7 @@
     reply.as_ref().map_or_else(
         |e| {
             !e.kind().is_outcome_unknown()
-                && !matches!(
-                    e.kind(),
-                    ErrorKind::Unreachable | ErrorKind::NotListening | ErrorKind::Overloaded
-                )
+                && !matches!(e.kind(), ErrorKind::Unreachable | ErrorKind::Overloaded)
         },
         |_| true,
     )
--- a/crates/jobs/tests/rig/mod.rs
+++ b/crates/jobs/tests/rig/mod.rs
@@ -50,6 +50,7 @@
     pub rejected: Vec<Rejected>,
     pub open: Vec<TaskRun>,
     pub stored_ends: u64,
+    pub paces: IndexMap<TaskRun, u32>,
     pub last: SyncReply,
 }
 
@@ -118,6 +119,7 @@
             rejected: Vec::new(),
             open: Vec::new(),
             stored_ends: 0,
+            paces: IndexMap::new(),
             last: SyncReply::default(),
         };
         self.vms.insert(name.into(), vm);
@@ -317,6 +319,7 @@
             for order in &reply.starts {
                 self.start(order);
             }
+            self.paces.extend(reply.paces.iter().cloned());
             for run in &reply.stops {
                 self.end(run, EndKind::Stopped);
             }
--- /dev/null
+++ b/crates/lead/tests/table.rs
@@ -0,0 +1,50 @@
+//! Which route a request belongs to.
+
+use jobs::RouteTerms;
+use lead::{Route, RouteTable};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        host: host.into(),
+        prefix: prefix.into(),
+        terms: RouteTerms {
+            route: format!("{host}{prefix}").as_str().into(),
+            pool: "desk".into(),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.0,
+            slack_ms: 0,
+            advice: None,
+        },
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable {
+        routes: vec![
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+            route("b.example", "/x/"),
+        ],
+        ..RouteTable::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table();
+
+    let found = table.find("A.example", "/x/y/1").expect("a route");
+
+    assert_eq!(found.terms.route.as_str(), "a.example/x/y/");
+    assert_eq!(&*found.rest, "1");
+}
+
+#[test]
+fn a_route_of_another_host_or_prefix_takes_nothing() {
+    let table = table();
+
+    assert_eq!(table.find("c.example", "/x/1"), None);
+    assert_eq!(table.find("a.example", "/z/1"), None);
+    assert_eq!(table.find("a.example", "/x"), None);
+}
--- a/crates/ops/src/apply.rs
+++ b/crates/ops/src/apply.rs
@@ -314,10 +314,7 @@
 
 /// Tells whether a failed call may succeed when made again.
 fn is_passing(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::Unreachable | ErrorKind::NotListening | ErrorKind::Overloaded
-    ) || kind.is_outcome_unknown()
+    matches!(kind, ErrorKind::Unreachable | ErrorKind::Overloaded) || kind.is_outcome_unknown()
 }
 
 fn unknown(why: &str) -> Failure {
--- a/crates/ops/src/outcome.rs
+++ b/crates/ops/src/outcome.rs
@@ -87,9 +87,7 @@
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         let exit = match error.kind() {
-            ErrorKind::Unreachable | ErrorKind::NotListening | ErrorKind::Overloaded => {
-                Exit::Unreachable
-            }
+            ErrorKind::Unreachable | ErrorKind::Overloaded => Exit::Unreachable,
             ErrorKind::Timeout | ErrorKind::Interrupted => Exit::Unknown,
             ErrorKind::NotFound | ErrorKind::Refused => Exit::Refused,
             ErrorKind::Conflict => Exit::Conflict,
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -24,6 +24,7 @@
     timeout: Duration,
     agent: Mutex<Agent>,
     accepted: &'static [u16],
+    tells_closed_ports: bool,
 }
 
 /// Statuses that are answers, whichever server gives them.
@@ -38,9 +39,18 @@
             timeout,
             agent: Mutex::new(new_agent(timeout)),
             accepted: &[],
+            tells_closed_ports: false,
         }
     }
 
+    /// Tells closed ports from other servers that are out of reach, by
+    /// [`ErrorKind::NotListening`].
+    #[must_use]
+    pub fn telling_closed_ports(mut self) -> Self {
+        self.tells_closed_ports = true;
+        self
+    }
+
     /// Takes further statuses as answers that the caller understands.
     #[must_use]
     pub fn accepting(mut self, statuses: &'static [u16]) -> Self {
@@ -98,7 +108,12 @@
     }
 
     fn transport_error(&self, step: &'static str, e: &ureq::Error) -> Error {
-        let kind = transport_kind(e);
+        let kind = match e {
+            ureq::Error::Io(e) if self.tells_closed_ports && is_refused(e) => {
+                ErrorKind::NotListening
+            }
+            _ => transport_kind(e),
+        };
         if kind.is_outcome_unknown() {
             // Connections that went silent do so together: none of the old ones is used again.
             *self.agent.lock() = new_agent(self.timeout);
@@ -147,10 +162,14 @@
     }
 }
 
+fn is_refused(e: &io::Error) -> bool {
+    e.kind() == io::ErrorKind::ConnectionRefused
+}
+
 fn io_kind(kind: io::ErrorKind) -> ErrorKind {
     match kind {
-        io::ErrorKind::ConnectionRefused => ErrorKind::NotListening,
-        io::ErrorKind::HostUnreachable
+        io::ErrorKind::ConnectionRefused
+        | io::ErrorKind::HostUnreachable
         | io::ErrorKind::NetworkUnreachable
         | io::ErrorKind::AddrNotAvailable => ErrorKind::Unreachable,
         io::ErrorKind::TimedOut => ErrorKind::Timeout,
