--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -4,7 +4,7 @@
 use slog::{info, warn};
 
 use super::Owner;
-use super::worker::{FULL_PACE, Phase, Run};
+use super::worker::{FULL_PACE, PACE_UNKNOWN, Phase, Run};
 use crate::report::{Listing, RejectKind, Rejected, RunningRow};
 use crate::{JobState, StageSpec, Task, TaskRun};
 
@@ -95,6 +95,8 @@
         run.phase = Phase::Running;
         run.percent = row.percent;
         run.gauge = row.gauge;
+        // The former owner may have slowed it; whatever it said, the pace is told anew.
+        run.pace_sent = run.is_filler.then_some((PACE_UNKNOWN, now));
         job.state = JobState::Running;
         job.update(part, position, |task| {
             task.live.push((Arc::clone(vm), row.run.attempt));
--- a/crates/jobs/src/owner/stall.rs
+++ b/crates/jobs/src/owner/stall.rs
@@ -32,8 +32,12 @@
             warn!(self.log, "owner: run stands still"; "run" => %id, "vm" => %vm);
             self.avoid(&vm, &id);
             if let Some(worker) = self.workers.get_mut(&vm) {
+                // A filler may stand still because others leave no processor time.
+                let is_filler = worker.runs.get(&id).is_some_and(|r| r.is_filler);
                 worker.stop_run(&id);
-                worker.health.failed(now);
+                if !is_filler {
+                    worker.health.failed(now);
+                }
             }
         }
     }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -21,6 +21,9 @@
 /// The share of speed of a task that is not throttled, in percent.
 pub(super) const FULL_PACE: u32 = 100;
 
+/// A pace that no order has, so that the next one differs.
+pub(super) const PACE_UNKNOWN: u32 = u32::MAX;
+
 /// How often a throttle is ordered anew, in case the order was lost.
 const REPEAT_PACE_AFTER: Duration = Duration::from_secs(1);
 
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -140,3 +140,21 @@
     let on_free = rig.vm("free").running.len();
     assert!(on_free >= 3, "{on_free} of 4");
 }
+
+#[test]
+fn a_new_owner_tells_the_pace_of_fillers_anew() {
+    let mut rig = mixed_rig();
+    set_tail(&mut rig, 30.0);
+    rig.pass(HARM_BOUND - Duration::from_millis(500), &["vm"]);
+    assert_eq!(pace(&mut rig), 0);
+
+    set_tail(&mut rig, 3.0);
+    rig.take_over();
+    rig.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(
+        pace(&mut rig),
+        100,
+        "what the former owner said does not stay"
+    );
+}
