Run one task of a waiting job of fillers though harm is expected everywhere

After 1.5 s with nothing running, one of its tasks goes to the least harmed worker with few fillers; pace bounds the harm. Test: a_filler_runs_at_last_though_harm_is_expected_everywhere (failed first: none ran).

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -104,6 +104,8 @@
     pub(crate) parts: Vec<Part>,
     /// Whether an earlier owner accepted it, so that workers may run tasks we know nothing of.
     pub(crate) is_inherited: bool,
+    /// Since when it could run and has no run.
+    pub(crate) idle_since: Option<Instant>,
     /// When this owner first knew it.
     pub(crate) since: Instant,
     pub(crate) ended_unix_ms: Option<u64>,
@@ -150,6 +152,7 @@
             tasks: vec![Task::default(); first],
             parts,
             is_inherited: false,
+            idle_since: None,
             since: now,
             ended_unix_ms: None,
             stored: Stored::default(),
@@ -250,6 +253,16 @@
         })
     }
 
+    /// Notes whether the job could run and has no run; tells whether that is so.
+    pub(crate) fn note_idle(&mut self, now: Instant) -> bool {
+        if self.tasks.iter().all(|t| t.live.is_empty()) {
+            self.idle_since.get_or_insert(now);
+        } else {
+            self.idle_since = None;
+        }
+        self.idle_since.is_some()
+    }
+
     /// Tells whether all tasks are done.
     pub(crate) fn is_all_done(&self) -> bool {
         self.parts.iter().all(Part::is_done)
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -99,6 +99,8 @@
     stats: Stats,
     /// Whether something changed that may let a task start.
     is_round_due: bool,
+    /// When a round is due though nothing changed.
+    repeat_round: Option<Instant>,
     /// Whether inherited jobs wait for workers that an earlier owner may have used.
     had_unheard: bool,
 }
@@ -119,6 +121,7 @@
             effects: Vec::new(),
             stats: Stats::default(),
             is_round_due: true,
+            repeat_round: None,
             had_unheard: true,
         }
     }
@@ -149,6 +152,7 @@
     /// Returns when [`Owner::run`] has something to do even if nothing happens.
     pub fn next_due(&self, now: Instant) -> Instant {
         let mut due = now + IDLE_PERIOD;
+        due = due.min(self.repeat_round.unwrap_or(due));
         for worker in self.workers.values() {
             due = due.min(worker.next_due(now, self.cfg.worker_lease));
         }
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -15,6 +15,19 @@
 /// The most processors that fillers and others may ask for together, over those there are.
 const MAX_FILLED: f64 = 1.15;
 
+/// How soon a round is repeated while a job that could run has no run.
+const REPEAT_AFTER: Duration = Duration::from_millis(250);
+
+/// How long a job of fillers may have nothing running before harm is risked: half of the three
+/// seconds after which a job with room for it counts as forgotten.
+const FORCED_AFTER: Duration = Duration::from_millis(1500);
+
+/// The most fillers, over the processors, on a worker where harm is risked.
+const FORCED_FILLED: f64 = 0.08;
+
+/// What risking harm costs, in units of load.
+const FORCED_COST: f64 = 5.0;
+
 /// What it costs to go to a worker where the task failed before, in units of load.
 const AVOID_COST: f64 = 10.0;
 
@@ -34,10 +47,12 @@
 impl Owner {
     /// Places the tasks that may start, most urgent first.
     pub(super) fn place_tasks(&mut self, now: Instant, unix_ms: u64) {
-        if !self.is_round_due && !self.has_schedules() {
+        let is_repeat_due = self.repeat_round.is_some_and(|at| at <= now);
+        if !self.is_round_due && !is_repeat_due && !self.has_schedules() {
             return;
         }
         self.is_round_due = false;
+        self.repeat_round = None;
         for (_, id, part) in self.candidates(unix_ms) {
             let is_gang = self
                 .jobs
@@ -48,6 +63,9 @@
             } else {
                 self.place_part(now, &id, part);
             }
+            if self.jobs.get_mut(&id).is_some_and(|j| j.note_idle(now)) {
+                self.repeat_round = Some(now + REPEAT_AFTER);
+            }
         }
     }
 
@@ -132,7 +150,10 @@
             }
             let mut cost = cost(stage, worker);
             if stage.filler {
-                let Some(harm) = self.neighbours.borrow_mut().harm_of(now, worker, stage) else {
+                let harm = self.neighbours.borrow_mut().harm_of(now, worker, stage);
+                let Some(harm) =
+                    harm.or_else(|| is_forced(now, job, worker).then_some(FORCED_COST))
+                else {
                     continue;
                 };
                 cost += harm;
@@ -148,6 +169,14 @@
     }
 }
 
+/// Tells whether a filler goes to a worker whatever harm is expected there: its job has waited for
+/// long with nothing running, and the worker has few fillers. Pacing bounds the harm.
+fn is_forced(now: Instant, job: &Job, worker: &Worker) -> bool {
+    let is_long = |since: Instant| now.duration_since(since) >= FORCED_AFTER;
+    let has_run = job.tasks.iter().any(|t| !t.live.is_empty());
+    !has_run && job.idle_since.is_some_and(is_long) && worker.filled() <= FORCED_FILLED
+}
+
 /// Tells whether a task of a stage may run on a worker now.
 pub(super) fn fits(
     now: Instant,
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -158,3 +158,26 @@
         "what the former owner said does not stay"
     );
 }
+
+#[test]
+fn a_filler_runs_at_last_though_harm_is_expected_everywhere() {
+    let mut rig = Rig::new();
+    rig.add_vm("vm", 64);
+    rig.submit("serving", serving());
+    rig.sync_all();
+    set_tail(&mut rig, 9.0);
+    rig.pass(Duration::from_secs(20), &["vm"]);
+
+    rig.submit("fill", fillers(3));
+    rig.sync_all();
+    let fills = |rig: &Rig| {
+        let runs = rig.running();
+        runs.iter()
+            .filter(|(_, r)| r.task.job.as_str() == "fill")
+            .count()
+    };
+    assert_eq!(fills(&rig), 0, "the tail is near its target already");
+    rig.pass(Duration::from_millis(2500), &["vm"]);
+
+    assert_eq!(fills(&rig), 1, "one task, so that the job is not forgotten");
+}
