--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -44,9 +44,6 @@
 /// How long a stop waits for heartbeats that are being answered.
 const STOP_GRACE: Duration = Duration::from_millis(200);
 
-/// Where metrics are served, as `deploy/system.toml` tells the platform.
-pub const METRICS_PORT: u16 = 9464;
-
 /// What a companion needs to know.
 #[derive(Clone, Debug)]
 pub struct AgentCfg {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,7 +12,7 @@
 mod sync;
 mod worker_clock;
 
-pub use app::{AgentCfg, App, METRICS_PORT, run};
+pub use app::{AgentCfg, App, run};
 pub use event::{Event, HoldDone};
 pub use keeper::{Act, Keeper};
 pub use node::{Node, Outside};
--- a/crates/companion/src/main.rs
+++ b/crates/companion/src/main.rs
@@ -59,7 +59,7 @@
         vm: boot.vm,
         heartbeat_addr,
         stop_time: boot.stop_time,
-        metrics_addr: SocketAddr::new(boot.ip, agent::METRICS_PORT),
+        metrics_addr: SocketAddr::new(boot.ip, report::METRICS_PORT),
     };
     let store = Arc::new(KvStore::new(boot.store_addr));
     let runner: Arc<dyn Runner> = Arc::new(HttpRunner::new(worker_addr));
--- a/crates/lead/src/cfg.rs
+++ b/crates/lead/src/cfg.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-
-/// Where metrics are served, as `deploy/system.toml` tells the platform.
-const METRICS_PORT: u16 = 9464;
+use report::METRICS_PORT;
 
 /// How many callers are served at once: some tens of clients share an entry.
 const FRONT_THREADS: usize = 48;
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -116,11 +116,6 @@
         })
     }
 
-    fn unix_ms(&self) -> u64 {
-        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-    }
-
     fn token(&mut self) -> Token {
         self.next += 1;
         Token(self.next)
@@ -216,7 +211,7 @@
     /// Serves what is asked of the owner.
     fn own(&mut self, now: Instant, ask: Ask, reply: Reply<Told>) {
         let may_lead = self.elector.may_lead(now, self.clock.wall());
-        let (token, unix_ms) = (self.token(), self.unix_ms());
+        let (token, unix_ms) = (self.token(), unix_ms(self.clock.wall()));
         match self.owner.as_mut().filter(|_| may_lead) {
             Some(owner) => {
                 self.callers.insert(token, reply);
@@ -228,7 +223,7 @@
 
     fn sync(&mut self, now: Instant, report: SyncReport, reply: Reply<SyncReply>) {
         let may_lead = self.elector.may_lead(now, self.clock.wall());
-        let (token, unix_ms) = (self.token(), self.unix_ms());
+        let (token, unix_ms) = (self.token(), unix_ms(self.clock.wall()));
         match self.owner.as_mut().filter(|_| may_lead) {
             Some(owner) => {
                 self.companions.insert(token, reply);
--- a/crates/report/src/gauges.rs
+++ b/crates/report/src/gauges.rs
@@ -15,6 +15,9 @@
 
 const PREFIX: &str = "monsoontrestle";
 
+/// The port at which metrics are served, as `deploy/system.toml` tells the platform.
+pub const METRICS_PORT: u16 = 9464;
+
 /// The path under which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -5,6 +5,6 @@
 mod log;
 mod metrics;
 
-pub use gauges::{Gauges, METRICS_PATH};
+pub use gauges::{Gauges, METRICS_PATH, METRICS_PORT};
 pub use log::{Limited, LogFormat, decision_logger, logger};
 pub use metrics::Metrics;
