--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -18,13 +18,14 @@
         open: &[TaskRun],
         is_first: bool,
     ) {
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.has_foreign_runs = false;
+        }
         for row in rows {
             let is_wanted = self.update_run(now, vm, row) || (is_first && self.adopt(now, vm, row));
             if !is_wanted {
                 info!(self.log, "owner: run is not wanted"; "run" => %row.run, "vm" => %vm);
-                if let Some(worker) = self.workers.get_mut(vm) {
-                    worker.strays.push(row.run.clone());
-                }
+                self.stop_unwanted(now, vm, row);
             }
         }
         let Some(worker) = self.workers.get_mut(vm) else {
@@ -39,6 +40,29 @@
         }
     }
 
+    /// Stops a run that should not be there; it takes its room until it has ended.
+    fn stop_unwanted(&mut self, now: Instant, vm: &Name, row: &RunningRow) {
+        let job = self.jobs.get(&row.run.task.job);
+        let stage = job
+            .filter(|j| j.find(&row.run.task).is_some())
+            .map(|j| j.stage_of(&row.run.task).clone());
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        match stage {
+            Some(stage) => {
+                let mut run = new_run(&stage, now);
+                run.phase = Phase::Stopping { sent: None };
+                worker.insert(row.run.clone(), run);
+            }
+            // What it takes is not known, so nothing is placed beside it.
+            None => {
+                worker.has_foreign_runs = true;
+                worker.strays.push(row.run.clone());
+            }
+        }
+    }
+
     /// Takes in how a known run goes on.
     fn update_run(&mut self, now: Instant, vm: &Name, row: &RunningRow) -> bool {
         let Some(worker) = self.workers.get_mut(vm) else {
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -128,8 +128,10 @@
     /// Until when tasks may run that an earlier owner started.
     pub(super) inherited_until: Option<Instant>,
     pub(super) runs: IndexMap<TaskRun, Run>,
-    /// Runs in the worker's list that should not be there.
+    /// Runs in the worker's list whose jobs are not known.
     pub(super) strays: Vec<TaskRun>,
+    /// Whether the latest list held such runs.
+    pub(super) has_foreign_runs: bool,
     pub(super) ends: Ends,
     pub(super) noted_rejects: Vec<TaskRun>,
     pub(super) parked: Option<Parked>,
@@ -159,6 +161,7 @@
             inherited_until: None,
             runs: IndexMap::new(),
             strays: Vec::new(),
+            has_foreign_runs: false,
             ends: Ends::default(),
             noted_rejects: Vec::new(),
             parked: None,
@@ -281,7 +284,11 @@
             || self
                 .lease_from
                 .is_some_and(|from| now.duration_since(from) < super::sync::SILENT_AFTER);
-        self.is_adopted && is_ready && is_heard && self.health.takes_tasks(now, self.runs.len())
+        self.is_adopted
+            && !self.has_foreign_runs
+            && is_ready
+            && is_heard
+            && self.health.takes_tasks(now, self.runs.len())
     }
 
     /// Advances what may be acknowledged to the worker.
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -214,3 +214,34 @@
 
     assert!(runs_again(&rig), "the task is not forgotten");
 }
+
+#[test]
+fn a_run_that_a_new_owner_does_not_want_takes_its_room_until_it_has_ended() {
+    let mut rig = Rig::new();
+    rig.add_vm("vm", 4);
+    rig.submit("cancelled", job(vec![stage(1, 4)]));
+    rig.sync_all();
+    rig.vm("vm").is_deaf = true;
+    rig.cancel("cancelled");
+    rig.take_over();
+    rig.submit("next", job(vec![stage(1, 4)]));
+    // It takes the new fence, yet its run goes on.
+    rig.vm("vm").is_deaf = false;
+    let run = rig.running()[0].1.clone();
+    rig.sync("vm");
+    rig.vm("vm").is_deaf = true;
+    rig.sync_all();
+    let starts = rig.vm("vm").last.starts.len();
+    assert_eq!(starts, 0, "there is no room yet");
+
+    rig.vm("vm").is_deaf = false;
+    rig.vm("vm").end(&run, EndKind::Stopped);
+    rig.sync_all();
+
+    assert!(
+        rig.running()
+            .iter()
+            .all(|(_, r)| r.task.job.as_str() == "next")
+    );
+    assert_eq!(rig.running().len(), 1);
+}
