Of two lists of one millisecond, keep the first to arrive

By reading: two holds may be answered in one millisecond of the worker's clock; the list made first, without the run, may arrive last, replaced the other, and the run counted as vanished. Test failed before the change.

--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -427,7 +427,8 @@
         .listing
         .as_ref()
         .map(|l| (l.fence, life.listed_clock_ms));
-    if known.is_some_and(|known| (fence, reply.clock_ms) < known) {
+    // Of two lists of one millisecond, the later to arrive may be the earlier to be made.
+    if known.is_some_and(|known| (fence, reply.clock_ms) <= known) {
         return false;
     }
     let listing = Listing {
--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/keeper.rs
@@ -417,3 +417,23 @@
 
     assert!(rig.starts().is_empty());
 }
+
+#[test]
+fn of_two_lists_of_one_millisecond_the_second_is_not_taken_for_later() {
+    let mut rig = Rig::fenced();
+    rig.order(&run_of(0));
+    rig.advance(20);
+    rig.list(&[run_of(0)], &[]);
+    rig.answer_sync(|_| ());
+    let news = EndRow {
+        number: 1,
+        run: run_of(5),
+        how: EndKind::Done,
+        checkpoint: None,
+    };
+
+    rig.list(&[], &[news]);
+
+    let listing = rig.last_report().listing.expect("a list");
+    assert_eq!(listing.running.len(), 1);
+}
