Drop a companion's unanswered starts when the fence rises

Cause: a start whose worker had not answered was made again with the fence in force at that time. After a takeover (or a lapsed lease) it was so made again under the new owner's fence, and took effect although the new owner had adopted the worker without it and had ordered the task elsewhere.

Also: a list that lacks a run whose start was answered is not settled, so that a new owner does not take its task as free.

Tests: three in agent/tests/keeper.rs, which failed before.

--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -431,18 +431,19 @@
     if known.is_some_and(|known| (fence, reply.clock_ms) <= known) {
         return false;
     }
-    let listing = Listing {
+    let mut listing = Listing {
         fence,
         is_settled,
         running: reply.running,
         ends: reply.ends,
     };
     life.starts.settle(&listing, reply.clock_ms);
+    listing.is_settled &= !life.starts.has_unlisted();
     let last_end = |l: &Listing| l.ends.iter().map(|e| e.number).max();
     let is_first = life
         .listing
         .as_ref()
-        .is_none_or(|l| l.fence != fence || l.is_settled != is_settled);
+        .is_none_or(|l| l.fence != fence || l.is_settled != listing.is_settled);
     let has_new_end = life
         .listing
         .as_ref()
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -106,6 +106,15 @@
         }
     }
 
+    /// Drops the starts that the worker has not answered, as the fence has risen.
+    ///
+    /// Made again under the new fence they would take effect, though whoever raised it no longer
+    /// counts on them. What was carried out under the old fence shows in the next listing.
+    pub(crate) fn drop_unanswered(&mut self) {
+        self.open
+            .retain(|_, open| matches!(open.progress, Progress::Taken(_)));
+    }
+
     /// Returns the starts to send now, and marks them as sent.
     pub(crate) fn take_due(&mut self, now: Instant) -> Vec<StartOrder> {
         let mut due = Vec::new();
@@ -236,12 +245,15 @@
         rows.collect()
     }
 
-    /// Tells whether some start waits for a listing that shows it.
+    /// Tells whether some start or stop waits for a listing that shows it.
     pub(crate) fn awaits_listing(&self) -> bool {
-        self.stops.values().any(|s| matches!(s, Stop::Done(_)))
-            || self
-                .open
-                .values()
-                .any(|o| matches!(o.progress, Progress::Taken(_)))
+        self.stops.values().any(|s| matches!(s, Stop::Done(_))) || self.has_unlisted()
+    }
+
+    /// Tells whether the worker took a start that no listing has shown yet.
+    pub(crate) fn has_unlisted(&self) -> bool {
+        self.open
+            .values()
+            .any(|o| matches!(o.progress, Progress::Taken(_)))
     }
 }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -137,6 +137,9 @@
             if reply.fence < life.fence {
                 return;
             }
+            if reply.fence > life.fence {
+                life.starts.drop_unanswered();
+            }
             life.fence = reply.fence;
             life.stored_ends = life.stored_ends.max(reply.stored_ends);
             if let (Some(clock_ms), Some(lease_ms)) = (sent.clock_ms, reply.lease_ms) {
--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/keeper.rs
@@ -437,3 +437,50 @@
     let listing = rig.last_report().listing.expect("a list");
     assert_eq!(listing.running.len(), 1);
 }
+
+#[test]
+fn a_start_ordered_under_an_earlier_fence_is_not_made_again() {
+    let mut rig = Rig::fenced();
+    rig.order(&run_of(0));
+    rig.started(&run_of(0), Err(lost()));
+
+    // Another owner took over, or this one gave the worker's tasks to others meanwhile.
+    rig.answer_sync(|reply| reply.fence = 9);
+    rig.advance(100);
+    rig.run();
+
+    assert_eq!(rig.starts().len(), 1, "only the one before the fence rose");
+    assert!(rig.next_report().open.is_empty());
+}
+
+#[test]
+fn a_start_that_is_on_its_way_when_the_fence_rises_is_not_made_again() {
+    let mut rig = Rig::fenced();
+    rig.order(&run_of(0));
+
+    rig.answer_sync(|reply| reply.fence = 9);
+    rig.started(&run_of(0), Err(lost()));
+    rig.advance(100);
+    rig.run();
+
+    assert_eq!(rig.starts().len(), 1);
+}
+
+#[test]
+fn a_list_without_a_run_that_was_started_is_not_settled() {
+    let mut rig = Rig::fenced();
+    rig.advance(1000);
+    rig.order(&run_of(0));
+    let clock_ms = rig.clock_ms;
+    rig.started(&run_of(0), Ok(StartReply::Started { clock_ms }));
+
+    rig.advance(20);
+    rig.list(&[], &[]);
+    let before = rig.next_report().listing.expect("a list");
+    rig.advance(20);
+    rig.list(&[run_of(0)], &[]);
+    let after = rig.next_report().listing.expect("a list");
+
+    assert!(!before.is_settled, "a new owner would take the task as free");
+    assert!(after.is_settled);
+}
