Give long lists time for their body; weak entries leave claims to others

Cause: a page of the store's list had 0.7 s in all. On the grown trading desk some entries have links of 10 Mbit/s, and a page of 500 jobs takes longer. An entry elected there read its first page for ever: nobody owned the jobs, all leases lapsed. Owners elected early read small lists.

Ruled out: the election, the store (others read it meanwhile), paging.

--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/keeper.rs
@@ -481,6 +481,9 @@
     rig.list(&[run_of(0)], &[]);
     let after = rig.next_report().listing.expect("a list");
 
-    assert!(!before.is_settled, "a new owner would take the task as free");
+    assert!(
+        !before.is_settled,
+        "a new owner would take the task as free"
+    );
     assert!(after.is_settled);
 }
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -60,7 +60,8 @@
     };
     let rpc = SocketAddr::new(boot.ip, boot.rpc_port);
     let cfg = LeadCfg::new(boot.vm, front, ready, rpc, boot.retention)
-        .within(boot.min_store_lease, boot.max_worker_lease);
+        .within(boot.min_store_lease, boot.max_worker_lease)
+        .on_vm(boot.cpu_share, boot.link_mbps);
     let store = Arc::new(KvStore::new(boot.store_addr));
     lead::run(&cfg, store, Arc::new(Callers), &log)?;
     Ok(())
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -192,6 +192,7 @@
             },
             lease: cfg.owner_lease,
             outage_grace: cfg.outage_grace,
+            claim_delay: cfg.claim_delay,
         },
         worker_lease: cfg.worker_lease,
         retention: cfg.retention,
--- a/crates/lead/src/cfg.rs
+++ b/crates/lead/src/cfg.rs
@@ -22,6 +22,17 @@
 /// The share of the longest lease that workers grant which is used at most, in percent.
 const WORKER_LEASE_SHARE: u32 = 75;
 
+/// The share of a core below which an entry leaves ownership to others, where there are any: the
+/// owner of sixty workers uses about a tenth of a core.
+const SMALL_CPU_SHARE: f64 = 0.2;
+
+/// The speed of the link, in megabits a second, below which an entry does so: a new owner reads
+/// some megabytes.
+const SLOW_LINK_MBPS: f64 = 50.0;
+
+/// How long an entry that has little leaves a claim to others: several times an election.
+const CLAIM_DELAY: Duration = Duration::from_millis(400);
+
 /// What an entry needs to know.
 #[derive(Clone, Debug)]
 pub struct LeadCfg {
@@ -41,6 +52,8 @@
     pub owner_lease: Duration,
     /// How long the owner goes on, beyond its lease, while the store does not answer.
     pub outage_grace: Duration,
+    /// How long this entry leaves a claim to others that could do more as the owner.
+    pub claim_delay: Duration,
     /// How long workers run tasks after a report that was answered.
     pub worker_lease: Duration,
     /// How long states of ended jobs are told.
@@ -65,6 +78,7 @@
             threads: FRONT_THREADS,
             owner_lease: OWNER_LEASE,
             outage_grace: OUTAGE_GRACE,
+            claim_delay: Duration::ZERO,
             worker_lease: WORKER_LEASE,
             retention,
         }
@@ -78,4 +92,15 @@
         self.worker_lease = self.worker_lease.min(longest);
         self
     }
+
+    /// Leaves ownership to others if the VM has little; what is not known counts as enough.
+    #[must_use]
+    pub fn on_vm(mut self, cpu_share: Option<f64>, link_mbps: Option<f64>) -> Self {
+        let is_small = cpu_share.is_some_and(|share| share < SMALL_CPU_SHARE)
+            || link_mbps.is_some_and(|speed| speed < SLOW_LINK_MBPS);
+        if is_small {
+            self.claim_delay = CLAIM_DELAY;
+        }
+        self
+    }
 }
--- a/crates/lead/src/elector.rs
+++ b/crates/lead/src/elector.rs
@@ -15,6 +15,8 @@
     pub lease: Duration,
     /// How long the owner goes on, beyond its lease, while the store does not answer.
     pub outage_grace: Duration,
+    /// How long this entry leaves a claim to others that could do more as the owner.
+    pub claim_delay: Duration,
 }
 
 /// A store call that the election needs.
@@ -133,7 +135,7 @@
         self.is_key_known = true;
         let record = kv.and_then(|kv| Some((OwnerRecord::decode(&kv.value).ok()?, kv.revision)));
         if record.is_none() && self.claim_at.is_none() {
-            self.claim_at = Some(now + jitter);
+            self.claim_at = Some(now + jitter + self.cfg.claim_delay);
         }
         let revision = record.as_ref().map(|(_, revision)| *revision);
         let seen = self.seen.as_ref().map(|(_, revision)| *revision);
@@ -164,7 +166,7 @@
         let owner = self.seen.as_ref().filter(|(owner, _)| owner.epoch == epoch);
         if let Some(owner) = owner.filter(|_| is_free && !self.has_resigned) {
             self.claim_from = Some(owner.clone());
-            self.claim_at = Some(now);
+            self.claim_at = Some(now + self.cfg.claim_delay);
         }
     }
 
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -300,7 +300,7 @@
                     revision,
                     parts: [None, None, None],
                 });
-                (0..LOADED.len()).for_each(|part| self.load_part(epoch, part));
+                self.load_part(epoch, 0);
             }
             Some(Change::Deposed(why)) => self.step_down(cx, why),
             None => {}
@@ -331,7 +331,13 @@
             return;
         };
         match reply {
-            Ok(StoreReply::Listed(items)) => load.parts[part] = Some(items),
+            Ok(StoreReply::Listed(items)) => {
+                load.parts[part] = Some(items);
+                // One after the other, so that they do not crowd a slow link.
+                if part + 1 < LOADED.len() {
+                    self.load_part(epoch, part + 1);
+                }
+            }
             Ok(_) => warn!(self.log, "entry: unexpected reply to a load"),
             Err(e) => {
                 warn!(self.log, "entry: load failed"; "error" => %e);
--- a/crates/lead/tests/elector.rs
+++ b/crates/lead/tests/elector.rs
@@ -71,7 +71,13 @@
 }
 
 fn elector(name: &str) -> Elector {
+    patient_elector(name, Duration::ZERO)
+}
+
+/// An elector that leaves claims to others for a while.
+fn patient_elector(name: &str, claim_delay: Duration) -> Elector {
     Elector::new(ElectorCfg {
+        claim_delay,
         me: OwnerRecord {
             name: name.into(),
             addr: "127.0.0.1:1".parse().expect("an address"),
@@ -251,3 +257,31 @@
 
     assert_eq!(change, None);
 }
+
+#[test]
+fn an_entry_that_has_little_leaves_the_claim_to_others() {
+    let delay = Duration::from_millis(400);
+    let mut rig = Rig::new();
+    let (mut small, mut large) = (patient_elector("small", delay), elector("large"));
+
+    let first = rig.elect(&mut small);
+    let second = rig.elect(&mut large);
+    rig.advance(delay);
+    let third = rig.elect(&mut small);
+
+    assert!(first.is_none() && third.is_none());
+    assert!(matches!(second, Some(Change::Elected { .. })));
+}
+
+#[test]
+fn an_entry_that_has_little_claims_where_no_other_does() {
+    let delay = Duration::from_millis(400);
+    let mut rig = Rig::new();
+    let mut small = patient_elector("small", delay);
+
+    rig.elect(&mut small);
+    rig.advance(delay);
+    let change = rig.elect(&mut small);
+
+    assert!(matches!(change, Some(Change::Elected { .. })));
+}
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -78,11 +78,37 @@
         step: &'static str,
         req: Request<Vec<u8>>,
         wait: Duration,
+    ) -> Result<Response<Vec<u8>>> {
+        self.exchange(step, req, self.timeout + wait, Duration::ZERO)
+    }
+
+    /// Sends a request whose answer may be long: its head has the usual time, and its body
+    /// `body_time` more.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Client::send`].
+    pub fn send_for_long(
+        &self,
+        step: &'static str,
+        req: Request<Vec<u8>>,
+        body_time: Duration,
+    ) -> Result<Response<Vec<u8>>> {
+        self.exchange(step, req, self.timeout, body_time)
+    }
+
+    fn exchange(
+        &self,
+        step: &'static str,
+        req: Request<Vec<u8>>,
+        head_time: Duration,
+        body_time: Duration,
     ) -> Result<Response<Vec<u8>>> {
         let agent = self.agent.lock().clone();
         let req = agent
             .configure_request(req)
-            .timeout_global(Some(self.timeout + wait))
+            .timeout_recv_response(Some(head_time))
+            .timeout_global(Some(head_time + body_time))
             .build();
         let resp = agent
             .run(req)
