Fillers: track each class's load, plan speeds, and do what can be in time

Change: neighbours track the load of each class by now, and learn pairs from what fillers really used; speeds are planned so that each tail is expected to keep its target, the most harmful slowed first; the ladder stays as a guard. Order: by the rule of Moore and Hodgson, per kind of work, jobs that can be in time together go by due time; others go by least work, when there is room.

Ruled out: memory (0.01 workers without room), the processors that fillers get (0.90 to 0.96 of what they ask).

--- a/crates/jobs/src/owner/order.rs
+++ b/crates/jobs/src/owner/order.rs
@@ -13,11 +13,10 @@
     pub priority: u32,
     /// What the job can still be.
     pub chance: Chance,
-    /// The work that is left of the job, in milliseconds of a core: worth rises more slowly than
-    /// work, so that short jobs bring more for the same room.
-    pub work_left: u64,
-    /// When the job should be done, in milliseconds since the Unix epoch.
-    pub due_unix_ms: u64,
+    /// Among jobs that can be in time, when each is due, in milliseconds since the Unix epoch;
+    /// among others the work that is left, in milliseconds of a core, since worth rises more
+    /// slowly than work.
+    pub rank: u64,
 }
 
 /// What a job can still be if its chain of stages goes on at once.
@@ -37,8 +36,35 @@
 /// Occurrences and stages that may be placed now, most urgent first.
 pub(super) type Candidates = Vec<(Urgency, JobId, usize)>;
 
+/// How fast the known speed of a kind of work falls while less of it runs: as long as a few tasks.
+const SPEED_MEMORY: Duration = Duration::from_secs(5);
+
+/// Work that competes for the same room: of one rank, and of fillers or of others.
+type Kind = (u32, bool);
+
+/// How many cores each kind of work had lately, and as of when.
+#[derive(Debug, Default)]
+pub(super) struct Speeds {
+    cores: IndexMap<Kind, f64>,
+    at: Option<Instant>,
+}
+
+/// A job that competes with others for being in time.
+#[derive(Clone, Debug)]
+struct Contender {
+    id: JobId,
+    due_unix_ms: u64,
+    /// What is left if the job had all the room it can use, in milliseconds.
+    chain_ms: u64,
+    /// What is left, in milliseconds of a core.
+    work: u64,
+}
+
 impl Owner {
-    pub(super) fn candidates(&self, unix_ms: u64) -> Candidates {
+    /// Returns what may be placed now, most urgent first.
+    pub(super) fn candidates(&mut self, now: Instant, unix_ms: u64) -> Candidates {
+        self.note_speeds(now);
+        let in_time = self.jobs_in_time(unix_ms);
         let mut found = Candidates::new();
         for id in &self.active {
             let Some(job) = self.jobs.get(id).filter(|j| self.may_start(j)) else {
@@ -46,7 +72,8 @@
             };
             for (at, part) in job.parts.iter().enumerate() {
                 if part.waiting > 0 && job.is_due(part, unix_ms) {
-                    found.push((urgency(job, part, unix_ms), id.clone(), at));
+                    let urgency = urgency(job, part, unix_ms, in_time.contains(id));
+                    found.push((urgency, id.clone(), at));
                 }
             }
         }
@@ -57,12 +84,81 @@
     fn may_start(&self, job: &Job) -> bool {
         job.stored.record.is_some() && !(job.is_inherited && self.had_unheard)
     }
+
+    /// Notes how many cores each kind of work has.
+    fn note_speeds(&mut self, now: Instant) {
+        let passed = self.speeds.at.replace(now);
+        let passed = passed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let kept = (-passed.as_secs_f64() / SPEED_MEMORY.as_secs_f64()).exp();
+        let mut cores: IndexMap<Kind, f64> = IndexMap::new();
+        for worker in self.workers.values() {
+            for (id, run) in worker.runs.iter().filter(|(_, r)| !r.is_standing) {
+                if let Some(job) = self.jobs.get(&id.task.job) {
+                    let kind = (job.record.terms.priority, run.is_filler);
+                    let used = run.demand_milli as f64 / 1000.0 * f64::from(run.pace) / 100.0;
+                    *cores.entry(kind).or_default() += used;
+                }
+            }
+        }
+        for (kind, known) in &mut self.speeds.cores {
+            *known *= kept;
+            *known = known.max(cores.swap_remove(kind).unwrap_or_default());
+        }
+        self.speeds.cores.extend(cores);
+    }
+
+    /// Returns the jobs that can be done in time if they get all the room of their kind.
+    fn jobs_in_time(&self, unix_ms: u64) -> IndexSet<JobId> {
+        let mut kinds: IndexMap<Kind, Vec<Contender>> = IndexMap::new();
+        for id in &self.active {
+            let Some(job) = self.jobs.get(id).filter(|j| self.may_start(j)) else {
+                continue;
+            };
+            let part = job.parts.iter().find(|p| !p.is_done());
+            let Some(part) = part.filter(|p| !job.stage(p).standing) else {
+                continue;
+            };
+            let kind = (job.record.terms.priority, job.stage(part).filler);
+            let contender = Contender {
+                id: id.clone(),
+                due_unix_ms: due_unix_ms(job, part),
+                chain_ms: job.chain_ms(part),
+                work: job.work_left(),
+            };
+            kinds.entry(kind).or_default().push(contender);
+        }
+        let mut in_time = IndexSet::new();
+        for (kind, jobs) in kinds {
+            let cores = self.speeds.cores.get(&kind).copied().unwrap_or_default();
+            in_time.extend(feasible(jobs, cores, unix_ms));
+        }
+        in_time
+    }
 }
 
-/// Ranks the tasks of a stage: under overload, work that can be in time goes before work that
-/// cannot, and then what is due first.
-fn urgency(job: &Job, part: &Part, unix_ms: u64) -> Urgency {
-    let terms = &job.record.terms;
+/// Returns the most jobs that can be in time together with so many cores, by the rule of Moore and
+/// Hodgson: by due time, and whenever one would be late, the one with most work left is given up.
+fn feasible(mut jobs: Vec<Contender>, cores: f64, unix_ms: u64) -> impl Iterator<Item = JobId> {
+    jobs.sort_by_key(|j| j.due_unix_ms);
+    let mut chosen: Vec<Contender> = Vec::new();
+    let mut work = 0;
+    for job in jobs {
+        if unix_ms + job.chain_ms > job.due_unix_ms {
+            continue;
+        }
+        let due = job.due_unix_ms;
+        work += job.work;
+        chosen.push(job);
+        let is_late = cores > 0.0 && unix_ms as f64 + work as f64 / cores > due as f64;
+        if is_late && let Some(at) = (0..chosen.len()).max_by_key(|at| chosen[*at].work) {
+            work -= chosen.swap_remove(at).work;
+        }
+    }
+    chosen.into_iter().map(|j| j.id)
+}
+
+/// Returns when an occurrence of a job should be done, in milliseconds since the Unix epoch.
+fn due_unix_ms(job: &Job, part: &Part) -> u64 {
     let start = job
         .record
         .spec
@@ -70,19 +166,32 @@
         .map_or(job.record.accepted_unix_ms, |s| {
             s.first_unix_ms + u64::from(part.occurrence) * s.interval_ms
         });
-    let objective = (job.longest_chain_ms() as f64 * terms.stretch) as u64 + terms.slack_ms;
-    let ends = unix_ms + job.chain_ms(part);
-    let chance = if job.stage(part).standing || ends <= start + objective {
+    start + objective_ms(job)
+}
+
+fn objective_ms(job: &Job) -> u64 {
+    let terms = &job.record.terms;
+    (job.longest_chain_ms() as f64 * terms.stretch) as u64 + terms.slack_ms
+}
+
+/// Ranks the tasks of a stage: under overload, jobs that can be in time go before others, so that
+/// room is not spent on results that come late anyway.
+fn urgency(job: &Job, part: &Part, unix_ms: u64, is_in_time: bool) -> Urgency {
+    let due = due_unix_ms(job, part);
+    let latest = due + objective_ms(job) * (LATE_FACTOR - 1);
+    let chance = if job.stage(part).standing || is_in_time {
         Chance::InTime
-    } else if ends <= start + objective * LATE_FACTOR {
+    } else if unix_ms + job.chain_ms(part) <= latest {
         Chance::Late
     } else {
         Chance::Lost
     };
     Urgency {
-        priority: terms.priority,
+        priority: job.record.terms.priority,
         chance,
-        work_left: job.work_left(),
-        due_unix_ms: start + objective,
+        rank: match chance {
+            Chance::InTime => due,
+            Chance::Late | Chance::Lost => job.work_left(),
+        },
     }
 }
--- a/crates/jobs/src/owner/pace.rs
+++ b/crates/jobs/src/owner/pace.rs
@@ -1,33 +1,37 @@
 //! Fillers beside tasks with a tail target: how fast they go.
 //!
-//! [`super::neighbours`] decides where fillers go, by what is known of pairs. Where a tail nears
-//! its target all the same, the fillers beside it are slowed, those first that are known to do
-//! harm, and moved if that lasts.
+//! [`super::neighbours`] decides where fillers go and how fast, by what is known of pairs. Where a
+//! tail exceeds its target all the same, the fillers beside it are slowed step by step, those first
+//! that are known to do harm, and moved if that lasts.
 
 use base::prelude::*;
 use slog::info;
 
 use super::Owner;
+use super::neighbours::class_of;
 use super::worker::{Phase, Worker};
 use crate::TaskRun;
 
 /// The shares of speed at which fillers may go on, in percent.
 const PACES: [u32; 5] = [100, 60, 30, 10, 0];
 
-/// The share of a target from which fillers are slowed.
+/// The share of a target from which fillers are slowed by a step.
 const SLOW_FROM: f64 = 0.95;
 
 /// The share of a target from which fillers are slowed by two steps at once.
 const SLOW_MUCH_FROM: f64 = 2.0;
 
-/// The share of a target below which fillers may go faster, and more may come.
-const SPEED_BELOW: f64 = 0.65;
+/// The share of a target below which fillers may go faster by a step.
+const SPEED_BELOW: f64 = 0.8;
 
 /// How long a slower pace takes to show in the figures, which look back half a second.
 const SLOW_EVERY: Duration = Duration::from_millis(700);
 
 /// How long the figures must be good before the pace rises.
-const SPEED_EVERY: Duration = Duration::from_millis(900);
+const SPEED_EVERY: Duration = Duration::from_millis(500);
+
+/// The steps in which the speed of fillers is planned, in percent: each change is an order.
+const PLAN_STEP: f64 = 10.0;
 
 /// How long a filler goes at a slow pace before it is moved to where it may go faster.
 const MOVE_AFTER: Duration = Duration::from_millis(1500);
@@ -47,7 +51,7 @@
             let Some(worst) = worst_tail(worker) else {
                 worker.paced_at = None;
                 worker.pace_level = 0;
-                set(worker, 0, |_| true);
+                set(now, worker, |_| PACES[0]);
                 continue;
             };
             if let Some(next) = next_level(now, worker.paced_at, worker.pace_level, worst) {
@@ -59,8 +63,15 @@
             }
             let level = worker.pace_level;
             let harmful = self.neighbours.get_mut().harmful_to_worst(now, worker);
-            set(worker, level, |class| {
-                level >= SLOW_ALL_LEVEL || class.is_none_or(|c| harmful.contains(c))
+            let speeds = self.neighbours.get_mut().speeds(now, worker, None);
+            set(now, worker, |class| {
+                let step = if level >= SLOW_ALL_LEVEL || class.is_none_or(|c| harmful.contains(c)) {
+                    PACES[level]
+                } else {
+                    PACES[0]
+                };
+                let planned = speeds.get(&class_of(class)).copied().unwrap_or(1.0);
+                step.min(planned_pace(planned))
             });
             stuck.extend(stuck_filler(now, worker).map(|run| (Arc::clone(vm), run)));
         }
@@ -122,17 +133,17 @@
     None
 }
 
-/// Sets the pace of the fillers whose class `is_slowed`, and full speed for the others.
-fn set(worker: &mut Worker, level: usize, is_slowed: impl Fn(Option<&Name>) -> bool) {
-    let now_slow = worker.paced_at;
+/// Returns a planned speed in percent, rounded down to a whole step.
+fn planned_pace(speed: f64) -> u32 {
+    ((speed * 100.0 / PLAN_STEP).floor() * PLAN_STEP) as u32
+}
+
+/// Sets the pace of the fillers by their class.
+fn set(now: Instant, worker: &mut Worker, pace: impl Fn(Option<&Name>) -> u32) {
     for run in worker.runs.values_mut().filter(|r| r.is_filler) {
-        run.pace = if is_slowed(run.class.as_ref()) {
-            PACES[level]
-        } else {
-            PACES[0]
-        };
+        run.pace = pace(run.class.as_ref());
         run.slow_since = if run.pace <= PACES[2] {
-            run.slow_since.or(now_slow)
+            run.slow_since.or(Some(now))
         } else {
             None
         };
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -53,7 +53,7 @@
         }
         self.is_round_due = false;
         self.repeat_round = None;
-        for (_, id, part) in self.candidates(unix_ms) {
+        for (_, id, part) in self.candidates(now, unix_ms) {
             let is_gang = self
                 .jobs
                 .get(&id)
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -141,9 +141,10 @@
     pub(super) pace_level: usize,
     /// The report whose figures were learned from.
     pub(super) learned_number: u64,
-    /// When the fillers here, or their pace, last changed.
-    pub(super) mix_since: Option<Instant>,
-    pub(super) last_mix: Vec<(Name, f64)>,
+    /// How many fillers the latest figures told of.
+    pub(super) filler_count: usize,
+    /// When a filler last left.
+    pub(super) filler_gone_at: Option<Instant>,
     used: Resources,
     demand_milli: u64,
     serving: u32,
@@ -170,8 +171,8 @@
             paced_at: None,
             pace_level: 0,
             learned_number: 0,
-            mix_since: None,
-            last_mix: Vec::new(),
+            filler_count: 0,
+            filler_gone_at: None,
             used: Resources::ZERO,
             demand_milli: 0,
             serving: 0,
