--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,7 +2,7 @@
 
 pub mod harm;
 pub mod history;
-mod http;
+pub mod http;
 pub mod process;
 pub mod relay;
 pub mod store;
--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -32,8 +32,23 @@
     ///
     /// Panics if the program cannot be started.
     pub fn start(name: &str, program: &Path, args: &[String]) -> Self {
+        Self::start_with(name, program, args, &[])
+    }
+
+    /// Starts `program` with `args` and variables of its environment.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start_with(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        vars: &[(&str, String)],
+    ) -> Self {
         let mut child = Command::new(program)
             .args(args)
+            .envs(vars.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
