explain ID: the life of a job from the logs of several processes

Orders the lines that name a job, shows between them what happened to the workers that held its runs and to the ownership, and names the steps that no line tells of. Answers of entries name the verb as in the metrics.

--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -20,6 +20,7 @@
 enum Command {
     Entry(EntryFlags),
     Site,
+    Explain(ops::ExplainFlags),
     Operator(ops::Command),
 }
 
@@ -40,7 +41,17 @@
                 Exit::Fault.into()
             }
         },
-        Err(failure) => explain(failure),
+        Ok(Command::Explain(flags)) => match ops::explain(&flags) {
+            Ok(text) => {
+                print!("{text}");
+                Exit::Done.into()
+            }
+            Err(e) => {
+                eprintln!("monsoontrestle: {e}");
+                e.exit().into()
+            }
+        },
+        Err(failure) => print_usage(failure),
     }
 }
 
@@ -79,8 +90,13 @@
         .to_options()
         .descr("Runs an entry on the users' platform; settings come from MONSOONTRESTLE_NODE_FILE")
         .command("site");
+    let explain = ops::explain_flags()
+        .map(Command::Explain)
+        .to_options()
+        .descr("Tells the life of a job from the logs of the processes that run on the platform")
+        .command("explain");
     let operator = ops::command().map(Command::Operator);
-    construct!([entry, site, operator])
+    construct!([entry, site, explain, operator])
         .to_options()
         .descr(SUMMARY)
         .footer(footer.as_str())
@@ -88,7 +104,7 @@
 }
 
 /// Prints help, a completion or what is wrong with the flags.
-fn explain(failure: ParseFailure) -> ExitCode {
+fn print_usage(failure: ParseFailure) -> ExitCode {
     let exit = match failure {
         ParseFailure::Stderr(_) => Exit::Usage,
         ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Done,
--- a/crates/lead/src/front.rs
+++ b/crates/lead/src/front.rs
@@ -128,7 +128,7 @@
         let is_read = head.verb == Some(Verb::Read);
         if !is_read || matches!(told, Told::Refused { .. } | Told::Unsure | Told::Gone) {
             info!(self.log, "entry: answered";
-                "path" => %head.path, "verb" => ?head.verb, "told" => ?told,
+                "path" => %head.path, "verb" => verb_name(head.verb), "told" => ?told,
                 "took_ms" => began.elapsed().as_millis() as u64);
         }
         self.dialect.answer(&told)
--- /dev/null
+++ b/crates/ops/src/explain.rs
@@ -0,0 +1,236 @@
+//! The life of a job, told from the logs of several processes.
+//!
+//! Each line that names the job is shown in order of time, and between them what happened to the
+//! workers that held its runs and to the ownership of jobs. Then come the steps that no line
+//! tells of: a process whose log is missing, or a line that was left out under load.
+
+use std::fmt::Write as _;
+use std::io::Read;
+use std::path::PathBuf;
+
+use base::prelude::*;
+use bpaf::{Parser, construct, long, positional};
+use serde_json::{Map, Value};
+
+use crate::{Exit, Failure};
+
+/// Events of a worker that decide about the runs on it.
+const VM_EVENTS: [&str; 7] = [
+    "owner: worker lease lapsed",
+    "owner: worker left",
+    "owner: worker drains",
+    "owner: worker quarantined",
+    "owner: worker known",
+    "companion: worker ended",
+    "companion: report failed",
+];
+
+/// Events that decide who owns the jobs, and whether anything can be stored.
+const OWNER_EVENTS: [&str; 5] = [
+    "entry: elected",
+    "entry: load failed",
+    "owner: took over",
+    "entry: no longer the owner",
+    "owner: commit failed",
+];
+
+/// How long before the job's first line and after its last other events are shown, in milliseconds:
+/// as long as an ownership outlasts the store.
+const AROUND_MS: i128 = 5000;
+
+/// Flags of `explain`.
+#[derive(Clone, Debug)]
+pub struct ExplainFlags {
+    /// Shows only the lines that name the job.
+    pub only_job: bool,
+    /// The job.
+    pub id: String,
+    /// The logs; standard input if there are none.
+    pub files: Vec<PathBuf>,
+}
+
+/// The log of one process, or of several whose lines begin with their names.
+#[derive(Clone, Debug)]
+pub struct LogText {
+    /// Where it comes from.
+    pub source: String,
+    /// Its lines.
+    pub text: String,
+}
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    at: String,
+    unix_ms: i128,
+    source: String,
+    msg: String,
+    fields: Map<String, Value>,
+}
+
+/// Returns the parser of the flags.
+pub fn explain_flags() -> impl Parser<ExplainFlags> {
+    let only_job = long("only-job")
+        .help("Show only the lines that name the job")
+        .switch();
+    let id = positional("ID").help("The job's id");
+    let files = positional("FILE")
+        .help("Logs of processes; standard input if there are none")
+        .many();
+    construct!(ExplainFlags {
+        only_job,
+        id,
+        files
+    })
+}
+
+/// Reads the logs and prints the life of the job.
+///
+/// # Errors
+///
+/// Fails if a log cannot be read or no line names the job.
+pub fn explain(flags: &ExplainFlags) -> Result<String, Failure> {
+    let logs = read_logs(&flags.files)?;
+    tell(&flags.id, &logs, flags.only_job).ok_or_else(|| {
+        let message = format!("no line of {} logs names {}", logs.len(), flags.id);
+        Failure::new(Exit::Refused, message)
+    })
+}
+
+fn read_logs(files: &[PathBuf]) -> Result<Vec<LogText>, Failure> {
+    let failed = |name: &str, e: std::io::Error| Failure::new(Exit::Usage, format!("{name}: {e}"));
+    if files.is_empty() {
+        let mut bytes = Vec::new();
+        std::io::stdin()
+            .read_to_end(&mut bytes)
+            .map_err(|e| failed("standard input", e))?;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let source = "-".to_owned();
+        return Ok(vec![LogText { source, text }]);
+    }
+    let read = |file: &PathBuf| {
+        let name = file.display().to_string();
+        let bytes = std::fs::read(file).map_err(|e| failed(&name, e))?;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let source = file.file_stem().unwrap_or_default().to_string_lossy();
+        Ok(LogText {
+            source: source.into_owned(),
+            text,
+        })
+    };
+    files.iter().map(read).collect()
+}
+
+/// Tells the life of a job, or `None` if no line names it.
+pub fn tell(id: &str, logs: &[LogText], only_job: bool) -> Option<String> {
+    let mut lines: Vec<Line> = logs.iter().flat_map(parse).collect();
+    lines.sort_by_key(|line| line.unix_ms);
+    let own: Vec<&Line> = lines.iter().filter(|line| line.names(id)).collect();
+    let (first, last) = (own.first()?.unix_ms, own.last()?.unix_ms);
+    let vms: IndexSet<&str> = own.iter().filter_map(|line| line.text("vm")).collect();
+    let is_near = |line: &Line| (first - AROUND_MS..=last + AROUND_MS).contains(&line.unix_ms);
+    let mut out = String::new();
+    for line in &lines {
+        if line.names(id) {
+            line.write(&mut out, "  ");
+        } else if !only_job && is_near(line) && line.is_context(&vms) {
+            line.write(&mut out, "| ");
+        }
+    }
+    for gap in gaps(&own) {
+        // Writing to a string does not fail.
+        let _ = writeln!(out, "? {gap}");
+    }
+    Some(out)
+}
+
+fn parse(log: &LogText) -> impl Iterator<Item = Line> {
+    log.text.lines().filter_map(|text| {
+        let (head, json) = text.split_at(text.find('{')?);
+        let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let at = fields.remove("ts")?.as_str()?.to_owned();
+        let msg = fields.remove("msg")?.as_str()?.to_owned();
+        fields.remove("level");
+        let source = head.split_whitespace().next_back().unwrap_or(&log.source);
+        Some(Line {
+            unix_ms: unix_ms(&at)?,
+            source: source.to_owned(),
+            at,
+            msg,
+            fields,
+        })
+    })
+}
+
+fn unix_ms(at: &str) -> Option<i128> {
+    let time = humantime::parse_rfc3339(at).ok()?;
+    let since = time.duration_since(std::time::UNIX_EPOCH).ok()?;
+    i128::try_from(since.as_millis()).ok()
+}
+
+impl Line {
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    fn names(&self, id: &str) -> bool {
+        self.fields
+            .values()
+            .any(|value| value.as_str().is_some_and(|text| text.contains(id)))
+    }
+
+    fn is_context(&self, vms: &IndexSet<&str>) -> bool {
+        let is_of_vm = || match self.text("vm") {
+            Some(vm) => vms.contains(vm),
+            None => vms.contains(self.source.as_str()),
+        };
+        OWNER_EVENTS.contains(&self.msg.as_str())
+            || (VM_EVENTS.contains(&self.msg.as_str()) && is_of_vm())
+    }
+
+    fn write(&self, out: &mut String, mark: &str) {
+        let time = self.at.split('T').next_back().unwrap_or(&self.at);
+        let time = time.get(..12).unwrap_or(time);
+        let _ = write!(out, "{mark}{time} {}: {}", self.source, self.msg);
+        for (name, value) in &self.fields {
+            let _ = match value.as_str() {
+                Some(text) => write!(out, " {name}={text}"),
+                None => write!(out, " {name}={value}"),
+            };
+        }
+        out.push('\n');
+    }
+}
+
+/// Returns the steps that no line tells of.
+fn gaps(own: &[&Line]) -> Vec<String> {
+    let has = |msg: &str| own.iter().any(|line| line.msg == msg);
+    let mut gaps = Vec::new();
+    if has("owner: refused") && !has("owner: job accepted") {
+        return gaps;
+    }
+    if !has("owner: job accepted") {
+        gaps.push(
+            "no line tells that it was accepted: the log of its owner then is missing".into(),
+        );
+    }
+    if !has("owner: job ended") {
+        gaps.push(
+            "no line tells its end: it goes on, or the log of its last owner is missing".into(),
+        );
+    }
+    let of_run = |line: &&&Line, msg: &str| line.msg == msg;
+    let ordered = own.iter().filter(|l| of_run(l, "owner: run ordered"));
+    for order in ordered {
+        let run = order.text("run").unwrap_or_default();
+        let is_told = own
+            .iter()
+            .any(|line| line.text("run") == Some(run) && line.msg != "owner: run ordered");
+        if !is_told {
+            gaps.push(format!(
+                "run {run} was ordered and no line tells what became of it"
+            ));
+        }
+    }
+    gaps
+}
--- /dev/null
+++ b/crates/ops/tests/it/explain.rs
@@ -0,0 +1,86 @@
+//! The life of a job from logs.
+
+use ops::{LogText, tell};
+
+const ID: &str = "30788bbd75f88d70";
+
+fn line(ms: u32, msg: &str, fields: &str) -> String {
+    let (s, ms) = (ms / 1000, ms % 1000);
+    format!(
+        "{{\"msg\":\"{msg}\",\"level\":\"INFO\",\"ts\":\"2026-03-17T09:39:{s:02}.{ms:03}Z\",{fields}}}\n"
+    )
+}
+
+fn log(source: &str, lines: &[String]) -> LogText {
+    LogText {
+        source: source.into(),
+        text: lines.concat(),
+    }
+}
+
+/// The log of an owner that accepts the job, orders a run on `vm-1`, and dies.
+fn first_owner() -> LogText {
+    let accepted = line(1000, "owner: job accepted", &format!("\"job\":\"{ID}\""));
+    let run = format!("\"run\":\"{ID}.0.0.0#1\",\"vm\":\"vm-1\"");
+    let other = line(1020, "owner: job accepted", "\"job\":\"ffff8bbd75f88d70\"");
+    log(
+        "entry-1",
+        &[accepted, other, line(1050, "owner: run ordered", &run)],
+    )
+}
+
+/// The log of the next owner, where the lease of `vm-1` lapses.
+fn second_owner() -> LogText {
+    let elected = line(3000, "entry: elected", "\"epoch\":2");
+    let lapsed = line(9000, "owner: worker lease lapsed", "\"vm\":\"vm-1\"");
+    let elsewhere = line(9001, "owner: worker lease lapsed", "\"vm\":\"vm-7\"");
+    let run = format!("\"run\":\"{ID}.0.0.0#1025\",\"vm\":\"vm-2\"");
+    let ordered = line(9010, "owner: run ordered", &run);
+    let ended = line(9900, "owner: run ended", &run);
+    let job = format!("\"job\":\"{ID}\",\"state\":\"Completed\"");
+    let job = line(9901, "owner: job ended", &job);
+    log(
+        "entry-2",
+        &[elected, lapsed, elsewhere, ordered, ended, job],
+    )
+}
+
+#[test]
+fn lines_of_several_logs_are_told_in_order_with_what_decided() {
+    let told = tell(ID, &[second_owner(), first_owner()], false).expect("the job is named");
+
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn a_run_that_no_line_follows_is_named_as_a_gap() {
+    let told = tell(ID, &[first_owner()], true).expect("the job is named");
+
+    assert!(
+        told.contains("? run 30788bbd75f88d70.0.0.0#1 was ordered"),
+        "{told}"
+    );
+    assert!(told.contains("? no line tells its end"), "{told}");
+}
+
+#[test]
+fn lines_that_begin_with_a_process_are_told_as_of_that_process() {
+    let text = format!(
+        "  1.25 edge-7 {}",
+        line(1, "owner: refused", &format!("\"job\":\"{ID}\""))
+    );
+    let logs = [LogText {
+        source: "all".into(),
+        text: format!("not a log line\n{text}{{\"cut"),
+    }];
+
+    let told = tell(ID, &logs, false).expect("the job is named");
+
+    assert!(told.contains("edge-7: owner: refused"), "{told}");
+    assert!(!told.contains('?'), "a refusal has no further steps");
+}
+
+#[test]
+fn a_job_that_no_line_names_is_not_explained() {
+    assert_eq!(tell("0000000000000000", &[first_owner()], false), None);
+}
--- a/crates/ops/tests/it/main.rs
+++ b/crates/ops/tests/it/main.rs
@@ -3,3 +3,4 @@
 mod apply;
 mod commands;
 mod common;
+mod explain;
