Leave ownership that cannot be read in; one pool of threads, smaller files

An entry that fails to read what it should own three times in a row ends its lease and claims again after 2 s: with the slow lists of this morning another entry would have owned within a second. lead/load.rs decides it without a network; tests in lead/tests/{load,elector}.rs.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -9,7 +9,7 @@
 use base::SystemClock;
 use base::prelude::*;
 use crossbeam_channel::{Sender, unbounded};
-use host::follow_key;
+use host::{follow_key, spawn_workers};
 use jobs::owner::OWNER_KEY;
 use jobs::report::SyncReport;
 use ports::store::Store;
@@ -119,17 +119,11 @@
         log: &Logger,
     ) -> Self {
         let spawn = |threads: usize| {
-            let (tx, rx) = unbounded::<WorkerCall>();
-            for _ in 0..threads {
-                let (rx, runner, events) = (rx.clone(), Arc::clone(runner), events.clone());
-                let (log, gauges) = (log.clone(), Arc::clone(gauges));
-                std::thread::spawn(move || {
-                    for call in rx {
-                        make(&*runner, call, &events, &gauges, &log);
-                    }
-                });
-            }
-            tx
+            let (runner, events) = (Arc::clone(runner), events.clone());
+            let (log, gauges) = (log.clone(), Arc::clone(gauges));
+            spawn_workers(threads, move |call: WorkerCall| {
+                make(&*runner, call, &events, &gauges, &log);
+            })
         };
         Self {
             waiting: spawn(1),
@@ -143,22 +137,15 @@
         events: &Sender<Event>,
         gauges: &Arc<Gauges>,
     ) -> Sender<(SocketAddr, u64, SyncReport)> {
-        let (tx, rx) = unbounded::<(SocketAddr, u64, SyncReport)>();
-        let client = Arc::new(OwnerClient::new(REPORT_TIMEOUT));
-        for _ in 0..REPORT_THREADS {
-            let (rx, client, events) = (rx.clone(), Arc::clone(&client), events.clone());
-            let gauges = Arc::clone(gauges);
-            std::thread::spawn(move || {
-                for (to, number, report) in rx {
-                    let began = Instant::now();
-                    let reply = client.sync(to, &report);
-                    gauges.took("report", began.elapsed());
-                    gauges.count("report", outcome(&reply));
-                    drop(events.send(Event::Synced(number, reply)));
-                }
-            });
-        }
-        tx
+        let client = OwnerClient::new(REPORT_TIMEOUT);
+        let (events, gauges) = (events.clone(), Arc::clone(gauges));
+        spawn_workers(REPORT_THREADS, move |(to, number, report)| {
+            let began = Instant::now();
+            let reply = client.sync(to, &report);
+            gauges.took("report", began.elapsed());
+            gauges.count("report", outcome(&reply));
+            drop(events.send(Event::Synced(number, reply)));
+        })
     }
 }
 
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -2,14 +2,12 @@
 
 use base::prelude::*;
 use jobs::TaskRun;
-use jobs::report::{Listing, RejectKind, SyncReport, WorkerReport};
+use jobs::report::{RejectKind, SyncReport, WorkerReport};
 use slog::{Logger, info, warn};
 
 use crate::event::HoldDone;
-use crate::ports::{
-    Heartbeat, HoldCall, HoldReply, PaceCall, StartCall, StartReply, StopCall, WorkerSays,
-};
-use crate::starts::Starts;
+use crate::life::{Life, take_listing};
+use crate::ports::{Heartbeat, HoldCall, PaceCall, StartCall, StartReply, StopCall, WorkerSays};
 use crate::sync::Syncs;
 use crate::worker_clock::WorkerClock;
 
@@ -40,37 +38,6 @@
     Sync(u64, Box<SyncReport>),
 }
 
-/// A life of the worker.
-#[derive(Debug)]
-pub(crate) struct Life {
-    pub(crate) beat: Heartbeat,
-    pub(crate) is_gone: bool,
-    pub(crate) clock: Option<WorkerClock>,
-    pub(crate) fence: u64,
-    /// Until when tasks may run, on the worker's clock in milliseconds.
-    pub(crate) deadline_ms: Option<u64>,
-    pub(crate) stored_ends: u64,
-    pub(crate) listing: Option<Listing>,
-    listed_clock_ms: u64,
-    pub(crate) starts: Starts,
-    is_holding: bool,
-    is_looking: bool,
-    hold_after: Option<Instant>,
-    looked_at: Option<Instant>,
-    /// When the last stop may have begun.
-    stopped_at: Instant,
-    /// When the worker last answered, or was first heard.
-    pub(crate) answered_at: Instant,
-    /// Since when nothing listens where the worker takes calls.
-    refused_since: Option<Instant>,
-}
-
-/// How long a worker may leave calls unanswered before its lease is no longer renewed.
-const SILENT_AFTER: Duration = Duration::from_millis(1300);
-
-/// How long nothing may listen where the worker takes calls before it counts as ended.
-const ENDED_AFTER: Duration = Duration::from_millis(250);
-
 /// The state of a companion.
 #[derive(Debug)]
 pub struct Keeper {
@@ -85,56 +52,6 @@
     stop_time: Duration,
 }
 
-impl Life {
-    /// Creates a life; an earlier process on this VM may have begun a stop just now.
-    fn new(beat: Heartbeat, now: Instant, stop_time: Duration) -> Self {
-        Self {
-            beat,
-            is_gone: false,
-            clock: None,
-            fence: 0,
-            deadline_ms: None,
-            stored_ends: 0,
-            listing: None,
-            listed_clock_ms: 0,
-            starts: Starts::new(stop_time),
-            stopped_at: now,
-            answered_at: now,
-            refused_since: None,
-            is_holding: false,
-            is_looking: false,
-            hold_after: None,
-            looked_at: None,
-        }
-    }
-
-    /// Tells whether the worker has listed under the present fence, with no stop under way.
-    fn is_listed(&self) -> bool {
-        self.listing
-            .as_ref()
-            .is_some_and(|l| l.fence == self.fence && l.is_settled)
-    }
-
-    /// Notes a failed call; tells whether the worker's process has certainly ended.
-    fn refused(&mut self, now: Instant, kind: ErrorKind) -> bool {
-        if kind != ErrorKind::NotListening {
-            self.refused_since = None;
-            return false;
-        }
-        let since = *self.refused_since.get_or_insert(now);
-        now.duration_since(since) >= ENDED_AFTER
-    }
-
-    /// Tells whether the worker has not answered for long.
-    pub(crate) fn is_silent(&self, now: Instant) -> bool {
-        now.duration_since(self.answered_at) >= SILENT_AFTER
-    }
-
-    fn is_draining(&self) -> bool {
-        self.is_gone || self.beat.draining.is_some()
-    }
-}
-
 impl Keeper {
     /// Creates a companion that knows no worker yet; `boot` rises with each process on the VM.
     ///
@@ -413,43 +330,3 @@
         self.paces.extend(paces);
     }
 }
-
-/// Takes in a listing unless a later one is known; tells whether the owner should hear of it now.
-fn take_listing(
-    life: &mut Life,
-    now: Instant,
-    fence: u64,
-    is_settled: bool,
-    reply: HoldReply,
-) -> bool {
-    life.clock = Some(WorkerClock::new(reply.clock_ms, now));
-    let known = life
-        .listing
-        .as_ref()
-        .map(|l| (l.fence, life.listed_clock_ms));
-    // Of two lists of one millisecond, the later to arrive may be the earlier to be made.
-    if known.is_some_and(|known| (fence, reply.clock_ms) <= known) {
-        return false;
-    }
-    let mut listing = Listing {
-        fence,
-        is_settled,
-        running: reply.running,
-        ends: reply.ends,
-    };
-    life.starts.settle(&listing, reply.clock_ms);
-    listing.is_settled &= !life.starts.has_unlisted();
-    let last_end = |l: &Listing| l.ends.iter().map(|e| e.number).max();
-    let is_first = life
-        .listing
-        .as_ref()
-        .is_none_or(|l| l.fence != fence || l.is_settled != listing.is_settled);
-    let has_new_end = life
-        .listing
-        .as_ref()
-        .is_none_or(|l| last_end(&listing) > last_end(l));
-    let has_reject = !life.starts.rejected().is_empty();
-    life.listed_clock_ms = reply.clock_ms;
-    life.listing = Some(listing);
-    is_first || has_new_end || has_reject
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod app;
 mod event;
 mod keeper;
+mod life;
 mod node;
 mod ports;
 mod starts;
--- /dev/null
+++ b/crates/jobs/src/owner/commit/changes.rs
@@ -0,0 +1,114 @@
+//! What has to be written of jobs and workers.
+
+use base::prelude::*;
+use ports::store::Expect;
+
+use super::{Change, Dirty, expect_revision};
+use crate::WorkerRecord;
+use crate::owner::Owner;
+use crate::owner::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
+use crate::progress::encode;
+
+impl Owner {
+    /// Returns how a key has to change, unless a write of it is on its way.
+    pub(super) fn change(&mut self, dirty: &Dirty) -> Result<Option<Change>> {
+        match dirty {
+            Dirty::Record(id) => self.record_change(dirty, id),
+            Dirty::Progress(id) => self.progress_change(dirty, id),
+            Dirty::Vm(vm) => self.vm_change(dirty, vm),
+            Dirty::Forget(id) => Ok(self.forget_change(dirty, id)),
+        }
+    }
+
+    fn record_change(&mut self, dirty: &Dirty, id: &JobId) -> Result<Option<Change>> {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.stored.in_flight) else {
+            return Ok(None);
+        };
+        job.stored.in_flight = true;
+        Ok(Some(Change {
+            dirty: dirty.clone(),
+            key: format!("{JOB_PREFIX}{id}").into(),
+            expect: Expect::Absent,
+            value: Some(encode(&job.record)?),
+            version: 0,
+            vm_record: None,
+            also_delete: None,
+        }))
+    }
+
+    fn progress_change(&mut self, dirty: &Dirty, id: &JobId) -> Result<Option<Change>> {
+        let is_free = |j: &&mut crate::Job| !j.stored.in_flight && j.stored.record.is_some();
+        let Some(job) = self.jobs.get_mut(id).filter(is_free) else {
+            return Ok(None);
+        };
+        job.stored.in_flight = true;
+        Ok(Some(Change {
+            dirty: dirty.clone(),
+            key: format!("{PROGRESS_PREFIX}{id}").into(),
+            expect: expect_revision(job.stored.progress),
+            value: Some(encode(&job.progress())?),
+            version: job.stored.version,
+            vm_record: None,
+            also_delete: None,
+        }))
+    }
+
+    fn vm_change(&mut self, dirty: &Dirty, vm: &Name) -> Result<Option<Change>> {
+        let record = self.vm_record(vm);
+        let is_free = |w: &&mut crate::owner::Worker| !w.roster.in_flight;
+        let Some(worker) = self.workers.get_mut(vm).filter(is_free) else {
+            return Ok(None);
+        };
+        worker.roster.in_flight = true;
+        Ok(Some(Change {
+            dirty: dirty.clone(),
+            key: format!("{VM_PREFIX}{vm}").into(),
+            expect: expect_revision(worker.roster.revision),
+            value: record.as_ref().map(encode).transpose()?,
+            version: 0,
+            vm_record: record,
+            also_delete: None,
+        }))
+    }
+
+    /// Returns what the store should say of a VM: the life that may run tasks there.
+    fn vm_record(&self, vm: &Name) -> Option<WorkerRecord> {
+        let worker = self.workers.get(vm)?;
+        if worker.inherited_until.is_some() && !worker.is_adopted {
+            return worker.roster.record.clone();
+        }
+        let life = worker.life.as_ref().filter(|l| !l.is_gone)?;
+        worker.lease_from?;
+        Some(WorkerRecord {
+            id: life.id.clone(),
+            born: life.born,
+        })
+    }
+
+    /// Tells whether the store says of a VM what it should.
+    pub(super) fn is_vm_stored(&self, vm: &Name) -> bool {
+        let Some(worker) = self.workers.get(vm) else {
+            return true;
+        };
+        !worker.roster.in_flight && worker.roster.record == self.vm_record(vm)
+    }
+
+    /// Deletes a job's record and progress together: a record alone would run again.
+    fn forget_change(&mut self, dirty: &Dirty, id: &JobId) -> Option<Change> {
+        let job = self.jobs.get_mut(id).filter(|j| !j.stored.in_flight)?;
+        job.stored.in_flight = true;
+        let progress = (job.stored.progress != 0).then(|| {
+            let key = format!("{PROGRESS_PREFIX}{id}").into();
+            (key, Expect::Revision(job.stored.progress))
+        });
+        Some(Change {
+            dirty: dirty.clone(),
+            key: format!("{JOB_PREFIX}{id}").into(),
+            expect: expect_revision(job.stored.record.unwrap_or(0)),
+            value: None,
+            version: 0,
+            vm_record: None,
+            also_delete: progress,
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/commit/replies.rs
@@ -0,0 +1,157 @@
+//! What the store says of transactions, and what becomes known by it.
+
+use base::prelude::*;
+use ports::store::{KeyValue, Revision, StoreReply};
+use slog::{error, warn};
+
+use super::{Change, Dirty, RETRY_AFTER};
+use crate::Told;
+use crate::owner::{Effect, Owner};
+
+impl Owner {
+    /// Takes the reply to a call of [`Effect::Store`].
+    pub fn store_reply(&mut self, now: Instant, id: u64, reply: Result<StoreReply>) {
+        match reply {
+            Ok(StoreReply::Done { revision }) => {
+                self.commits.failing_since = None;
+                let batch = self.commits.batches.swap_remove(&id);
+                for change in batch.into_iter().flat_map(|b| b.changes) {
+                    self.changed(&change, revision);
+                }
+                self.advance_ends();
+            }
+            Ok(StoreReply::Conflicts { current }) => {
+                self.commits.failing_since = None;
+                self.resolve(id, &current);
+                self.advance_ends();
+            }
+            Ok(other) => {
+                error!(self.log, "owner: unexpected reply of the store"; "reply" => ?other);
+                self.retry_later(now, id);
+            }
+            Err(e) => {
+                warn!(self.log, "owner: commit failed"; "error" => %e);
+                self.commits.failing_since.get_or_insert(now);
+                self.retry_later(now, id);
+            }
+        }
+    }
+
+    /// Leaves a transaction of unknown outcome to be made again.
+    ///
+    /// If it was carried out, then the next try meets a conflict with what it wrote.
+    fn retry_later(&mut self, now: Instant, id: u64) {
+        if let Some(batch) = self.commits.batches.get_mut(&id) {
+            batch.retry_at = Some(now + RETRY_AFTER);
+        }
+    }
+
+    /// Settles a transaction that met something unexpected.
+    fn resolve(&mut self, id: u64, current: &[KeyValue]) {
+        let find = |key: &Name| current.iter().find(|item| item.key == *key);
+        let owner = find(&self.cfg.owner_key).map(|item| item.revision);
+        if owner != Some(self.cfg.owner_revision) {
+            self.effects
+                .push(Effect::StepDown("the owner's key has changed"));
+            return;
+        }
+        let Some(batch) = self.commits.batches.swap_remove(&id) else {
+            return;
+        };
+        for change in batch.changes {
+            let found = find(&change.key);
+            match (&change.value, found) {
+                (Some(value), Some(item)) if item.value == *value => {
+                    self.changed(&change, item.revision);
+                }
+                (None, None) => self.changed(&change, 0),
+                (_, found) => self.unchanged(&change, found.map_or(0, |item| item.revision)),
+            }
+        }
+    }
+
+    /// Takes note that a key was written or deleted.
+    fn changed(&mut self, change: &Change, revision: Revision) {
+        match &change.dirty {
+            Dirty::Record(id) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.stored.in_flight = false;
+                    job.stored.record = Some(revision);
+                }
+                self.accepted(id);
+            }
+            Dirty::Progress(id) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.stored.in_flight = false;
+                    job.stored.progress = revision;
+                    job.stored.stored_version = change.version;
+                    if job.stored.version > change.version {
+                        self.commits.mark_progress(id);
+                    }
+                }
+                self.cancelled(id);
+            }
+            Dirty::Vm(vm) => {
+                if let Some(worker) = self.workers.get_mut(vm) {
+                    worker.roster.in_flight = false;
+                    worker.roster.record = change.vm_record.clone();
+                    worker.roster.revision = if change.value.is_some() { revision } else { 0 };
+                }
+                self.is_round_due = true;
+            }
+            Dirty::Forget(id) => {
+                self.jobs.swap_remove(id);
+            }
+        }
+    }
+
+    /// Marks a key again whose write did not take effect.
+    fn unchanged(&mut self, change: &Change, revision: Revision) {
+        self.commits.dirty.insert(change.dirty.clone());
+        match &change.dirty {
+            Dirty::Record(id) | Dirty::Forget(id) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.stored.in_flight = false;
+                }
+                if revision != 0 && matches!(change.dirty, Dirty::Record(_)) {
+                    self.record_taken(id);
+                }
+            }
+            Dirty::Progress(id) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.stored.in_flight = false;
+                    job.stored.progress = revision;
+                }
+            }
+            Dirty::Vm(vm) => {
+                if let Some(worker) = self.workers.get_mut(vm) {
+                    worker.roster.in_flight = false;
+                    worker.roster.revision = revision;
+                }
+            }
+        }
+    }
+
+    /// Gives up a record whose key holds another job: the next owner reads that one.
+    fn record_taken(&mut self, id: &JobId) {
+        error!(self.log, "owner: another record has the id of a new job"; "job" => %id);
+        self.commits.dirty.swap_remove(&Dirty::Record(id.clone()));
+        self.jobs.swap_remove(id);
+        self.active.swap_remove(id);
+        for token in self.accepting.swap_remove(id).unwrap_or_default() {
+            self.effects.push(Effect::Tell(token, Told::Unsure));
+        }
+        self.effects
+            .push(Effect::StepDown("the store holds a job that is not known"));
+    }
+
+    fn advance_ends(&mut self) {
+        let jobs = &self.jobs;
+        for worker in self.workers.values_mut() {
+            worker.advance_stored(|id, version| {
+                jobs.get(id)
+                    .is_none_or(|job| job.stored.stored_version >= version)
+            });
+        }
+    }
+}
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -23,7 +23,8 @@
 use crate::elector::ElectorCfg;
 use crate::forward::{self, Forwarder};
 use crate::front::{Front, Table};
-use crate::node::{Events, Node, NodeCfg, Ports};
+use crate::node::{Events, NodeCfg, Ports};
+use crate::runtime::Node;
 use crate::store_pool::StorePool;
 use crate::{Event, StoreToken, rpc};
 
--- a/crates/lead/src/elector.rs
+++ b/crates/lead/src/elector.rs
@@ -41,6 +41,9 @@
 /// How long a claim that failed is not repeated.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// How long an entry that gave up leaves the claim to others: several times an election.
+const GIVE_UP_PAUSE: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Debug)]
 enum Phase {
     Following,
@@ -183,6 +186,20 @@
         was_leading.then_some(Change::Deposed("another entry has taken over"))
     }
 
+    /// Ends ownership so that another entry may claim it first; returns the call that does so.
+    pub fn give_up(&mut self, now: Instant) -> Option<Call> {
+        let Phase::Leading(leading) = &self.phase else {
+            return None;
+        };
+        let call = StoreCall::LeaseRevoke {
+            lease: leading.lease,
+        };
+        self.depose(now);
+        self.seen = None;
+        self.claim_at = Some(now + GIVE_UP_PAUSE);
+        Some(call)
+    }
+
     /// Gives up ownership for good, as the process stops.
     pub fn resign(&mut self) -> Option<Call> {
         self.has_resigned = true;
--- a/crates/lead/src/event.rs
+++ b/crates/lead/src/event.rs
@@ -15,8 +15,8 @@
     Election,
     /// A commit of the owner.
     Commit(u64),
-    /// A part of what a new owner loads, for the epoch.
-    Load(Epoch, usize),
+    /// The next part of what a new owner loads, for the epoch.
+    Load(Epoch),
     /// A look for a job that is not known.
     Look(u64),
 }
--- a/crates/lead/src/forward.rs
+++ b/crates/lead/src/forward.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use crossbeam_channel::{Sender, unbounded};
+use crossbeam_channel::Sender;
+use host::spawn_workers;
 use jobs::owner::{Replacement, STORE_AWAY};
 use jobs::{Ask, Told};
 use slog::{Logger, info, warn};
@@ -38,24 +39,18 @@
 
 impl Forwarder {
     pub(crate) fn start(events: &Events, log: &Logger) -> Self {
-        let (queue, rx) = unbounded::<Passed>();
-        let client = Arc::new(OwnerClient::new(TIMEOUT));
-        for _ in 0..THREADS {
-            let (rx, client, log) = (rx.clone(), Arc::clone(&client), log.clone());
-            let events = events.clone();
-            std::thread::spawn(move || {
-                for passed in rx {
-                    let told = client.ask(passed.to, &passed.ask).unwrap_or_else(|e| {
-                        warn!(log, "entry: owner did not answer"; "error" => %e);
-                        explain(&e, &passed.ask)
-                    });
-                    if is_without_store(&told) {
-                        drop(events.send(Event::OwnerWithoutStore(passed.epoch)));
-                    }
-                    passed.reply.send(told);
-                }
+        let client = OwnerClient::new(TIMEOUT);
+        let (events, log) = (events.clone(), log.clone());
+        let queue = spawn_workers(THREADS, move |passed: Passed| {
+            let told = client.ask(passed.to, &passed.ask).unwrap_or_else(|e| {
+                warn!(log, "entry: owner did not answer"; "error" => %e);
+                explain(&e, &passed.ask)
             });
-        }
+            if is_without_store(&told) {
+                drop(events.send(Event::OwnerWithoutStore(passed.epoch)));
+            }
+            passed.reply.send(told);
+        });
         Self { queue }
     }
 
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use crossbeam_channel::Sender;
 use host::KeySeen;
-use jobs::owner::{JOB_PREFIX, OWNER_KEY, OwnerRecord, PROGRESS_PREFIX, Replacement, VM_PREFIX};
+use jobs::owner::{JOB_PREFIX, OWNER_KEY, OwnerRecord, Replacement};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Effect, Owner, OwnerCfg, Token, Told};
 use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
@@ -14,10 +14,11 @@
 use rand::rngs::SmallRng;
 use report::Gauges;
 use slog::{Logger, info, warn};
-use stakker::{ActorOwn, CX, FixedTimerKey, Stakker, actor, call, ret_nop};
+use stakker::{CX, FixedTimerKey, call};
 use wire::Reply;
 
 use crate::elector::{Change, Elector, ElectorCfg};
+use crate::load::{Load, LoadStep};
 use crate::{Event, StoreToken};
 
 /// The most that a claim is delayed, so that entries do not all claim at once.
@@ -29,9 +30,6 @@
 /// How often a load of the store is tried again.
 const LOAD_RETRY: Duration = Duration::from_millis(200);
 
-/// The largest number of keys that a load reads under one prefix.
-const LOAD_LIMIT: usize = usize::MAX;
-
 /// What an entry's actor needs to know.
 #[derive(Clone, Debug)]
 pub struct NodeCfg {
@@ -57,18 +55,8 @@
 
 type Clocks = (Instant, SystemTime);
 
-/// What a new owner has loaded so far.
-#[derive(Debug)]
-struct Load {
-    epoch: Epoch,
-    revision: Revision,
-    parts: [Option<Vec<KeyValue>>; 3],
-}
-
-const LOADED: [&str; 3] = [JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX];
-
 /// The actor's state.
-struct Lead {
+pub(crate) struct Lead {
     cfg: NodeCfg,
     clock: Arc<dyn Clock>,
     ports: Arc<dyn Ports>,
@@ -87,7 +75,7 @@
 }
 
 impl Lead {
-    fn init(
+    pub(crate) fn init(
         cx: CX![],
         cfg: NodeCfg,
         clock: Arc<dyn Clock>,
@@ -176,7 +164,7 @@
         self.ports.store(StoreToken::Election, step);
     }
 
-    fn event(&mut self, cx: CX![], event: Event) {
+    pub(crate) fn event(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
             Event::Caller(ask, reply) => self.caller(now, *ask, reply),
@@ -208,28 +196,32 @@
         }
     }
 
+    /// Returns the owner here with the time of day and a new token, if it may act now.
+    fn leading(&mut self, now: Instant) -> Option<(&mut Owner, u64, Token)> {
+        let wall = self.clock.wall();
+        if !self.elector.may_lead(now, wall) {
+            return None;
+        }
+        let token = self.token();
+        Some((self.owner.as_mut()?, unix_ms(wall), token))
+    }
+
     /// Serves what is asked of the owner.
     fn own(&mut self, now: Instant, ask: Ask, reply: Reply<Told>) {
-        let may_lead = self.elector.may_lead(now, self.clock.wall());
-        let (token, unix_ms) = (self.token(), unix_ms(self.clock.wall()));
-        match self.owner.as_mut().filter(|_| may_lead) {
-            Some(owner) => {
-                self.callers.insert(token, reply);
-                owner.ask(now, unix_ms, token, ask);
-            }
-            None => reply.send(no_owner()),
+        if let Some((owner, unix_ms, token)) = self.leading(now) {
+            owner.ask(now, unix_ms, token, ask);
+            self.callers.insert(token, reply);
+        } else {
+            reply.send(no_owner());
         }
     }
 
     fn sync(&mut self, now: Instant, report: SyncReport, reply: Reply<SyncReply>) {
-        let may_lead = self.elector.may_lead(now, self.clock.wall());
-        let (token, unix_ms) = (self.token(), unix_ms(self.clock.wall()));
-        match self.owner.as_mut().filter(|_| may_lead) {
-            Some(owner) => {
-                self.companions.insert(token, reply);
-                owner.sync(now, unix_ms, token, report);
-            }
-            None => reply.send(SyncReply::default()),
+        if let Some((owner, unix_ms, token)) = self.leading(now) {
+            owner.sync(now, unix_ms, token, report);
+            self.companions.insert(token, reply);
+        } else {
+            reply.send(SyncReply::default());
         }
     }
 
@@ -261,7 +253,7 @@
                     owner.store_reply(now, id, reply);
                 }
             }
-            StoreToken::Load(epoch, part) => self.loaded(cx, epoch, part, reply),
+            StoreToken::Load(epoch) => self.loaded(cx, epoch, reply),
             StoreToken::Look(id) => self.looked(id, reply),
         }
     }
@@ -295,12 +287,8 @@
                 info!(self.log, "entry: elected"; "epoch" => epoch.0);
                 self.tell_former(former.as_ref(), revision);
                 self.gauges.count("ownership", "taken");
-                self.load = Some(Load {
-                    epoch,
-                    revision,
-                    parts: [None, None, None],
-                });
-                self.load_part(epoch, 0);
+                self.load = Some(Load::new(epoch, revision));
+                self.load_next();
             }
             Some(Change::Deposed(why)) => self.step_down(cx, why),
             None => {}
@@ -317,49 +305,46 @@
         }
     }
 
-    fn load_part(&self, epoch: Epoch, part: usize) {
-        let call = StoreCall::List {
-            prefix: LOADED[part].into(),
-            after: None,
-            limit: LOAD_LIMIT,
-        };
-        self.ports.store(StoreToken::Load(epoch, part), call);
+    fn load_next(&self) {
+        if let Some(load) = &self.load {
+            self.ports.store(StoreToken::Load(load.epoch), load.call());
+        }
     }
 
-    fn loaded(&mut self, cx: CX![], epoch: Epoch, part: usize, reply: Result<StoreReply>) {
+    fn loaded(&mut self, cx: CX![], epoch: Epoch, reply: Result<StoreReply>) {
         let Some(load) = self.load.as_mut().filter(|l| l.epoch == epoch) else {
             return;
         };
-        match reply {
-            Ok(StoreReply::Listed(items)) => {
-                load.parts[part] = Some(items);
-                // One after the other, so that they do not crowd a slow link.
-                if part + 1 < LOADED.len() {
-                    self.load_part(epoch, part + 1);
-                }
-            }
-            Ok(_) => warn!(self.log, "entry: unexpected reply to a load"),
-            Err(e) => {
-                warn!(self.log, "entry: load failed"; "error" => %e);
-                stakker::after!(LOAD_RETRY, [cx], load_again(epoch, part));
+        if let Err(e) = &reply {
+            warn!(self.log, "entry: load failed"; "error" => %e);
+        }
+        match load.take(reply) {
+            LoadStep::Next => self.load_next(),
+            LoadStep::Again => {
+                stakker::after!(LOAD_RETRY, [cx], load_again(epoch));
             }
+            LoadStep::Done => self.begin_to_own(cx),
+            LoadStep::GiveUp => self.give_up(cx),
         }
-        self.begin_to_own(cx);
     }
 
-    fn load_again(&mut self, _cx: CX![], epoch: Epoch, part: usize) {
+    fn load_again(&mut self, _cx: CX![], epoch: Epoch) {
         if self.load.as_ref().is_some_and(|l| l.epoch == epoch) {
-            self.load_part(epoch, part);
+            self.load_next();
+        }
+    }
+
+    /// Leaves ownership to an entry that may reach more of the store.
+    fn give_up(&mut self, cx: CX![]) {
+        warn!(self.log, "entry: gives up ownership"; "why" => "the jobs cannot be read");
+        self.load = None;
+        if let Some(call) = self.elector.give_up(cx.now()) {
+            self.election_call(cx.now(), self.clock.wall(), call);
         }
     }
 
     /// Owns the jobs once all is loaded.
     fn begin_to_own(&mut self, cx: CX![]) {
-        let now = cx.now();
-        let is_complete = |l: &Load| l.parts.iter().all(Option::is_some);
-        if !self.load.as_ref().is_some_and(is_complete) {
-            return;
-        }
         let Some(load) = self.load.take() else {
             return;
         };
@@ -373,8 +358,8 @@
             retention: self.cfg.retention,
         };
         let mut owner = Owner::new(cfg, self.log.clone());
-        let [jobs, progress, vms] = load.parts.map(Option::unwrap_or_default);
-        owner.load(now, &jobs, &progress, &vms);
+        let [jobs, progress, vms] = load.into_parts();
+        owner.load(cx.now(), &jobs, &progress, &vms);
         self.owner = Some(owner);
     }
 
@@ -454,54 +439,5 @@
     Told::refused("no entry owns the jobs", ELECTION_RETRY)
 }
 
-/// The actor of one entry in a deterministic runtime, whose time is passed in.
-pub struct Node {
-    stakker: Stakker,
-    lead: ActorOwn<Lead>,
-}
-
-impl Node {
-    /// Creates the actor; the same seed and the same events make the same decisions.
-    pub fn new(
-        cfg: NodeCfg,
-        clock: Arc<dyn Clock>,
-        ports: Arc<dyn Ports>,
-        gauges: Arc<Gauges>,
-        log: Logger,
-        seed: u64,
-    ) -> Self {
-        let mut stakker = Stakker::new(clock.now());
-        let s = &mut stakker;
-        let lead = actor!(
-            s,
-            Lead::init(cfg, clock, ports, gauges, log, seed),
-            ret_nop!()
-        );
-        Self { stakker, lead }
-    }
-}
-
-impl std::fmt::Debug for Node {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Node")
-    }
-}
-
-impl host::Actors for Node {
-    type Event = Event;
-
-    fn deliver(&mut self, event: Event) {
-        call!([self.lead], event(event));
-    }
-
-    fn run(&mut self, now: Instant) {
-        self.stakker.run(now, false);
-    }
-
-    fn next_due(&mut self) -> Option<Instant> {
-        self.stakker.next_expiry()
-    }
-}
-
 /// Sends events into an actor from threads.
 pub(crate) type Events = Sender<Event>;
--- /dev/null
+++ b/crates/lead/src/runtime.rs
@@ -0,0 +1,58 @@
+//! Runs an entry's actor with time passed in.
+
+use base::prelude::*;
+use report::Gauges;
+use slog::Logger;
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
+
+use crate::Event;
+use crate::node::{Lead, NodeCfg, Ports};
+
+/// The actor of one entry in a deterministic runtime, whose time is passed in.
+pub struct Node {
+    stakker: Stakker,
+    lead: ActorOwn<Lead>,
+}
+
+impl Node {
+    /// Creates the actor; the same seed and the same events make the same decisions.
+    pub fn new(
+        cfg: NodeCfg,
+        clock: Arc<dyn Clock>,
+        ports: Arc<dyn Ports>,
+        gauges: Arc<Gauges>,
+        log: Logger,
+        seed: u64,
+    ) -> Self {
+        let mut stakker = Stakker::new(clock.now());
+        let s = &mut stakker;
+        let lead = actor!(
+            s,
+            Lead::init(cfg, clock, ports, gauges, log, seed),
+            ret_nop!()
+        );
+        Self { stakker, lead }
+    }
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Node")
+    }
+}
+
+impl host::Actors for Node {
+    type Event = Event;
+
+    fn deliver(&mut self, event: Event) {
+        call!([self.lead], event(event));
+    }
+
+    fn run(&mut self, now: Instant) {
+        self.stakker.run(now, false);
+    }
+
+    fn next_due(&mut self) -> Option<Instant> {
+        self.stakker.next_expiry()
+    }
+}
--- a/crates/lead/src/store_pool.rs
+++ b/crates/lead/src/store_pool.rs
@@ -1,7 +1,8 @@
 //! Threads that make store calls.
 
 use base::prelude::*;
-use crossbeam_channel::{Sender, unbounded};
+use crossbeam_channel::Sender;
+use host::spawn_workers;
 use ports::store::{Store, StoreCall, StoreReply};
 use report::Gauges;
 
@@ -25,24 +26,18 @@
     ) -> Self {
         let sink = Arc::new(sink);
         let spawn = |threads: usize| {
-            let (tx, rx) = unbounded::<(StoreToken, StoreCall)>();
-            for _ in 0..threads {
-                let (rx, store, sink) = (rx.clone(), Arc::clone(store), Arc::clone(&sink));
-                let gauges = Arc::clone(gauges);
-                std::thread::spawn(move || {
-                    for (token, call) in rx {
-                        let began = Instant::now();
-                        let reply = store.call(&call);
-                        gauges.took("store_call", began.elapsed());
-                        gauges.count(
-                            call.kind(),
-                            if reply.is_ok() { "answered" } else { "failed" },
-                        );
-                        sink(token, reply);
-                    }
-                });
-            }
-            tx
+            let (store, sink) = (Arc::clone(store), Arc::clone(&sink));
+            let gauges = Arc::clone(gauges);
+            spawn_workers(threads, move |(token, call): (StoreToken, StoreCall)| {
+                let began = Instant::now();
+                let reply = store.call(&call);
+                gauges.took("store_call", began.elapsed());
+                gauges.count(
+                    call.kind(),
+                    if reply.is_ok() { "answered" } else { "failed" },
+                );
+                sink(token, reply);
+            })
         };
         Self {
             // The election has a thread of its own, so that no slow commit costs the lease.
--- a/crates/lead/tests/elector.rs
+++ b/crates/lead/tests/elector.rs
@@ -285,3 +285,36 @@
 
     assert!(matches!(change, Some(Change::Elected { .. })));
 }
+
+#[test]
+fn an_entry_that_gives_up_leaves_the_claim_to_others() {
+    let mut rig = Rig::new();
+    let (mut a, mut b) = (elector("a"), elector("b"));
+    rig.elect(&mut a);
+    rig.elect(&mut b);
+
+    let call = a.give_up(rig.now).expect("it leads");
+    let reply = rig.store.call(rig.now, &call);
+    a.reply(rig.now, (rig.now, rig.wall), reply);
+    let first = rig.elect(&mut a);
+    let second = rig.elect(&mut b);
+
+    assert!(first.is_none(), "{first:?}");
+    assert!(matches!(second, Some(Change::Elected { .. })));
+}
+
+#[test]
+fn an_entry_that_gave_up_claims_again_where_no_other_does() {
+    let mut rig = Rig::new();
+    let mut a = elector("a");
+    rig.elect(&mut a);
+
+    let call = a.give_up(rig.now).expect("it leads");
+    let reply = rig.store.call(rig.now, &call);
+    a.reply(rig.now, (rig.now, rig.wall), reply);
+    rig.elect(&mut a);
+    rig.advance(Duration::from_secs(3));
+    let change = rig.elect(&mut a);
+
+    assert!(matches!(change, Some(Change::Elected { .. })));
+}
