Decide once per report: fewer rounds, memos of harm, pace on news

Change: fillers are paced when a worker reported or its runs changed; what one more filler does is worked out once per report, class and whole core; under a backlog of over 20 stages rounds wait up to 30 ms, so that ends are taken together.

Tried and refused by the tests: a gap after every round (a single job's next stage waited).

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -103,6 +103,8 @@
     is_round_due: bool,
     /// When a round is due though nothing changed.
     repeat_round: Option<Instant>,
+    /// Before when no further round is made.
+    next_round: Option<Instant>,
     /// Whether inherited jobs wait for workers that an earlier owner may have used.
     had_unheard: bool,
 }
@@ -125,6 +127,7 @@
             stats: Stats::default(),
             is_round_due: true,
             repeat_round: None,
+            next_round: None,
             had_unheard: true,
         }
     }
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -164,7 +164,7 @@
         &mut self,
         now: Instant,
         worker: &Worker,
-        more: Option<&StageSpec>,
+        more: Option<&(Name, f64)>,
     ) -> Speeds {
         let mix = full_mix(worker, more);
         let numbered = self.numbered(&mix);
@@ -208,13 +208,38 @@
         if worker.pace_level > 0 {
             return None;
         }
+        // Whole cores, so that jobs of like size share what was worked out.
+        let cpu_milli = stage.room.cpu_milli.next_multiple_of(1000);
+        let mut memo = worker.harm_memo.borrow_mut();
+        let stamp = (worker.number, worker.version);
+        if memo.stamp != stamp {
+            memo.stamp = stamp;
+            memo.rows.clear();
+        }
+        let is_same =
+            |row: &&(Option<Name>, u64, Option<f64>)| row.1 == cpu_milli && row.0 == stage.class;
+        if let Some((_, _, known)) = memo.rows.iter().find(is_same) {
+            return *known;
+        }
+        let harm = self.work_out(now, worker, stage.class.as_ref(), cpu_milli);
+        memo.rows.push((stage.class.clone(), cpu_milli, harm));
+        harm
+    }
+
+    fn work_out(
+        &mut self,
+        now: Instant,
+        worker: &Worker,
+        class: Option<&Name>,
+        cpu_milli: u64,
+    ) -> Option<f64> {
+        let more = (class_of(class), worker.share(cpu_milli));
         let before = self.work(now, worker, None);
-        let after = self.work(now, worker, Some(stage));
-        if after - before < worker.share(stage.room.cpu_milli) * LEAST_SPEED {
+        let after = self.work(now, worker, Some(&more));
+        if after - before < more.1 * LEAST_SPEED {
             return None;
         }
-        let class = class_of(stage.class.as_ref());
-        let mix = self.numbered(&[(class, worker.share(stage.room.cpu_milli))]);
+        let mix = self.numbered(&[more]);
         let mut added = 0.0;
         for (class, _) in tails(worker) {
             let id = self.harm.class(&ClassName::new(class));
@@ -224,7 +249,7 @@
     }
 
     /// Returns the processors that the fillers of a worker may use, as a share.
-    fn work(&mut self, now: Instant, worker: &Worker, more: Option<&StageSpec>) -> f64 {
+    fn work(&mut self, now: Instant, worker: &Worker, more: Option<&(Name, f64)>) -> f64 {
         let speeds = self.speeds(now, worker, more);
         let mix = full_mix(worker, more);
         let used = mix
@@ -278,14 +303,13 @@
 
 /// Returns the share of the processors that each class of fillers uses at full speed, with one
 /// more filler.
-fn full_mix(worker: &Worker, more: Option<&StageSpec>) -> Vec<(Name, f64)> {
+fn full_mix(worker: &Worker, more: Option<&(Name, f64)>) -> Vec<(Name, f64)> {
     let mut mix: IndexMap<Name, f64> = IndexMap::new();
     for run in fillers(worker) {
         *mix.entry(class_of(run.class.as_ref())).or_default() += worker.share(run.demand_milli);
     }
-    if let Some(stage) = more {
-        *mix.entry(class_of(stage.class.as_ref())).or_default() +=
-            worker.share(stage.room.cpu_milli);
+    if let Some((class, share)) = more {
+        *mix.entry(Arc::clone(class)).or_default() += share;
     }
     mix.into_iter().filter(|(_, share)| *share > 0.0).collect()
 }
--- a/crates/jobs/src/owner/pace.rs
+++ b/crates/jobs/src/owner/pace.rs
@@ -47,6 +47,10 @@
     pub(super) fn pace_fillers(&mut self, now: Instant) {
         let mut stuck = Vec::new();
         for (vm, worker) in &mut self.workers {
+            let stamp = (worker.number, worker.version);
+            if std::mem::replace(&mut worker.paced_for, stamp) == stamp {
+                continue;
+            }
             self.neighbours.get_mut().learn(now, worker);
             let Some(worst) = worst_tail(worker) else {
                 worker.paced_at = None;
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -18,6 +18,16 @@
 /// How soon a round is repeated while a job that could run has no run.
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
 
+/// How many waiting stages are looked at in a round without making the next one wait.
+const FEW: u32 = 20;
+
+/// How long after a round the next one waits for each further stage that was looked at: under a
+/// backlog, ends are taken together.
+const ROUND_GAP: Duration = Duration::from_micros(100);
+
+/// The longest that a round waits for others' sake.
+const MAX_ROUND_GAP: Duration = Duration::from_millis(30);
+
 /// How long a job of fillers may have nothing running before harm is risked: half of the three
 /// seconds after which a job with room for it counts as forgotten.
 const FORCED_AFTER: Duration = Duration::from_millis(1500);
@@ -51,9 +61,17 @@
         if !self.is_round_due && !is_repeat_due && !self.has_schedules() {
             return;
         }
+        if let Some(at) = self.next_round.filter(|at| *at > now) {
+            self.repeat_round = Some(self.repeat_round.map_or(at, |due| due.min(at)));
+            return;
+        }
         self.is_round_due = false;
         self.repeat_round = None;
-        for (_, id, part) in self.candidates(now, unix_ms) {
+        let candidates = self.candidates(now, unix_ms);
+        let looked_at = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+        self.next_round =
+            Some(now + (ROUND_GAP * looked_at.saturating_sub(FEW)).min(MAX_ROUND_GAP));
+        for (_, id, part) in candidates {
             let is_gang = self
                 .jobs
                 .get(&id)
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -1,5 +1,6 @@
 //! A worker as the owner knows it.
 
+use std::cell::RefCell;
 use std::collections::VecDeque;
 
 use base::prelude::*;
@@ -112,6 +113,14 @@
     pub(super) in_flight: bool,
 }
 
+/// What one more filler does on a worker, by its class and its processors.
+#[derive(Debug, Default)]
+pub(super) struct HarmMemo {
+    /// The report and version that it holds for.
+    pub(super) stamp: (u64, u64),
+    pub(super) rows: Vec<(Option<Name>, u64, Option<f64>)>,
+}
+
 /// A worker, by the VM that it is on.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -139,6 +148,12 @@
     pub(super) health: Health,
     pub(super) paced_at: Option<Instant>,
     pub(super) pace_level: usize,
+    /// Rises whenever a run comes or goes.
+    pub(super) version: u64,
+    /// The report and version for which fillers were last paced.
+    pub(super) paced_for: (u64, u64),
+    /// What one more filler does here, as worked out for the same report and version.
+    pub(super) harm_memo: RefCell<HarmMemo>,
     /// The report whose figures were learned from.
     pub(super) learned_number: u64,
     /// How many fillers the latest figures told of.
@@ -170,6 +185,9 @@
             health: Health::default(),
             paced_at: None,
             pace_level: 0,
+            version: 0,
+            paced_for: (0, 0),
+            harm_memo: RefCell::default(),
             learned_number: 0,
             filler_count: 0,
             filler_gone_at: None,
@@ -197,6 +215,7 @@
 
     /// Counts anew what the runs take.
     pub(super) fn recount(&mut self) {
+        self.version += 1;
         self.used = Resources::ZERO;
         self.demand_milli = 0;
         self.serving = 0;
