--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -105,6 +105,7 @@
     repeat_round: Option<Instant>,
     /// Before when no further round is made.
     next_round: Option<Instant>,
+    stalls_looked_at: Option<Instant>,
     /// Whether inherited jobs wait for workers that an earlier owner may have used.
     had_unheard: bool,
 }
@@ -128,6 +129,7 @@
             is_round_due: true,
             repeat_round: None,
             next_round: None,
+            stalls_looked_at: None,
             had_unheard: true,
         }
     }
--- a/crates/jobs/src/owner/stall.rs
+++ b/crates/jobs/src/owner/stall.rs
@@ -10,9 +10,17 @@
 /// How long a task at full speed may show no progress.
 const STALLED_AFTER: Duration = Duration::from_millis(2000);
 
+/// How often runs are looked at: often enough to add little to [`STALLED_AFTER`].
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 impl Owner {
     /// Moves tasks whose progress has stopped, and counts it against their workers.
     pub(super) fn find_stalled(&mut self, now: Instant) {
+        let is_early = |at: Instant| now.saturating_duration_since(at) < LOOK_EVERY;
+        if self.stalls_looked_at.is_some_and(is_early) {
+            return;
+        }
+        self.stalls_looked_at = Some(now);
         let mut stalled: Vec<(Name, TaskRun)> = Vec::new();
         for (vm, worker) in &mut self.workers {
             let is_fresh = worker
