Give tasks only to workers that the store names

A worker crashed and came back while the store refused (17.9 to 21.4 s); its line in the store had been struck off and could not be written again. The owner gave it a task all the same. The next owner, elected 0.4 s later, read three VMs instead of four, waited for those, and ordered the task elsewhere 20 ms before the fourth worker reported it: TWICE.

Ruled out: leases and fences (both runs were within theirs), two lists of one millisecond (mended earlier).

Change: a worker takes tasks once the store names its present life and no change of that line is on its way.

Tests: a_worker_that_the_store_does_not_name_gets_no_task and ..struck_off.., which failed before.

--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -294,6 +294,16 @@
         self.is_adopted = false;
     }
 
+    /// Tells whether the store names this life, so that a next owner waits for it, and no change
+    /// of that is on its way.
+    fn is_named(&self) -> bool {
+        let named = self.roster.record.as_ref();
+        let is_this = |life: &WorkerReport| {
+            named.is_some_and(|named| named.id == life.id && named.born == life.born)
+        };
+        !self.roster.in_flight && self.life.as_ref().is_some_and(is_this)
+    }
+
     /// Tells whether tasks may be placed here.
     pub(super) fn takes_tasks(&self, now: Instant) -> bool {
         let is_ready = self
@@ -306,6 +316,7 @@
                 .is_some_and(|from| now.duration_since(from) < super::sync::SILENT_AFTER);
         self.is_adopted
             && !self.has_foreign_runs
+            && self.is_named()
             && is_ready
             && is_heard
             && self.health.takes_tasks(now, self.runs.len())
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -6,7 +6,7 @@
 use jobs::report::EndKind;
 use jobs::{JobState, Told};
 
-use rig::{GRACE, Rig, WORKER_LEASE, job, stage};
+use rig::{GRACE, Rig, StoreMode, WORKER_LEASE, job, stage};
 
 fn busy_rig() -> Rig {
     let mut rig = Rig::new();
@@ -245,3 +245,40 @@
     );
     assert_eq!(rig.running().len(), 1);
 }
+
+#[test]
+fn a_worker_that_the_store_does_not_name_gets_no_task() {
+    let mut rig = Rig::new();
+    rig.submit("job", job(vec![stage(2, 4)]));
+    rig.settle();
+    rig.mode = StoreMode::Away;
+
+    rig.add_vm("vm", 16);
+    rig.sync_all();
+    assert!(rig.running().is_empty(), "the next owner would not wait for it");
+    rig.mode = StoreMode::Up;
+    rig.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(rig.running().len(), 2);
+}
+
+#[test]
+fn a_worker_that_was_struck_off_gets_no_task_until_it_is_named_again() {
+    let mut rig = Rig::new();
+    rig.add_vm("vm", 16);
+    rig.sync_all();
+    // Its lease lapses, and the store drops it.
+    rig.pass(Duration::from_secs(8), &[]);
+    rig.settle();
+    rig.submit("job", job(vec![stage(2, 4)]));
+    rig.settle();
+    rig.mode = StoreMode::LosesAnswers;
+
+    rig.sync_all();
+    let before = rig.running().len();
+    rig.mode = StoreMode::Up;
+    rig.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(before, 0);
+    assert_eq!(rig.running().len(), 2);
+}
