--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -255,7 +255,10 @@
 
     rig.add_vm("vm", 16);
     rig.sync_all();
-    assert!(rig.running().is_empty(), "the next owner would not wait for it");
+    assert!(
+        rig.running().is_empty(),
+        "the next owner would not wait for it"
+    );
     rig.mode = StoreMode::Up;
     rig.pass(Duration::from_secs(1), &["vm"]);
 
