--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -27,7 +27,7 @@
 
 use self::commit::Commits;
 use self::neighbours::Neighbours;
-use self::order::Speeds;
+use self::order::Throughput;
 use self::worker::Worker;
 use crate::report::SyncReply;
 use crate::{Job, JobState, Told};
@@ -94,7 +94,7 @@
     commits: Commits,
     /// In a cell, as a look at a pair gives its classes their numbers.
     neighbours: RefCell<Neighbours>,
-    speeds: Speeds,
+    throughput: Throughput,
     accepting: IndexMap<JobId, Vec<Token>>,
     cancelling: IndexMap<JobId, Vec<Token>>,
     effects: Vec<Effect>,
@@ -121,7 +121,7 @@
             workers: IndexMap::new(),
             commits: Commits::default(),
             neighbours: RefCell::new(Neighbours::new()),
-            speeds: Speeds::default(),
+            throughput: Throughput::default(),
             accepting: IndexMap::new(),
             cancelling: IndexMap::new(),
             effects: Vec::new(),
--- a/crates/jobs/src/owner/order.rs
+++ b/crates/jobs/src/owner/order.rs
@@ -36,15 +36,15 @@
 /// Occurrences and stages that may be placed now, most urgent first.
 pub(super) type Candidates = Vec<(Urgency, JobId, usize)>;
 
-/// How fast the known speed of a kind of work falls while less of it runs: as long as a few tasks.
-const SPEED_MEMORY: Duration = Duration::from_secs(5);
+/// How fast the known throughput of a kind of work falls while less of it runs: as long as a few tasks.
+const THROUGHPUT_MEMORY: Duration = Duration::from_secs(5);
 
 /// Work that competes for the same room: of one rank, and of fillers or of others.
 type Kind = (u32, bool);
 
 /// How many cores each kind of work had lately, and as of when.
 #[derive(Debug, Default)]
-pub(super) struct Speeds {
+pub(super) struct Throughput {
     cores: IndexMap<Kind, f64>,
     at: Option<Instant>,
 }
@@ -63,7 +63,7 @@
 impl Owner {
     /// Returns what may be placed now, most urgent first.
     pub(super) fn candidates(&mut self, now: Instant, unix_ms: u64) -> Candidates {
-        self.note_speeds(now);
+        self.note_throughput(now);
         let in_time = self.jobs_in_time(unix_ms);
         let mut found = Candidates::new();
         for id in &self.active {
@@ -86,10 +86,10 @@
     }
 
     /// Notes how many cores each kind of work has.
-    fn note_speeds(&mut self, now: Instant) {
-        let passed = self.speeds.at.replace(now);
+    fn note_throughput(&mut self, now: Instant) {
+        let passed = self.throughput.at.replace(now);
         let passed = passed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let kept = (-passed.as_secs_f64() / SPEED_MEMORY.as_secs_f64()).exp();
+        let kept = (-passed.as_secs_f64() / THROUGHPUT_MEMORY.as_secs_f64()).exp();
         let mut cores: IndexMap<Kind, f64> = IndexMap::new();
         for worker in self.workers.values() {
             for (id, run) in worker.runs.iter().filter(|(_, r)| !r.is_standing) {
@@ -100,11 +100,11 @@
                 }
             }
         }
-        for (kind, known) in &mut self.speeds.cores {
+        for (kind, known) in &mut self.throughput.cores {
             *known *= kept;
             *known = known.max(cores.swap_remove(kind).unwrap_or_default());
         }
-        self.speeds.cores.extend(cores);
+        self.throughput.cores.extend(cores);
     }
 
     /// Returns the jobs that can be done in time if they get all the room of their kind.
@@ -129,7 +129,12 @@
         }
         let mut in_time = IndexSet::new();
         for (kind, jobs) in kinds {
-            let cores = self.speeds.cores.get(&kind).copied().unwrap_or_default();
+            let cores = self
+                .throughput
+                .cores
+                .get(&kind)
+                .copied()
+                .unwrap_or_default();
             in_time.extend(feasible(jobs, cores, unix_ms));
         }
         in_time
--- a/crates/ops/src/explain.rs
+++ b/crates/ops/src/explain.rs
@@ -219,14 +219,10 @@
             "no line tells its end: it goes on, or the log of its last owner is missing".into(),
         );
     }
-    let of_run = |line: &&&Line, msg: &str| line.msg == msg;
-    let ordered = own.iter().filter(|l| of_run(l, "owner: run ordered"));
-    for order in ordered {
+    for order in own.iter().filter(|line| line.msg == "owner: run ordered") {
         let run = order.text("run").unwrap_or_default();
-        let is_told = own
-            .iter()
-            .any(|line| line.text("run") == Some(run) && line.msg != "owner: run ordered");
-        if !is_told {
+        let tells_more = |line: &&Line| line.text("run") == Some(run) && line.msg != order.msg;
+        if !own.iter().any(tells_more) {
             gaps.push(format!(
                 "run {run} was ordered and no line tells what became of it"
             ));
