--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -16,7 +16,7 @@
 const QUIET_SHARE: f64 = 0.22;
 
 /// What is kept free below the load at which the tail meets its target.
-const MARGIN: f64 = 0.10;
+const MARGIN: f64 = 0.05;
 
 /// The load that a task feels before its first figures.
 const FIRST_LOAD: f64 = 0.45;
