Count a failure once, also if the next owner is told of it again

Cause: a run's failure was stored as a number. An owner that was killed between storing an end and acknowledging it left it in the worker's list, and the next one counted it again: a task of three attempts was given up after two.

Change: the attempts that failed are stored; a gang's run counts once.

Test: a_failure_that_was_stored_and_not_acknowledged_counts_once, which failed before.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -47,8 +47,8 @@
     pub is_done: bool,
     /// The VMs on which a run of it may go on, with the run.
     pub live: Vec<(Name, Attempt)>,
-    /// How often it failed.
-    pub failures: u32,
+    /// The runs that failed; an end may be told again to the next owner.
+    pub failed: Vec<Attempt>,
     /// The last run ordered or seen.
     pub last: Attempt,
     /// The last checkpoint.
@@ -66,7 +66,7 @@
     fn progress(&self) -> TaskProgress {
         TaskProgress {
             is_done: self.is_done,
-            failures: self.failures,
+            failed: self.failed.clone(),
             checkpoint: self.checkpoint.clone(),
         }
     }
@@ -170,7 +170,7 @@
         for (position, stored) in progress.tasks {
             if let Some(task) = self.tasks.get_mut(position as usize) {
                 task.is_done = stored.is_done;
-                task.failures = stored.failures;
+                task.failed = stored.failed;
                 task.checkpoint = stored.checkpoint;
             }
         }
--- a/crates/jobs/src/owner/ends.rs
+++ b/crates/jobs/src/owner/ends.rs
@@ -124,15 +124,18 @@
         if job.state.has_ended() || job.tasks[position].is_done || is_standing {
             return;
         }
-        // A gang fails as one: its failures are counted on its first task.
+        // A gang fails as one: its failures are noted on its first task, once for each run.
         let counted = if job.stage_of(&run.task).gang {
             job.parts[part].first
         } else {
             position
         };
-        job.update(part, counted, |task| task.failures += 1);
+        if job.tasks[counted].failed.contains(&run.attempt) {
+            return;
+        }
+        job.update(part, counted, |task| task.failed.push(run.attempt));
         job.touch();
-        let is_spent = job.tasks[counted].failures >= job.record.terms.attempts;
+        let is_spent = job.tasks[counted].failed.len() >= job.record.terms.attempts as usize;
         self.commits.mark_progress(&run.task.job);
         if is_spent {
             self.end_job(&run.task.job, JobState::Failed, unix_ms);
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -143,7 +143,7 @@
         });
         let run_id = TaskRun { task, attempt };
         info!(self.log, "owner: run ordered"; "run" => %run_id, "vm" => %vm,
-            "load" => worker.load_with(0), "failures" => job.tasks[position].failures,
+            "load" => worker.load_with(0), "failures" => job.tasks[position].failed.len(),
             "resumes" => job.tasks[position].checkpoint.is_some(),
             "waited_ms" => now.duration_since(job.since).as_millis());
         self.stats
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -35,8 +35,8 @@
 pub struct TaskProgress {
     /// Whether its work is done.
     pub is_done: bool,
-    /// How often it failed.
-    pub failures: u32,
+    /// The runs that failed.
+    pub failed: Vec<Attempt>,
     /// Its last stored checkpoint.
     pub checkpoint: Option<Name>,
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -4,9 +4,9 @@
 
 use base::prelude::*;
 use jobs::report::EndKind;
-use jobs::{JobState, Told};
+use jobs::{JobState, RouteTerms, Told};
 
-use rig::{GRACE, Rig, StoreMode, WORKER_LEASE, job, stage};
+use rig::{GRACE, Rig, StoreMode, WORKER_LEASE, job, stage, terms};
 
 fn busy_rig() -> Rig {
     let mut rig = Rig::new();
@@ -285,3 +285,27 @@
     assert_eq!(before, 0);
     assert_eq!(rig.running().len(), 2);
 }
+
+#[test]
+fn a_failure_that_was_stored_and_not_acknowledged_counts_once() {
+    let mut rig = Rig::new();
+    rig.add_vm("vm", 16);
+    rig.sync_all();
+    let two = RouteTerms {
+        attempts: 2,
+        ..terms(1)
+    };
+    rig.submit_under("job", job(vec![stage(1, 4)]), two);
+    rig.sync_all();
+    let run = rig.running()[0].1.clone();
+
+    rig.vm("vm").end(&run, EndKind::Failed);
+    rig.vm("vm").is_deaf = true;
+    rig.sync_all();
+    rig.vm("vm").is_deaf = false;
+    rig.take_over();
+    rig.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(rig.status("job"), Some(Told::Status(JobState::Running)));
+    assert_eq!(rig.running().len(), 1, "its second attempt of two");
+}
