Track the load of serving tasks by job, not by class

Two jobs of one class were averaged, so the load of each was off by up to 0.2 and their neighbours' harm was mislearned; a backlog after overload counted as load.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,6 +9,7 @@
 mod commit;
 mod ends;
 mod gang;
+mod load;
 mod neighbours;
 mod order;
 mod pace;
@@ -213,6 +214,7 @@
         self.active.swap_remove(id);
         self.commits.mark_progress(id);
         self.stop_all(id);
+        self.neighbours.get_mut().forget(id);
         self.is_round_due = true;
     }
 
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -1,42 +1,16 @@
 //! What fillers do to tasks with a tail target, learned by pairs of classes.
 //!
-//! A tail latency grows like that of a queue: without bound as the load that its task feels nears
-//! one. So a tail is turned into the load felt: the task's own, which comes and goes within
-//! seconds and is much the same for all tasks of a class, and what its neighbours add in
-//! proportion to what they use, which differs by pair of classes. Both are tracked; the rest up to
-//! the load at which the tail meets its target is what fillers may add.
+//! Fillers add to the load that a service feels (see [`super::load`]) in proportion to what they
+//! use, which differs by pair of classes. The rest up to the load at which the tail meets its
+//! target is what fillers may add.
 
 use base::prelude::*;
 use place::{ClassId, Harm, HarmCfg, Mix};
 
+use super::load::{Load, Service, Tail};
 use super::worker::{Phase, Run, Worker};
 use crate::StageSpec;
 
-/// The share of its target that a tail takes at no load, until a lower one was seen.
-const QUIET_SHARE: f64 = 0.22;
-
-/// What is kept free below the load at which the tail meets its target.
-const MARGIN: f64 = 0.05;
-
-/// The load that a task feels before its first figures.
-const FIRST_LOAD: f64 = 0.45;
-
-/// The most load of its own that a class is taken to have.
-const MAX_LOAD: f64 = 0.95;
-
-/// How fast the tracked load of a class follows its figures; these look back half a second.
-const FAST: Duration = Duration::from_millis(400);
-
-/// How fast the load follows that tells whether it rises.
-const SLOW: Duration = Duration::from_millis(2000);
-
-/// How far ahead a rise of the load is taken to go on, over the lag between fast and slow: figures
-/// and orders are about a second under way.
-const AHEAD: f64 = 0.7;
-
-/// The variance of a class's own load beside which that of its neighbours' harm is weighed.
-const LOAD_VARIANCE: f64 = 0.005;
-
 /// How many standard deviations of its harm a pair is taken to be above the mean.
 const CAUTION: f64 = 0.15;
 
@@ -52,56 +26,6 @@
 /// The harm from which on a class is slowed before others.
 const HARMFUL_FROM: f64 = 0.6;
 
-/// The load felt by one class of tasks with a tail target.
-#[derive(Clone, Copy, Debug)]
-struct Victim {
-    /// The least tail over its target.
-    quiet: f64,
-    /// The load without neighbours by now.
-    load: f64,
-    /// The same, followed slowly.
-    slow: f64,
-    at: Option<Instant>,
-}
-
-impl Default for Victim {
-    fn default() -> Self {
-        Self {
-            quiet: QUIET_SHARE,
-            load: FIRST_LOAD,
-            slow: FIRST_LOAD,
-            at: None,
-        }
-    }
-}
-
-impl Victim {
-    /// Returns the load felt at a tail over its target.
-    fn felt(&self, tail: f64) -> f64 {
-        1.0 - self.quiet / tail.max(self.quiet)
-    }
-
-    /// Returns the load that fillers may add in the next second or so.
-    fn budget(&self) -> f64 {
-        let ahead = self.load + (self.load - self.slow).max(0.0) * AHEAD;
-        (1.0 - self.quiet - MARGIN - ahead).max(0.0)
-    }
-
-    /// Follows a figure of the load without neighbours, which is trusted by a `share`.
-    fn follow(&mut self, now: Instant, load: f64, share: f64) {
-        let Some(at) = self.at.replace(now) else {
-            self.load += (load - self.load) * share;
-            self.slow = self.load;
-            return;
-        };
-        let passed = now.saturating_duration_since(at).as_secs_f64();
-        let gain = |time: Duration| 1.0 - (-passed / time.as_secs_f64()).exp();
-        self.load += (load - self.load) * gain(FAST) * share;
-        self.load = self.load.clamp(0.0, MAX_LOAD);
-        self.slow += (self.load - self.slow) * gain(SLOW);
-    }
-}
-
 /// The speed that each class of fillers on a worker may have, as a share; full if it is missing.
 pub(super) type Speeds = IndexMap<Name, f64>;
 
@@ -109,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct Neighbours {
     harm: Harm,
-    victims: IndexMap<ClassId, Victim>,
+    loads: IndexMap<Service, Load>,
 }
 
 impl Neighbours {
@@ -123,7 +47,7 @@
         };
         Self {
             harm: Harm::new(cfg, true),
-            victims: IndexMap::new(),
+            loads: IndexMap::new(),
         }
     }
 
@@ -143,20 +67,34 @@
             return;
         }
         let mix = self.numbered(&used_mix(worker));
-        for (class, tail) in tails(worker) {
-            let id = self.harm.class(&ClassName::new(class));
+        for tail in tails(worker) {
+            let id = self.class_id(&tail.class);
+            let load = self.loads.entry(tail.service.clone()).or_default();
+            let felt = load.felt(tail.over_target);
             let mean = self.harm.predict(id, &mix, now);
+            let extra = felt - load.own();
+            if worker.choked.note(now, &tail.service, felt) {
+                // The load is at least that high, so it tells of more harm but not of less.
+                if extra > mean {
+                    self.harm.learn(id, &mix, extra, now);
+                }
+                continue;
+            }
             let doubt = (self.harm.predict_safely(id, &mix, now) - mean) / CAUTION;
-            let victim = self.victims.entry(id).or_default();
-            victim.quiet = victim.quiet.min(tail);
-            let felt = victim.felt(tail);
-            let extra = felt - victim.load;
-            let share = LOAD_VARIANCE / (LOAD_VARIANCE + doubt * doubt);
-            victim.follow(now, (felt - mean).max(0.0), share);
+            load.follow(now, (felt - mean).max(0.0), doubt);
             self.harm.learn(id, &mix, extra, now);
         }
     }
 
+    /// Forgets the load of a job that has ended.
+    pub(super) fn forget(&mut self, job: &JobId) {
+        self.loads.retain(|service, _| !service.is_of(job));
+    }
+
+    fn class_id(&mut self, class: &Name) -> ClassId {
+        self.harm.class(&ClassName::new(Arc::clone(class)))
+    }
+
     /// Returns how fast fillers may go so that the tasks beside them meet their targets.
     ///
     /// Those that do most harm for the processors that they use are slowed first.
@@ -169,9 +107,9 @@
         let mix = full_mix(worker, more);
         let numbered = self.numbered(&mix);
         let mut speeds = Speeds::new();
-        for (class, _) in tails(worker) {
-            let id = self.harm.class(&ClassName::new(class));
-            let victim = self.victims.get(&id).copied().unwrap_or_default();
+        for tail in tails(worker) {
+            let id = self.class_id(&tail.class);
+            let load = self.loads.get(&tail.service).copied().unwrap_or_default();
             let harm_of = |c: ClassId| self.harm.predict_safely(id, &[(c, 1.0)], now);
             let mut harms: Vec<(f64, f64, &Name)> = mix
                 .iter()
@@ -180,7 +118,7 @@
                 .collect();
             harms.sort_by(|a, b| b.0.total_cmp(&a.0));
             let total: f64 = harms.iter().map(|(harm, used, _)| harm * used).sum();
-            let mut excess = total - victim.budget();
+            let mut excess = total - load.budget();
             for (harm, used, name) in harms {
                 if excess <= 0.0 || harm < LEAST_HARM {
                     break;
@@ -241,8 +179,8 @@
         }
         let mix = self.numbered(&[more]);
         let mut added = 0.0;
-        for (class, _) in tails(worker) {
-            let id = self.harm.class(&ClassName::new(class));
+        for tail in tails(worker) {
+            let id = self.class_id(&tail.class);
             added += self.harm.predict_safely(id, &mix, now);
         }
         Some(added)
@@ -260,11 +198,13 @@
 
     /// Returns the classes of fillers that are known to harm the tasks nearest to their targets.
     pub(super) fn harmful_to_worst(&mut self, now: Instant, worker: &Worker) -> IndexSet<Name> {
-        let worst = tails(worker).into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
-        let Some((worst, _)) = worst else {
+        let worst = tails(worker)
+            .into_iter()
+            .max_by(|a, b| a.over_target.total_cmp(&b.over_target));
+        let Some(worst) = worst else {
             return IndexSet::new();
         };
-        let victim = self.harm.class(&ClassName::new(worst));
+        let victim = self.class_id(&worst.class);
         let classes: IndexSet<Name> = fillers(worker).filter_map(|r| r.class.clone()).collect();
         let is_harmful = |class: &Name| {
             let id = self.harm.class(&ClassName::new(Arc::clone(class)));
@@ -275,7 +215,7 @@
 
     fn numbered(&mut self, mix: &[(Name, f64)]) -> Mix {
         mix.iter()
-            .map(|(class, share)| (self.harm.class(&ClassName::new(Arc::clone(class))), *share))
+            .map(|(class, share)| (self.class_id(class), *share))
             .collect()
     }
 }
@@ -314,23 +254,28 @@
     mix.into_iter().filter(|(_, share)| *share > 0.0).collect()
 }
 
-/// Returns the average tail over its target of each class that has one.
-fn tails(worker: &Worker) -> Vec<(Name, f64)> {
-    let mut sums: IndexMap<Name, (f64, f64)> = IndexMap::new();
-    for run in worker.runs.values().filter(|r| r.phase == Phase::Running) {
+/// Returns the tail of each service that has tasks on a worker.
+fn tails(worker: &Worker) -> Vec<Tail> {
+    let mut sums: IndexMap<Service, (Name, f64, f64)> = IndexMap::new();
+    let running = worker.runs.iter().filter(|(_, r)| r.phase == Phase::Running);
+    for (id, run) in running {
         let Some(target) = run.tail_target_ms.filter(|t| *t > 0) else {
             continue;
         };
         if run.gauge > 0.0 {
-            let sum = sums.entry(class_of(run.class.as_ref())).or_default();
-            sum.0 += run.gauge / target as f64;
-            sum.1 += 1.0;
+            let (_, sum, count) = sums
+                .entry(Service::of(&id.task))
+                .or_insert_with(|| (class_of(run.class.as_ref()), 0.0, 0.0));
+            *sum += run.gauge / target as f64;
+            *count += 1.0;
         }
     }
-    let mean = |(sum, count): (f64, f64)| sum / count;
-    sums.into_iter()
-        .map(|(class, sums)| (class, mean(sums)))
-        .collect()
+    let tail = |(service, (class, sum, count))| Tail {
+        service,
+        class,
+        over_target: sum / count,
+    };
+    sums.into_iter().map(tail).collect()
 }
 
 pub(super) fn class_of(class: Option<&Name>) -> Name {
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -7,6 +7,7 @@
 use ports::store::Revision;
 
 use super::Token;
+use super::load::Choked;
 use crate::report::WorkerReport;
 use crate::{TaskRun, WorkerRecord};
 
@@ -160,6 +161,8 @@
     pub(super) filler_count: usize,
     /// When a filler last left.
     pub(super) filler_gone_at: Option<Instant>,
+    /// The services here whose requests queue up.
+    pub(super) choked: Choked,
     used: Resources,
     demand_milli: u64,
     serving: u32,
@@ -191,6 +194,7 @@
             learned_number: 0,
             filler_count: 0,
             filler_gone_at: None,
+            choked: Choked::default(),
             used: Resources::ZERO,
             demand_milli: 0,
             serving: 0,
