--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -21,18 +21,11 @@
 /// The most load of its own that a service is taken to have.
 const MAX_LOAD: f64 = 0.95;
 
-/// How fast the tracked load follows its figures; these look back half a second.
-const FAST: Duration = Duration::from_millis(400);
-
-/// How fast the load follows that tells whether it rises.
-const SLOW: Duration = Duration::from_millis(2000);
-
-/// How far ahead a rise of the load is taken to go on, over the lag between fast and slow: figures
-/// and orders are about a second under way.
-const AHEAD: f64 = 0.7;
+/// How fast the tracked load follows its figures; these look back half a second themselves.
+const MEMORY: Duration = Duration::from_millis(100);
 
 /// The variance of a service's own load beside which that of its neighbours' harm is weighed.
-const LOAD_VARIANCE: f64 = 0.005;
+const LOAD_VARIANCE: f64 = 0.02;
 
 /// The load felt from which on requests queue up: the tail tells of the backlog, not of the load.
 const CHOKED_FROM: f64 = 0.86;
@@ -79,8 +72,6 @@
     quiet: f64,
     /// The load without neighbours by now.
     own: f64,
-    /// The same, followed slowly.
-    slow: f64,
     at: Option<Instant>,
 }
 
@@ -89,7 +80,6 @@
         Self {
             quiet: QUIET_SHARE,
             own: FIRST_LOAD,
-            slow: FIRST_LOAD,
             at: None,
         }
     }
@@ -107,10 +97,9 @@
         1.0 - self.quiet / tail.max(self.quiet)
     }
 
-    /// Returns the load that fillers may add in the next second or so.
+    /// Returns the load that fillers may add.
     pub(super) fn budget(&self) -> f64 {
-        let ahead = self.own + (self.own - self.slow).max(0.0) * AHEAD;
-        (1.0 - self.quiet - MARGIN - ahead).max(0.0)
+        (1.0 - self.quiet - MARGIN - self.own).max(0.0)
     }
 
     /// Follows a figure of the load without neighbours; `doubt` is the standard deviation of what
@@ -119,14 +108,11 @@
         let share = LOAD_VARIANCE / (LOAD_VARIANCE + doubt * doubt);
         let Some(at) = self.at.replace(now) else {
             self.own += (load - self.own) * share;
-            self.slow = self.own;
             return;
         };
         let passed = now.saturating_duration_since(at).as_secs_f64();
-        let gain = |time: Duration| 1.0 - (-passed / time.as_secs_f64()).exp();
-        self.own += (load - self.own) * gain(FAST) * share;
-        self.own = self.own.clamp(0.0, MAX_LOAD);
-        self.slow += (self.own - self.slow) * gain(SLOW);
+        let gain = 1.0 - (-passed / MEMORY.as_secs_f64()).exp();
+        self.own = (self.own + (load - self.own) * gain * share).clamp(0.0, MAX_LOAD);
     }
 }
 
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -12,7 +12,7 @@
 use crate::StageSpec;
 
 /// How many standard deviations of its harm a pair is taken to be above the mean.
-const CAUTION: f64 = 0.15;
+const CAUTION: f64 = 0.3;
 
 /// How long after a filler has gone the figures still tell of it: they look back half a second.
 const GONE_FOR: Duration = Duration::from_millis(600);
@@ -21,7 +21,7 @@
 const LEAST_HARM: f64 = 0.15;
 
 /// The least speed at which a filler is worth starting.
-const LEAST_SPEED: f64 = 0.6;
+const LEAST_SPEED: f64 = 0.85;
 
 /// The harm from which on a class is slowed before others.
 const HARMFUL_FROM: f64 = 0.6;
@@ -39,7 +39,7 @@
 impl Neighbours {
     pub(super) fn new() -> Self {
         let cfg = HarmCfg {
-            prior_mean: 0.5,
+            prior_mean: 1.0,
             prior_deviation: 2.0,
             noise_deviation: 0.1,
             caution: CAUTION,
@@ -143,9 +143,6 @@
         if worker.serving() == 0 {
             return Some(0.0);
         }
-        if worker.pace_level > 0 {
-            return None;
-        }
         // Whole cores, so that jobs of like size share what was worked out.
         let cpu_milli = stage.room.cpu_milli.next_multiple_of(1000);
         let mut memo = worker.harm_memo.borrow_mut();
@@ -257,7 +254,10 @@
 /// Returns the tail of each service that has tasks on a worker.
 fn tails(worker: &Worker) -> Vec<Tail> {
     let mut sums: IndexMap<Service, (Name, f64, f64)> = IndexMap::new();
-    let running = worker.runs.iter().filter(|(_, r)| r.phase == Phase::Running);
+    let running = worker
+        .runs
+        .iter()
+        .filter(|(_, r)| r.phase == Phase::Running);
     for (id, run) in running {
         let Some(target) = run.tail_target_ms.filter(|t| *t > 0) else {
             continue;
--- a/crates/jobs/src/owner/pace.rs
+++ b/crates/jobs/src/owner/pace.rs
@@ -34,7 +34,7 @@
 const PLAN_STEP: f64 = 10.0;
 
 /// How long a filler goes at a slow pace before it is moved to where it may go faster.
-const MOVE_AFTER: Duration = Duration::from_millis(1500);
+const MOVE_AFTER: Duration = Duration::from_millis(500);
 
 /// The share of its work from which on a filler is not moved any more, in percent.
 const NEARLY_DONE: f64 = 80.0;
