--- a/crates/jobs/src/owner/pace.rs
+++ b/crates/jobs/src/owner/pace.rs
@@ -114,7 +114,7 @@
 /// Returns the filler that has been slow for longest, if any has been for long.
 fn stuck_filler(now: Instant, worker: &Worker) -> Option<TaskRun> {
     let runs = worker.runs.iter().filter(|(_, r)| {
-        r.is_filler && r.phase == Phase::Running && r.pace <= PACES[2] && r.percent < NEARLY_DONE
+        r.is_filler && r.phase == Phase::Running && r.pace <= PACES[1] && r.percent < NEARLY_DONE
     });
     let (id, run) = runs.min_by_key(|(_, r)| r.slow_since)?;
     let is_long = |at: Instant| now.duration_since(at) >= MOVE_AFTER;
@@ -150,7 +150,7 @@
 fn set(now: Instant, worker: &mut Worker, pace: impl Fn(Option<&Name>) -> u32) {
     for run in worker.runs.values_mut().filter(|r| r.is_filler) {
         run.pace = pace(run.class.as_ref());
-        run.slow_since = if run.pace <= PACES[2] {
+        run.slow_since = if run.pace <= PACES[1] {
             run.slow_since.or(Some(now))
         } else {
             None
--- a/crates/jobs/tests/desk/world.rs
+++ b/crates/jobs/tests/desk/world.rs
@@ -37,6 +37,9 @@
 /// What a queue adds to a tail for each second of work in it, in milliseconds.
 const BACKLOG_MS: f64 = 1000.0;
 
+/// How long it takes until a pace has effect, in seconds.
+const PACE_TAKES: f64 = 0.15;
+
 /// The share of pairs of classes that do much harm.
 const HARMFUL: f64 = 0.65;
 
@@ -118,6 +121,8 @@
     queue: IndexMap<TaskRun, f64>,
     figures: IndexMap<TaskRun, (f64, f64)>,
     over: IndexMap<TaskRun, f64>,
+    /// The pace that a filler has, the one ordered, and since when.
+    paces: IndexMap<TaskRun, (u32, u32, f64)>,
     at: f64,
     outcome: Outcome,
     served: (f64, f64),
@@ -156,6 +161,7 @@
             queue: IndexMap::new(),
             figures: IndexMap::new(),
             over: IndexMap::new(),
+            paces: IndexMap::new(),
             at: -LEAD,
             outcome: Outcome::default(),
             served: (0.0, 0.0),
@@ -284,8 +290,8 @@
         let wanted: Vec<f64> = fillers
             .iter()
             .map(|(run, _)| {
-                let pace = vm.paces.get(run).copied().unwrap_or(100);
-                self.cores_of(run) * f64::from(pace) / 100.0
+                let ordered = vm.paces.get(run).copied().unwrap_or(100);
+                self.cores_of(run) * self.pace(run, ordered)
             })
             .collect();
         let taken: f64 = serving
@@ -340,6 +346,21 @@
         !ended.is_empty()
     }
 
+    /// Returns the share of speed that a filler has by now.
+    fn pace(&mut self, run: &TaskRun, ordered: u32) -> f64 {
+        let pace = self
+            .paces
+            .entry(run.clone())
+            .or_insert((100, ordered, self.at));
+        if pace.1 != ordered {
+            *pace = (pace.0, ordered, self.at);
+        }
+        if self.at - pace.2 >= PACE_TAKES {
+            pace.0 = pace.1;
+        }
+        f64::from(pace.0) / 100.0
+    }
+
     /// Counts a step of a serving task.
     fn judge(&mut self, run: &TaskRun, tail: f64, is_disturbed: bool) {
         let seconds = STEP.as_secs_f64();
