--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -13,7 +13,7 @@
 const RUNS_PER_EPOCH: u64 = 1024;
 
 /// The most processors that fillers and others may ask for together, over those there are.
-const MAX_FILLED: f64 = 1.5;
+const MAX_FILLED: f64 = 1.3;
 
 /// How soon a round is repeated while a job that could run has no run.
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
