Learn from each listing once, with the fillers that have just gone

Cause: a companion reports on any news, and each report carried the last list again, so one figure was learned up to five times (a trial's log: the harm of one pair 2.3 to 7.9 within 0.1 s); learning stopped for 0.6 s whenever a filler went, so that loads stood still for seconds beside busy fillers; and a new list was told only once the report before it was answered, up to 0.6 s later. Lists carry the worker's clock now, are told at once, and a filler that has gone counts for the half second that figures look back.

--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -11,8 +11,9 @@
 use crate::sync::Syncs;
 use crate::worker_clock::WorkerClock;
 
-/// How long a hold waits for an end; also how old a listing gets.
-const HOLD_WAIT: Duration = Duration::from_millis(500);
+/// How long a hold waits for an end; also how old the figures of a listing get. They look back
+/// half a second, so asking more often tells little more.
+const HOLD_WAIT: Duration = Duration::from_millis(250);
 
 /// How long after a hold that failed the next is made.
 const HOLD_RETRY: Duration = Duration::from_millis(100);
@@ -140,7 +141,8 @@
                 life.hold_after = has_ends.then(|| now + LOOK_AFTER);
                 let is_settled = now.duration_since(life.stopped_at) > self.stop_time;
                 let has_news = take_listing(life, now, done.fence, is_settled, reply);
-                self.syncs.has_news |= has_news;
+                // The figures of a listing are worth little once they are old.
+                self.syncs.has_news |= has_news || done.is_waiting;
             }
             Ok(_) => {
                 info!(self.log, "companion: another life of the worker answered");
--- a/crates/agent/src/life.rs
+++ b/crates/agent/src/life.rs
@@ -107,6 +107,7 @@
     }
     let mut listing = Listing {
         fence,
+        clock_ms: reply.clock_ms,
         is_settled,
         running: reply.running,
         ends: reply.ends,
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -14,6 +14,7 @@
 mod order;
 mod pace;
 mod place;
+mod recent;
 mod record;
 mod stall;
 mod sync;
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -14,9 +14,6 @@
 /// How many standard deviations of its harm a pair is taken to be above the mean.
 const CAUTION: f64 = 0.3;
 
-/// How long after a filler has gone the figures still tell of it: they look back half a second.
-const GONE_FOR: Duration = Duration::from_millis(600);
-
 /// The least harm for which slowing a class is worth its work.
 const LEAST_HARM: f64 = 0.15;
 
@@ -53,20 +50,19 @@
 
     /// Learns from a worker's latest figures.
     pub(super) fn learn(&mut self, now: Instant, worker: &mut Worker) {
-        if worker.learned_number == worker.number {
-            return;
-        }
-        worker.learned_number = worker.number;
-        let count = fillers(worker).count();
-        if count < worker.filler_count {
-            worker.filler_gone_at = Some(now);
-        }
-        worker.filler_count = count;
-        let is_gone_lately = |at: Instant| now.duration_since(at) < GONE_FOR;
-        if worker.filler_gone_at.is_some_and(is_gone_lately) {
+        let mut recent = std::mem::take(&mut worker.recent);
+        let is_new = recent.note(now, worker);
+        let used = recent.by_class(now);
+        worker.recent = recent;
+        if !is_new {
             return;
         }
-        let mix = self.numbered(&used_mix(worker));
+        let used: Vec<(Name, f64)> = used
+            .into_iter()
+            .map(|(class, milli)| (class, worker.share(milli as u64)))
+            .filter(|(_, share)| *share > 0.0)
+            .collect();
+        let mix = self.numbered(&used);
         for tail in tails(worker) {
             let id = self.class_id(&tail.class);
             let load = self.loads.entry(tail.service.clone()).or_default();
@@ -221,23 +217,6 @@
     worker.runs.values().filter(|r| r.is_filler)
 }
 
-/// Returns the share of the processors that each class of fillers used in the last half second.
-fn used_mix(worker: &Worker) -> Vec<(Name, f64)> {
-    let used = |run: &Run| {
-        let milli = if run.gauge > 0.0 {
-            run.gauge
-        } else {
-            run.demand_milli as f64 * f64::from(run.pace) / 100.0
-        };
-        worker.share(milli as u64)
-    };
-    let mut mix: IndexMap<Name, f64> = IndexMap::new();
-    for run in fillers(worker).filter(|r| r.phase == Phase::Running) {
-        *mix.entry(class_of(run.class.as_ref())).or_default() += used(run);
-    }
-    mix.into_iter().filter(|(_, share)| *share > 0.0).collect()
-}
-
 /// Returns the share of the processors that each class of fillers uses at full speed, with one
 /// more filler.
 fn full_mix(worker: &Worker, more: Option<&(Name, f64)>) -> Vec<(Name, f64)> {
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -165,6 +165,9 @@
             return;
         };
         let is_first = self.workers.get(vm).is_some_and(|w| !w.is_adopted);
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.listed_ms = Some(listing.clock_ms);
+        }
         self.take_ends(now, unix_ms, vm, &listing.ends);
         self.take_running(now, vm, &listing.running, &report.open, is_first);
         if !is_first && listing.is_settled {
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -8,6 +8,7 @@
 
 use super::Token;
 use super::load::Choked;
+use super::recent::RecentUse;
 use crate::report::WorkerReport;
 use crate::{TaskRun, WorkerRecord};
 
@@ -155,12 +156,10 @@
     pub(super) paced_for: (u64, u64),
     /// What one more filler does here, as worked out for the same report and version.
     pub(super) harm_memo: RefCell<HarmMemo>,
-    /// The report whose figures were learned from.
-    pub(super) learned_number: u64,
-    /// How many fillers the latest figures told of.
-    pub(super) filler_count: usize,
-    /// When a filler last left.
-    pub(super) filler_gone_at: Option<Instant>,
+    /// The worker's clock as of the latest listing, in milliseconds.
+    pub(super) listed_ms: Option<u64>,
+    /// What fillers used lately.
+    pub(super) recent: RecentUse,
     /// The services here whose requests queue up.
     pub(super) choked: Choked,
     used: Resources,
@@ -191,9 +190,8 @@
             version: 0,
             paced_for: (0, 0),
             harm_memo: RefCell::default(),
-            learned_number: 0,
-            filler_count: 0,
-            filler_gone_at: None,
+            listed_ms: None,
+            recent: RecentUse::default(),
             choked: Choked::default(),
             used: Resources::ZERO,
             demand_milli: 0,
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -57,6 +57,8 @@
 pub struct Listing {
     /// The fence under which the worker listed: no order with a lower one takes effect any more.
     pub fence: u64,
+    /// The worker's clock when it listed, in milliseconds.
+    pub clock_ms: u64,
     /// Whether no stop was under way: a run that is being stopped may be in neither list.
     pub is_settled: bool,
     /// What runs.
--- a/crates/jobs/tests/desk/world.rs
+++ b/crates/jobs/tests/desk/world.rs
@@ -18,7 +18,7 @@
 const STEP: Duration = Duration::from_millis(50);
 
 /// How old figures and listings get.
-const REPORT_EVERY: Duration = Duration::from_millis(500);
+const REPORT_EVERY: Duration = Duration::from_millis(250);
 
 /// The tail of a service without load, in milliseconds.
 const QUIET_MS: f64 = 4.0;
--- a/crates/jobs/tests/rig/mod.rs
+++ b/crates/jobs/tests/rig/mod.rs
@@ -212,12 +212,13 @@
     pub fn sync(&mut self, name: &str) {
         self.next += 1;
         let token = self.next;
+        let clock_ms = self.unix_ms;
         let vm = self.vm(name);
         vm.number += 1;
         for row in &mut vm.running {
             row.percent += 0.1;
         }
-        let report = vm.report();
+        let report = vm.report(clock_ms);
         self.reporting.insert(token, name.into());
         self.owner
             .sync(self.now, self.unix_ms, Token(token), report);
@@ -279,10 +280,11 @@
 }
 
 impl Vm {
-    fn report(&self) -> SyncReport {
+    fn report(&self, clock_ms: u64) -> SyncReport {
         let ends = self.ends.iter().filter(|e| e.number > self.stored_ends);
         let listing = (self.fence > 0).then(|| Listing {
             fence: self.fence,
+            clock_ms,
             is_settled: self.is_settled,
             running: self.running.clone(),
             ends: ends.cloned().collect(),
