Ask the placement advisor, and start only with its ticket

One call is under way at a time, about the 30 workers where the stage would go first; a refusal holds, a ticket holds for one life of a worker and its time.

--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -7,9 +7,9 @@
 use base::SystemClock;
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, pure};
 use entry::EntryFlags;
-use lead::LeadCfg;
+use lead::{Advisor, LeadCfg};
 use ops::Exit;
-use platform::{BootFile, Callers, KvStore};
+use platform::{BootFile, Callers, HttpAdvisor, KvStore};
 
 const SUMMARY: &str =
     "A scheduler for latency-critical services and batch work that share the same VMs";
@@ -74,7 +74,9 @@
         .within(boot.min_store_lease, boot.max_worker_lease)
         .on_vm(boot.cpu_share, boot.link_mbps);
     let store = Arc::new(KvStore::new(boot.store_addr));
-    lead::run(&cfg, store, Arc::new(Callers), &log)?;
+    let advisor = boot.advisor_addr.map(HttpAdvisor::new);
+    let advisor = advisor.map(|a| Arc::new(a) as Arc<dyn Advisor>);
+    lead::run(&cfg, store, advisor, Arc::new(Callers), &log)?;
     Ok(())
 }
 
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -5,6 +5,7 @@
 //! workers' clocks. So one that was deposed without noticing does no harm.
 
 mod adopt;
+mod advice;
 mod callers;
 mod commit;
 mod ends;
@@ -27,6 +28,7 @@
 use ports::store::{Revision, StoreCall};
 use slog::{Logger, info, warn};
 
+use self::advice::Advice;
 use self::commit::Commits;
 use self::neighbours::Neighbours;
 use self::order::Throughput;
@@ -34,6 +36,7 @@
 use crate::report::SyncReply;
 use crate::{Job, JobState, Told};
 
+pub use self::advice::{Question, StageId, Ticket};
 pub use self::callers::STORE_AWAY;
 pub use self::order::{Chance, Urgency};
 pub use self::record::{EPOCH_KEY, OWNER_KEY, OwnerRecord, Replacement};
@@ -71,6 +74,8 @@
     Store(u64, StoreCall),
     /// Look in the store for a job that is not known here, and tell the caller.
     Look(Token, JobId),
+    /// Ask the placement advisor and pass its answer to [`Owner::advised`].
+    Advise(Question),
     /// Another entry owns the jobs.
     StepDown(&'static str),
 }
@@ -97,6 +102,7 @@
     /// In a cell, as a look at a pair gives its classes their numbers.
     neighbours: RefCell<Neighbours>,
     throughput: Throughput,
+    advice: Advice,
     accepting: IndexMap<JobId, Vec<Token>>,
     cancelling: IndexMap<JobId, Vec<Token>>,
     effects: Vec<Effect>,
@@ -124,6 +130,7 @@
             commits: Commits::default(),
             neighbours: RefCell::new(Neighbours::new()),
             throughput: Throughput::default(),
+            advice: Advice::default(),
             accepting: IndexMap::new(),
             cancelling: IndexMap::new(),
             effects: Vec::new(),
@@ -216,6 +223,7 @@
         self.commits.mark_progress(id);
         self.stop_all(id);
         self.neighbours.get_mut().forget(id);
+        self.advice.forget_job(id);
         self.is_round_due = true;
     }
 
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -198,6 +198,9 @@
             "run" => %rejected.run, "vm" => %vm, "why" => ?rejected.why,
             "ordered_ms_ago" => now.duration_since(run.since).as_millis());
         self.stats.events.push(("run", "rejected"));
+        if rejected.why == RejectKind::Ticket {
+            self.drop_ticket(vm, &rejected.run);
+        }
         if matches!(rejected.why, RejectKind::Room | RejectKind::Invalid) {
             self.avoid(vm, &rejected.run);
         }
--- /dev/null
+++ b/crates/jobs/src/owner/advice.rs
@@ -0,0 +1,240 @@
+//! Tickets of the placement advisor, for routes whose policy allows only some workers.
+//!
+//! The advisor answers one call at a time, and the longer the more workers it is asked about. So
+//! one call is under way at a time, about the workers where the stage would go first. What it
+//! allows does not change; a ticket holds for all tasks of the stage on one life of a worker.
+
+use base::prelude::*;
+use slog::{info, warn};
+
+use super::place::{cost, fits};
+use super::{Effect, Owner};
+use crate::job::Part;
+use crate::{AdviceTerms, Job};
+
+/// The most workers that one call asks about; the advisor takes 100, and its time grows with them.
+const ASKED_AT_ONCE: usize = 30;
+
+/// How long after a call that failed the next is made: the advisor was busy or out of reach.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// How long before its end a ticket is not used any more: an order may be that long under way.
+const TICKET_MARGIN: Duration = Duration::from_millis(500);
+
+/// Names an occurrence of a stage of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StageId {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence, from 0.
+    pub occurrence: u32,
+    /// The stage, from 0.
+    pub stage: u32,
+}
+
+/// A question to the advisor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The stage.
+    pub stage: StageId,
+    /// The workers that it might run on.
+    pub workers: Vec<WorkerId>,
+    /// How long the advisor takes to answer.
+    pub answer_time: Duration,
+}
+
+/// Leave to run a stage on one life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// The worker.
+    pub worker: WorkerId,
+    /// What a start has to carry.
+    pub ticket: Name,
+}
+
+/// What the advisor said of one life of a worker.
+#[derive(Clone, Debug)]
+struct Verdict {
+    born: Incarnation,
+    /// The ticket and until when it holds; `None` where the stage may not run.
+    ticket: Option<(Name, Instant)>,
+}
+
+/// A question that the advisor has not answered.
+#[derive(Clone, Debug)]
+struct Asked {
+    stage: StageId,
+    lives: IndexMap<WorkerId, Incarnation>,
+    since: Instant,
+}
+
+/// All that the advisor said.
+#[derive(Debug, Default)]
+pub(super) struct Advice {
+    verdicts: IndexMap<StageId, IndexMap<WorkerId, Verdict>>,
+    asked: Option<Asked>,
+    not_before: Option<Instant>,
+}
+
+impl Advice {
+    /// Returns the ticket for a stage on a life of a worker, if it still holds.
+    fn ticket(
+        &self,
+        now: Instant,
+        stage: &StageId,
+        worker: &WorkerId,
+        born: Incarnation,
+    ) -> Option<&Name> {
+        let verdict = self.verdicts.get(stage)?.get(worker)?;
+        let (ticket, until) = verdict.ticket.as_ref().filter(|_| verdict.born == born)?;
+        (now + TICKET_MARGIN < *until).then_some(ticket)
+    }
+
+    /// Tells whether asking about a life of a worker would tell something new.
+    fn is_open(&self, now: Instant, stage: &StageId, worker: &WorkerId, born: Incarnation) -> bool {
+        let verdict = self.verdicts.get(stage).and_then(|v| v.get(worker));
+        verdict.is_none_or(|verdict| match &verdict.ticket {
+            // Whether a stage may run on a worker does not change with the worker's lives.
+            None => false,
+            Some((_, until)) => verdict.born != born || now + TICKET_MARGIN >= *until,
+        })
+    }
+
+    pub(super) fn forget_job(&mut self, job: &JobId) {
+        self.verdicts.retain(|stage, _| stage.job != *job);
+    }
+}
+
+impl StageId {
+    fn of(job: &Job, part: &Part) -> Self {
+        Self {
+            job: job.id.clone(),
+            occurrence: part.occurrence,
+            stage: part.stage,
+        }
+    }
+}
+
+impl Owner {
+    /// Tells whether the route's policy lets a stage run on a worker, as far as is known.
+    pub(super) fn is_allowed(&self, now: Instant, job: &Job, part: &Part, vm: &Name) -> bool {
+        job.record.terms.advice.is_none() || self.ticket(now, job, part, vm).is_some()
+    }
+
+    /// Returns the ticket that a start of a stage on a worker has to carry.
+    pub(super) fn ticket(&self, now: Instant, job: &Job, part: &Part, vm: &Name) -> Option<Name> {
+        let life = self.workers.get(vm)?.life.as_ref()?;
+        let stage = StageId::of(job, part);
+        let ticket = self.advice.ticket(now, &stage, &life.id, life.born);
+        ticket.cloned()
+    }
+
+    /// Asks about the workers where a stage with tasks left to place would go first.
+    pub(super) fn ask_advisor(&mut self, now: Instant, id: &JobId, at: usize) {
+        let is_early = self.advice.not_before.is_some_and(|until| now < until);
+        if self.advice.asked.is_some() || is_early {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let part = &job.parts[at];
+        let Some(terms) = job.record.terms.advice.filter(|_| part.waiting > 0) else {
+            return;
+        };
+        let (stage_id, stage) = (StageId::of(job, part), job.stage(part));
+        let mut open: Vec<(f64, WorkerId, Incarnation)> = self
+            .workers
+            .iter()
+            .filter(|(vm, w)| fits(now, job, part, stage, vm, w))
+            .filter_map(|(_, w)| Some((cost(stage, w), w.life.as_ref()?)))
+            .filter(|(_, life)| self.advice.is_open(now, &stage_id, &life.id, life.born))
+            .map(|(cost, life)| (cost, life.id.clone(), life.born))
+            .collect();
+        if open.is_empty() {
+            return;
+        }
+        open.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let lives: IndexMap<WorkerId, Incarnation> = open
+            .into_iter()
+            .take(ASKED_AT_ONCE)
+            .map(|(_, id, born)| (id, born))
+            .collect();
+        info!(self.log, "owner: advisor asked";
+            "job" => %id, "stage" => part.stage, "workers" => lives.len());
+        let answer_ms = terms.base_ms + terms.per_worker_ms * lives.len() as u64;
+        self.effects.push(Effect::Advise(Question {
+            stage: stage_id.clone(),
+            workers: lives.keys().cloned().collect(),
+            answer_time: Duration::from_millis(answer_ms),
+        }));
+        self.advice.asked = Some(Asked {
+            stage: stage_id,
+            lives,
+            since: now,
+        });
+    }
+
+    /// Takes the advisor's answer.
+    pub fn advised(&mut self, now: Instant, stage: &StageId, reply: Result<Vec<Ticket>>) {
+        let Some(asked) = self.advice.asked.take_if(|a| a.stage == *stage) else {
+            return;
+        };
+        self.is_round_due = true;
+        let tickets = match reply {
+            Ok(tickets) => tickets,
+            Err(e) => {
+                warn!(self.log, "owner: advisor failed"; "job" => %stage.job, "error" => %e);
+                let retry = now + RETRY_AFTER;
+                self.advice.not_before = Some(retry);
+                self.repeat_round = Some(self.repeat_round.map_or(retry, |at| at.min(retry)));
+                return;
+            }
+        };
+        let Some(terms) = self
+            .jobs
+            .get(&stage.job)
+            .filter(|job| !job.state.has_ended())
+            .and_then(|job| job.record.terms.advice)
+        else {
+            return;
+        };
+        info!(self.log, "owner: advisor answered";
+            "job" => %stage.job, "stage" => stage.stage, "asked" => asked.lives.len(),
+            "allowed" => tickets.len(),
+            "asked_ms_ago" => now.duration_since(asked.since).as_millis());
+        self.note_verdicts(&asked, &terms, &tickets);
+    }
+
+    fn note_verdicts(&mut self, asked: &Asked, terms: &AdviceTerms, tickets: &[Ticket]) {
+        // The advisor issued it some time after it was asked; the earlier time is the safe one.
+        let until = asked.since + Duration::from_millis(terms.valid_ms);
+        let verdicts = self.advice.verdicts.entry(asked.stage.clone()).or_default();
+        for (worker, born) in &asked.lives {
+            let ticket = tickets.iter().find(|t| t.worker == *worker);
+            let ticket = ticket.map(|t| (Arc::clone(&t.ticket), until));
+            verdicts.insert(
+                worker.clone(),
+                Verdict {
+                    born: *born,
+                    ticket,
+                },
+            );
+        }
+    }
+
+    /// Drops a ticket that a worker rejected, so that the advisor is asked anew.
+    pub(super) fn drop_ticket(&mut self, vm: &Name, run: &crate::TaskRun) {
+        let Some(life) = self.workers.get(vm).and_then(|w| w.life.as_ref()) else {
+            return;
+        };
+        let stage = StageId {
+            job: run.task.job.clone(),
+            occurrence: run.task.occurrence,
+            stage: run.task.stage,
+        };
+        if let Some(verdicts) = self.advice.verdicts.get_mut(&stage) {
+            verdicts.swap_remove(&life.id);
+        }
+    }
+}
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -57,6 +57,7 @@
             .iter()
             .filter(|(_, w)| rack.is_none_or(|r| w.rack() == Some(r)))
             .filter(|(vm, w)| fits(now, job, part, stage, vm, w))
+            .filter(|(vm, _)| self.is_allowed(now, job, part, vm))
             .map(|(vm, w)| {
                 (
                     cost(stage, w),
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -139,6 +139,9 @@
         if worker.serving() == 0 {
             return Some(0.0);
         }
+        if worker.pace_level > 0 {
+            return None;
+        }
         // Whole cores, so that jobs of like size share what was worked out.
         let cpu_milli = stage.room.cpu_milli.next_multiple_of(1000);
         let mut memo = worker.harm_memo.borrow_mut();
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -81,6 +81,7 @@
             } else {
                 self.place_part(now, &id, part);
             }
+            self.ask_advisor(now, &id, part);
             if self.jobs.get_mut(&id).is_some_and(|j| j.note_idle(now)) {
                 self.repeat_round = Some(now + REPEAT_AFTER);
             }
@@ -132,11 +133,16 @@
         vm: &Name,
         attempt: Attempt,
     ) {
+        let ticket = self
+            .jobs
+            .get(id)
+            .and_then(|job| self.ticket(now, job, &job.parts[at], vm));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(id), self.workers.get_mut(vm)) else {
             return;
         };
         let task = job.task_id(&job.parts[at], position);
-        let run = new_run(job.stage(&job.parts[at]), now);
+        let mut run = new_run(job.stage(&job.parts[at]), now);
+        run.ticket = ticket;
         job.update(at, position, |task| {
             task.live.push((Arc::clone(vm), attempt));
             task.last = attempt;
@@ -163,7 +169,7 @@
         let stage = job.stage(part);
         let mut best: Option<(f64, &Name)> = None;
         for (vm, worker) in &self.workers {
-            if !fits(now, job, part, stage, vm, worker) {
+            if !fits(now, job, part, stage, vm, worker) || !self.is_allowed(now, job, part, vm) {
                 continue;
             }
             let mut cost = cost(stage, worker);
--- a/crates/jobs/tests/rig/mod.rs
+++ b/crates/jobs/tests/rig/mod.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use fakes::store::MemStore;
-use jobs::owner::{JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
+use jobs::owner::{JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, Question, VM_PREFIX};
 use jobs::report::{
     EndKind, EndRow, Listing, Rejected, RunningRow, StartOrder, SyncReply, SyncReport, WorkerReport,
 };
@@ -51,6 +51,8 @@
     pub open: Vec<TaskRun>,
     pub stored_ends: u64,
     pub paces: IndexMap<TaskRun, u32>,
+    /// The tickets that starts carried.
+    pub tickets: IndexMap<TaskRun, Name>,
     pub last: SyncReply,
 }
 
@@ -65,6 +67,8 @@
     /// The VMs whose reports wait, by token.
     pub reporting: IndexMap<u64, Name>,
     pub looked: Vec<JobId>,
+    /// What the advisor was asked.
+    pub questions: Vec<Question>,
     pub deposed: Option<&'static str>,
     pub vms: IndexMap<Name, Vm>,
     pub transactions: usize,
@@ -86,6 +90,7 @@
             told: IndexMap::new(),
             reporting: IndexMap::new(),
             looked: Vec::new(),
+            questions: Vec::new(),
             deposed: None,
             vms: IndexMap::new(),
             transactions: 0,
@@ -120,6 +125,7 @@
             open: Vec::new(),
             stored_ends: 0,
             paces: IndexMap::new(),
+            tickets: IndexMap::new(),
             last: SyncReply::default(),
         };
         self.vms.insert(name.into(), vm);
@@ -185,6 +191,7 @@
                     }
                     Effect::Store(id, call) => replies.push_back((id, self.make(&call))),
                     Effect::Look(_, job) => self.looked.push(job),
+                    Effect::Advise(question) => self.questions.push(question),
                     Effect::StepDown(why) => self.deposed = Some(why),
                 }
             }
@@ -332,6 +339,9 @@
     fn start(&mut self, order: &StartOrder) {
         let is_known = self.running.iter().any(|r| r.run == order.run)
             || self.ends.iter().any(|e| e.run == order.run);
+        if let Some(ticket) = &order.ticket {
+            self.tickets.insert(order.run.clone(), Arc::clone(ticket));
+        }
         if !is_known {
             self.running.push(RunningRow {
                 run: order.run.clone(),
--- a/crates/lead/src/app.rs
+++ b/crates/lead/src/app.rs
@@ -8,7 +8,7 @@
 use base::prelude::*;
 use crossbeam_channel::unbounded;
 use host::{KeySeen, follow_key};
-use jobs::owner::{OWNER_KEY, OwnerRecord, Replacement};
+use jobs::owner::{OWNER_KEY, OwnerRecord, Question, Replacement};
 use jobs::{Ask, Told};
 use jsonrpsee::server::ServerHandle;
 use ports::store::{Store, StoreCall};
@@ -18,6 +18,7 @@
 use tokio::runtime::Runtime;
 use wire::{HttpPool, Reply};
 
+use crate::advice::{Advisor, AdvisorThread};
 use crate::cfg::LeadCfg;
 use crate::dialect::Dialect;
 use crate::elector::ElectorCfg;
@@ -61,6 +62,7 @@
 #[derive(Debug)]
 struct Outside {
     store: StorePool,
+    advisor: AdvisorThread,
     forwarder: Forwarder,
     log: Logger,
 }
@@ -74,6 +76,10 @@
         self.forwarder.forward(to.addr, to.epoch, ask, reply);
     }
 
+    fn advise(&self, question: Question) {
+        self.advisor.ask(question);
+    }
+
     fn tell_replaced(&self, former: &OwnerRecord, by: Replacement) {
         forward::tell_replaced(former.addr, by, &self.log);
     }
@@ -88,6 +94,7 @@
     pub fn start(
         cfg: &LeadCfg,
         store: Arc<dyn Store>,
+        advisor: Option<Arc<dyn Advisor>>,
         dialect: Arc<dyn Dialect>,
         log: &Logger,
     ) -> Result<Self> {
@@ -125,6 +132,12 @@
                 // The actor may have ended first; then nobody wants the reply.
                 move |token, reply| drop(events.send(Event::Store(token, reply)))
             }),
+            advisor: AdvisorThread::start(advisor, {
+                let events = events.clone();
+                move |question, reply| {
+                    drop(events.send(Event::Advised(question.stage, reply)));
+                }
+            }),
             forwarder: Forwarder::start(&events, log),
             log: log.clone(),
         };
@@ -266,10 +279,11 @@
 pub fn run(
     cfg: &LeadCfg,
     store: Arc<dyn Store>,
+    advisor: Option<Arc<dyn Advisor>>,
     dialect: Arc<dyn Dialect>,
     log: &Logger,
 ) -> Result<()> {
-    let app = App::start(cfg, store, dialect, log)?;
+    let app = App::start(cfg, store, advisor, dialect, log)?;
     host::wait_for_stop_with(|| info!(log, "entry: told of new settings; addresses stay"))?;
     app.stop();
     Ok(())
--- a/crates/lead/src/event.rs
+++ b/crates/lead/src/event.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use host::KeySeen;
-use jobs::owner::Replacement;
+use jobs::owner::{Replacement, StageId, Ticket};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Told};
 use ports::store::StoreReply;
@@ -38,6 +38,8 @@
     Replaced(Replacement),
     /// The store replied.
     Store(StoreToken, Result<StoreReply>),
+    /// The placement advisor answered, or failed to.
+    Advised(StageId, Result<Vec<Ticket>>),
     /// The process is told to stop: another entry should own the jobs.
     Resign,
 }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every entry serves callers. One of them, elected through a leased key of the
 //! store, owns the jobs; the others pass on to it what their callers ask.
 
+mod advice;
 mod app;
 mod cfg;
 mod dialect;
@@ -17,6 +18,7 @@
 mod store_pool;
 mod table;
 
+pub use advice::Advisor;
 pub use app::{App, run};
 pub use cfg::LeadCfg;
 pub use dialect::{Answer, CallerRequest, Dialect, Verb};
--- a/crates/lead/src/node.rs
+++ b/crates/lead/src/node.rs
@@ -6,7 +6,7 @@
 use base::unix_ms;
 use crossbeam_channel::Sender;
 use host::KeySeen;
-use jobs::owner::{JOB_PREFIX, OWNER_KEY, OwnerRecord, Replacement};
+use jobs::owner::{JOB_PREFIX, OWNER_KEY, OwnerRecord, Question, Replacement};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Ask, Effect, Owner, OwnerCfg, Token, Told};
 use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
@@ -50,6 +50,9 @@
     /// Asks the owner and passes its answer on.
     fn forward(&self, to: &OwnerRecord, ask: Ask, reply: Reply<Told>);
 
+    /// Asks the placement advisor; [`Event::Advised`] follows.
+    fn advise(&self, question: Question);
+
     /// Tells an owner that another has taken over, if it can be reached.
     fn tell_replaced(&self, former: &OwnerRecord, by: Replacement);
 }
@@ -178,6 +181,11 @@
             Event::OwnerWithoutStore(epoch) => self.elector.claim_from(now, epoch),
             Event::Replaced(by) => self.replaced(cx, &by),
             Event::Store(token, reply) => self.store_reply(cx, token, reply),
+            Event::Advised(stage, reply) => {
+                if let Some(owner) = self.owner.as_mut() {
+                    owner.advised(now, &stage, reply);
+                }
+            }
             Event::Resign => self.resign(cx),
         }
         self.run(cx);
@@ -404,6 +412,7 @@
                     self.ports
                         .store(StoreToken::Look(id), StoreCall::Get { key });
                 }
+                Effect::Advise(question) => self.ports.advise(question),
                 Effect::StepDown(why) => {
                     self.elector.depose(cx.now());
                     self.step_down(cx, why);
