--- a/crates/lead/src/forward.rs
+++ b/crates/lead/src/forward.rs
@@ -13,8 +13,9 @@
 use crate::Event;
 use crate::node::Events;
 
-/// How long an answer of the owner is waited for: a commit to a slow store, and some more.
-const TIMEOUT: Duration = Duration::from_millis(2000);
+/// How long an answer of the owner is waited for: several times a commit to a slow store, and less
+/// than half of the three seconds that callers usually wait, so that they can try again.
+const TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// How many calls to the owner are made at once.
 const THREADS: usize = 16;
--- a/crates/lead/src/front.rs
+++ b/crates/lead/src/front.rs
@@ -123,7 +123,7 @@
             Err(answer) => return answer,
         };
         let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
-        let told = self.ask(ask, patience.saturating_sub(RETURN_MARGIN));
+        let told = self.ask(ask, answer_time(patience));
         self.gauges.took("caller", began.elapsed());
         self.gauges.count(verb_name(head.verb), told.name());
         let is_read = head.verb == Some(Verb::Read);
@@ -181,6 +181,14 @@
     }
 }
 
+/// Returns how long an answer may take for a caller who waits so long.
+///
+/// A caller with little patience left still gets half of it: most answers take milliseconds, and
+/// one that is not waited for leaves the caller not knowing.
+pub fn answer_time(patience: Duration) -> Duration {
+    patience.saturating_sub(RETURN_MARGIN).max(patience / 2)
+}
+
 fn verb_name(verb: Option<Verb>) -> &'static str {
     match verb {
         Some(Verb::Submit) => "submit",
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -24,6 +24,7 @@
 pub use dialect::{Answer, CallerRequest, Dialect, Verb};
 pub use elector::{Call, Change, Elector, ElectorCfg};
 pub use event::{Event, StoreToken};
+pub use front::answer_time;
 pub use jobs::owner::OwnerRecord;
 pub use load::{Load, LoadStep, Loaded};
 pub use node::{NodeCfg, Ports};
