Renew leases though reports replace each other; probe suspects that hold standing tasks

Reports come each 250 ms since lists are told at once, and are held for 600 ms: each replaced the one before, which was answered without a lease. A suspect worker was probed only once nothing ran there, which never comes where a standing task runs, and a standing probe never ends well. A probe now goes beside what runs, and clears the worker once it went on for 2.5 s. Ruled out: the store, silent workers, cuts (none near).

--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -45,9 +45,21 @@
         }
         (worker.boot, worker.number) = (report.boot, report.number);
         if let Some(parked) = worker.parked.take() {
-            // An empty answer carries no lease, so that the older report extends nothing.
+            // Reports may come more often than they are held; each has to renew the lease. It
+            // counts from when the older report was sent, so it ends before what is noted here.
+            let renewal = SyncReply {
+                epoch: self.cfg.epoch,
+                is_owner: true,
+                fence: self.cfg.epoch.0 * FENCES_PER_EPOCH + worker.fence_step,
+                born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
+                lease_ms: worker
+                    .lease_from
+                    .map(|_| base::whole_ms(self.cfg.worker_lease)),
+                stored_ends: worker.ends.told,
+                ..SyncReply::default()
+            };
             self.effects
-                .push(Effect::Sync(parked.token, Box::default()));
+                .push(Effect::Sync(parked.token, Box::new(renewal)));
         }
         let Some(report) = report.worker else {
             self.answer_unknown(&vm, token);
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -321,7 +321,7 @@
             && self.is_named()
             && is_ready
             && is_heard
-            && self.health.takes_tasks(now, self.runs.len())
+            && self.health.takes_tasks(now, self.runs.values())
     }
 
     /// Advances what may be acknowledged to the worker.
@@ -365,9 +365,17 @@
         false
     }
 
-    fn takes_tasks(&self, now: Instant, runs: usize) -> bool {
-        let is_out = self.quarantined_until.is_some_and(|until| now < until);
-        !is_out && (!self.is_on_probe || runs == 0)
+    /// Tells whether the worker may get a task: after a quarantine one as a probe, and more once
+    /// that has gone on for as long as the quarantine. Standing tasks never end well, so a probe
+    /// need not end.
+    fn takes_tasks<'a>(&self, now: Instant, runs: impl Iterator<Item = &'a Run>) -> bool {
+        let Some(until) = self.quarantined_until else {
+            return true;
+        };
+        let probe = runs.map(|r| r.since).filter(|at| *at >= until).min();
+        now >= until
+            && (!self.is_on_probe
+                || probe.is_none_or(|at| now.saturating_duration_since(at) >= QUARANTINE))
     }
 }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -309,3 +309,20 @@
     assert_eq!(rig.status("job"), Some(Told::Status(JobState::Running)));
     assert_eq!(rig.running().len(), 1, "its second attempt of two");
 }
+
+#[test]
+fn a_report_that_a_later_one_replaces_is_answered_with_a_lease() {
+    let mut rig = Rig::new();
+    rig.add_vm("vm", 8);
+    rig.sync_all();
+    rig.submit("job", job(vec![stage(1, 4)]));
+    rig.sync_all();
+
+    let mut leases = 0;
+    for _ in 0..8 {
+        rig.pass(Duration::from_millis(250), &["vm"]);
+        leases += u32::from(rig.vm("vm").last.lease_ms.is_some());
+    }
+
+    assert_eq!(leases, 8, "reports come more often than they are held");
+}
