--- a/crates/jobs/src/owner/load.rs
+++ b/crates/jobs/src/owner/load.rs
@@ -9,13 +9,15 @@
 
 use crate::TaskId;
 
-/// The share of its target that a tail takes at no load, until a lower one was seen.
+/// The share of its target that a tail takes at no load, until a lower one was seen: targets are
+/// four and a half times as long.
 const QUIET_SHARE: f64 = 0.22;
 
-/// What is kept free below the load at which the tail meets its target.
+/// What is kept free below the load at which the tail meets its target: as much as figures of one
+/// load differ.
 const MARGIN: f64 = 0.05;
 
-/// The load that a service feels before its first figures.
+/// The load that a service feels before its first figures: about the mean of services.
 const FIRST_LOAD: f64 = 0.45;
 
 /// The most load of its own that a service is taken to have.
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -11,16 +11,26 @@
 use super::worker::{Phase, Run, Worker};
 use crate::StageSpec;
 
-/// How many standard deviations of its harm a pair is taken to be above the mean.
+/// How many standard deviations of its harm a pair is taken to be above the mean: the least that
+/// lets unseen pairs be tried, as their room would else stay unused.
 const CAUTION: f64 = 0.3;
 
+/// The harm of a pair that was never seen: between pairs that do little and pairs that do much.
+const UNSEEN_HARM: f64 = 1.0;
+
+/// The standard deviation of that: wide, so that the first figures decide.
+const UNSEEN_DEVIATION: f64 = 2.0;
+
+/// The least standard deviation of a figure of load: whole milliseconds of tails of a few.
+const FIGURE_DEVIATION: f64 = 0.1;
+
 /// The least harm for which slowing a class is worth its work.
 const LEAST_HARM: f64 = 0.15;
 
-/// The least speed at which a filler is worth starting.
+/// The least speed at which a filler is worth starting: a slower one holds up its whole stage.
 const LEAST_SPEED: f64 = 0.85;
 
-/// The harm from which on a class is slowed before others.
+/// The harm from which on a class is slowed before others: below what pairs do that harm much.
 const HARMFUL_FROM: f64 = 0.6;
 
 /// The speed that each class of fillers on a worker may have, as a share; full if it is missing.
@@ -36,9 +46,9 @@
 impl Neighbours {
     pub(super) fn new() -> Self {
         let cfg = HarmCfg {
-            prior_mean: 1.0,
-            prior_deviation: 2.0,
-            noise_deviation: 0.1,
+            prior_mean: UNSEEN_HARM,
+            prior_deviation: UNSEEN_DEVIATION,
+            noise_deviation: FIGURE_DEVIATION,
             caution: CAUTION,
             ..HarmCfg::default()
         };
--- a/crates/jobs/src/owner/place.rs
+++ b/crates/jobs/src/owner/place.rs
@@ -12,7 +12,8 @@
 /// How many runs of a task an epoch may order before its numbers meet those of the next.
 const RUNS_PER_EPOCH: u64 = 1024;
 
-/// The most processors that fillers and others may ask for together, over those there are.
+/// The most processors that fillers and others may ask for together, over those there are: some
+/// fillers are slowed, and leave theirs to others.
 const MAX_FILLED: f64 = 1.3;
 
 /// How soon a round is repeated while a job that could run has no run.
--- a/crates/jobs/tests/desk/main.rs
+++ b/crates/jobs/tests/desk/main.rs
@@ -1,5 +1,6 @@
 //! Fillers beside services with a tail target, on whole desks.
 
+mod hand_in;
 #[path = "../rig/mod.rs"]
 mod rig;
 mod world;
--- a/crates/jobs/tests/desk/world.rs
+++ b/crates/jobs/tests/desk/world.rs
@@ -9,11 +9,12 @@
 
 use base::prelude::*;
 use jobs::report::EndKind;
-use jobs::{JobSpec, JobState, RouteTerms, StageSpec, TaskRun, Told};
+use jobs::{JobSpec, JobState, StageSpec, TaskRun, Told};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::rig::{Rig, job, stage, terms};
+use crate::hand_in::Filler;
+use crate::rig::Rig;
 
 const STEP: Duration = Duration::from_millis(50);
 
@@ -21,10 +22,10 @@
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
 /// The tail of a service without load, in milliseconds.
-const QUIET_MS: f64 = 4.0;
+pub(crate) const QUIET_MS: f64 = 4.0;
 
 /// The target over the tail without load.
-const TARGET_FACTOR: f64 = 4.5;
+pub(crate) const TARGET_FACTOR: f64 = 4.5;
 
 /// The load of a service without neighbours: its mean, and how much it swings in which time.
 const LOAD: f64 = 0.43;
@@ -43,9 +44,6 @@
 /// The share of pairs of classes that do much harm.
 const HARMFUL: f64 = 0.65;
 
-/// The work of a filler, in seconds at full speed: the mean, and the most.
-const WORK: (f64, f64) = (2.2, 5.4);
-
 /// How long traffic goes on.
 const TRAFFIC: f64 = 30.0;
 
@@ -97,25 +95,15 @@
     pub longest_over: f64,
 }
 
-struct Filler {
-    id: String,
-    handed_in: f64,
-    due: f64,
-    /// By stage, the work of each task, in seconds.
-    work: Vec<Vec<f64>>,
-    worth: f64,
-    done: Option<f64>,
-}
-
 pub struct World {
-    rig: Rig,
-    rng: ChaCha8Rng,
-    size: Size,
-    specs: IndexMap<JobId, JobSpec>,
+    pub(crate) rig: Rig,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) size: Size,
+    pub(crate) specs: IndexMap<JobId, JobSpec>,
     /// By serving class and class of fillers.
     harm: Vec<Vec<f64>>,
-    phases: Vec<f64>,
-    fillers: Vec<Filler>,
+    pub(crate) phases: Vec<f64>,
+    pub(crate) fillers: Vec<Filler>,
     /// The work that a task has done, and the share of speed that it has, with since when.
     progress: IndexMap<TaskRun, f64>,
     queue: IndexMap<TaskRun, f64>,
@@ -123,7 +111,7 @@
     over: IndexMap<TaskRun, f64>,
     /// The pace that a filler has, the one ordered, and since when.
     paces: IndexMap<TaskRun, (u32, u32, f64)>,
-    at: f64,
+    pub(crate) at: f64,
     outcome: Outcome,
     served: (f64, f64),
 }
@@ -195,77 +183,6 @@
         self.sum_up()
     }
 
-    fn draw(&mut self, mean: f64, spread: f64, most: f64) -> f64 {
-        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
-        (mean * (normal * spread - spread * spread / 2.0).exp()).min(most)
-    }
-
-    fn submit(&mut self, id: &str, spec: JobSpec, terms: RouteTerms) {
-        self.specs.insert(id.into(), spec.clone());
-        self.rig.submit_under(id, spec, terms);
-    }
-
-    fn hand_in_serving(&mut self) {
-        let at = self.phases.len();
-        self.phases.push(self.rng.random_range(0.0..TAU));
-        let class = self.rng.random_range(0..self.size.serving_classes);
-        let mean = self.size.widths.0;
-        let tasks = self.draw(mean, 0.4, 2.0 * mean).max(1.0) as u32;
-        let cores = self.draw(13.0, 0.25, 20.0) as u64;
-        let is_spread = self.rng.random_bool(0.5);
-        let spec = StageSpec {
-            standing: true,
-            class: Some(format!("s{class}").into()),
-            tail_target_ms: Some((QUIET_MS * TARGET_FACTOR) as u64),
-            max_per_worker: is_spread.then_some(2),
-            ..stage(tasks, cores)
-        };
-        self.submit(&format!("serving-{at}"), job(vec![spec]), terms(0));
-    }
-
-    fn hand_in_fillers(&mut self) {
-        let stages = self.draw(2.0, 0.4, 5.0).round().max(1.0) as u32;
-        let class = self.rng.random_range(0..self.size.filler_classes);
-        let mean = self.size.widths.1;
-        let mut specs = Vec::new();
-        let mut work = Vec::new();
-        let mut chain = 0.0;
-        let mut whole = 0.0;
-        for at in 0..stages {
-            let tasks = self.draw(mean, 0.6, 4.0 * mean).round().max(1.0) as u32;
-            let cores = self.draw(7.0, 0.3, 14.0).round().max(1.0);
-            let length = self.draw(WORK.0, 0.5, WORK.1);
-            let each: Vec<f64> = (0..tasks).map(|_| self.draw(length, 0.3, 9.0)).collect();
-            chain += each.iter().copied().fold(0.0, f64::max);
-            whole += each.iter().sum::<f64>() * cores;
-            specs.push(StageSpec {
-                filler: true,
-                checkpoints: true,
-                class: Some(format!("f{class}").into()),
-                estimate_ms: (self.draw(length, 0.2, 9.0) * 1000.0) as u64,
-                after: if at > 0 { vec![at - 1] } else { Vec::new() },
-                ..stage(tasks, cores as u64)
-            });
-            work.push(each);
-        }
-        let id = format!("fill-{}", self.fillers.len());
-        let fillers = RouteTerms {
-            stretch: 2.0,
-            slack_ms: 1000,
-            ..terms(2)
-        };
-        self.submit(&id, job(specs), fillers);
-        let mean_work = 2.0 * mean * 7.0 * WORK.0;
-        self.fillers.push(Filler {
-            id,
-            handed_in: self.at,
-            due: 2.0 * chain + 1.0,
-            work,
-            worth: 0.3 + 0.7 * (whole / mean_work).min(4.0),
-            done: None,
-        });
-    }
-
     /// Returns the load of a serving job without neighbours.
     fn own_load(&self, job: usize) -> f64 {
         let turn = self.at / SWING_SECONDS * TAU;
--- a/crates/jobs/tests/loads.rs
+++ b/crates/jobs/tests/loads.rs
@@ -15,6 +15,9 @@
 const HIGH_TAIL_MS: f64 = 17.0;
 const CHOKED_TAIL_MS: f64 = 60.0;
 
+/// What a filler uses at full speed, in thousandths of a core.
+const FILLER_MILLI: f64 = 4000.0;
+
 /// One serving task that fills most of a worker.
 fn serving() -> JobSpec {
     job(vec![StageSpec {
@@ -54,6 +57,16 @@
     }
 }
 
+/// Sets the figures of a worker: those of fillers at full speed, and the tail.
+fn set_figures(rig: &mut Rig, vm: &str, tail: f64) {
+    set_tail(rig, vm, tail);
+    for row in &mut rig.vm(vm).running {
+        if row.run.task.job.as_str() == "fill" {
+            row.gauge = FILLER_MILLI;
+        }
+    }
+}
+
 fn fillers_on(rig: &mut Rig, vm: &str) -> Vec<TaskRun> {
     let rows = rig.vm(vm).running.iter().map(|r| r.run.clone());
     rows.filter(|r| r.task.job.as_str().starts_with("fill"))
@@ -76,20 +89,14 @@
 
 #[test]
 fn a_list_that_is_told_again_teaches_nothing_more() {
-    let speed_after = |times: usize| {
+    let fillers_after = |times: usize| {
         let mut rig = two_services();
         set_tail(&mut rig, "a", LOW_TAIL_MS);
         set_tail(&mut rig, "b", CHOKED_TAIL_MS);
         rig.pass(Duration::from_secs(3), &["a", "b"]);
         rig.submit("fill", fillers(4));
         rig.sync_all();
-        for row in &mut rig.vm("a").running {
-            row.gauge = if row.run.task.job.as_str() == "fill" {
-                4000.0
-            } else {
-                12.0
-            };
-        }
+        set_figures(&mut rig, "a", 12.0);
         rig.advance(Duration::from_millis(250));
         for _ in 0..times {
             rig.sync("a");
@@ -99,7 +106,7 @@
         fillers_on(&mut rig, "a").len()
     };
 
-    let (once, often) = (speed_after(1), speed_after(20));
+    let (once, often) = (fillers_after(1), fillers_after(20));
 
     assert_eq!(once, often);
 }
@@ -114,13 +121,7 @@
     rig.sync_all();
     for _ in 0..8 {
         rig.advance(Duration::from_millis(250));
-        for row in &mut rig.vm("a").running {
-            row.gauge = if row.run.task.job.as_str() == "fill" {
-                4000.0
-            } else {
-                7.0
-            };
-        }
+        set_figures(&mut rig, "a", 7.0);
         rig.sync("a");
         rig.sync("b");
     }
