--- a/crates/jobs/src/owner/advice.rs
+++ b/crates/jobs/src/owner/advice.rs
@@ -123,6 +123,7 @@
 
     /// Returns the ticket that a start of a stage on a worker has to carry.
     pub(super) fn ticket(&self, now: Instant, job: &Job, part: &Part, vm: &Name) -> Option<Name> {
+        job.record.terms.advice?;
         let life = self.workers.get(vm)?.life.as_ref()?;
         let stage = StageId::of(job, part);
         let ticket = self.advice.ticket(now, &stage, &life.id, life.born);
--- a/crates/jobs/src/owner/neighbours.rs
+++ b/crates/jobs/src/owner/neighbours.rs
@@ -62,12 +62,13 @@
     pub(super) fn learn(&mut self, now: Instant, worker: &mut Worker) {
         let mut recent = std::mem::take(&mut worker.recent);
         let is_new = recent.note(now, worker);
-        let used = recent.by_class(now);
         worker.recent = recent;
         if !is_new {
             return;
         }
-        let used: Vec<(Name, f64)> = used
+        let used: Vec<(Name, f64)> = worker
+            .recent
+            .by_class(now)
             .into_iter()
             .map(|(class, milli)| (class, worker.share(milli as u64)))
             .filter(|(_, share)| *share > 0.0)
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -4,7 +4,7 @@
 use slog::{info, warn};
 
 use super::worker::{Parked, Phase, RESEND_AFTER, Worker};
-use super::{Effect, Owner, Token};
+use super::{Effect, Owner, OwnerCfg, Token};
 use crate::report::{StartOrder, SyncReply, SyncReport, WorkerReport};
 use crate::{Job, TaskRun};
 
@@ -47,17 +47,7 @@
         if let Some(parked) = worker.parked.take() {
             // Reports may come more often than they are held; each has to renew the lease. It
             // counts from when the older report was sent, so it ends before what is noted here.
-            let renewal = SyncReply {
-                epoch: self.cfg.epoch,
-                is_owner: true,
-                fence: self.cfg.epoch.0 * FENCES_PER_EPOCH + worker.fence_step,
-                born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
-                lease_ms: worker
-                    .lease_from
-                    .map(|_| base::whole_ms(self.cfg.worker_lease)),
-                stored_ends: worker.ends.told,
-                ..SyncReply::default()
-            };
+            let renewal = renewal(&self.cfg, worker);
             self.effects
                 .push(Effect::Sync(parked.token, Box::new(renewal)));
         }
@@ -193,7 +183,7 @@
     /// Returns the fence of orders to the worker's present life.
     fn fence(&self, vm: &Name) -> u64 {
         let step = self.workers.get(vm).map_or(0, |w| w.fence_step);
-        self.cfg.epoch.0 * FENCES_PER_EPOCH + step
+        fence_of(&self.cfg, step)
     }
 
     /// Answers the reports that have been held long enough or that bring orders.
@@ -205,14 +195,11 @@
             .map(|(vm, _)| Arc::clone(vm))
             .collect();
         for vm in vms {
-            let fence = self.fence(&vm);
-            self.answer_sync(now, &vm, fence);
+            self.answer_sync(now, &vm);
         }
     }
 
-    fn answer_sync(&mut self, now: Instant, vm: &Name, fence: u64) {
-        let epoch = self.cfg.epoch;
-        let lease = self.cfg.worker_lease;
+    fn answer_sync(&mut self, now: Instant, vm: &Name) {
         let Some(worker) = self.workers.get_mut(vm) else {
             return;
         };
@@ -232,16 +219,11 @@
         worker.parked = None;
         worker.ends.told = worker.ends.stored;
         let reply = SyncReply {
-            epoch,
-            is_owner: true,
-            fence,
-            born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
-            lease_ms: worker.lease_from.map(|_| base::whole_ms(lease)),
-            stored_ends: worker.ends.stored,
             noted_rejects: std::mem::take(&mut worker.noted_rejects),
             starts: orders.starts,
             stops: orders.stops,
             paces: orders.paces,
+            ..renewal(&self.cfg, worker)
         };
         if !reply.stops.is_empty() {
             let stops = reply.stops.len();
@@ -251,6 +233,24 @@
     }
 }
 
+/// Returns the fence of orders to a worker at a step of its fences.
+fn fence_of(cfg: &OwnerCfg, step: u64) -> u64 {
+    cfg.epoch.0 * FENCES_PER_EPOCH + step
+}
+
+/// Returns an answer that renews a worker's lease and brings no orders.
+fn renewal(cfg: &OwnerCfg, worker: &Worker) -> SyncReply {
+    SyncReply {
+        epoch: cfg.epoch,
+        is_owner: true,
+        fence: fence_of(cfg, worker.fence_step),
+        born: worker.life.as_ref().map(|l| l.born).unwrap_or_default(),
+        lease_ms: worker.lease_from.map(|_| base::whole_ms(cfg.worker_lease)),
+        stored_ends: worker.ends.told,
+        ..SyncReply::default()
+    }
+}
+
 /// The orders that a worker has to get.
 #[derive(Debug, Default)]
 struct Orders {
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -90,8 +90,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Health {
     failures: u32,
+    /// Set until a task ends well; from then on until that, tasks are probes.
     quarantined_until: Option<Instant>,
-    is_on_probe: bool,
 }
 
 /// What of a worker's ends is stored.
@@ -359,7 +359,6 @@
         let was_free = self.quarantined_until.is_none_or(|until| until <= now);
         if self.failures >= SUSPECT_FAILURES {
             self.quarantined_until = Some(now + QUARANTINE);
-            self.is_on_probe = true;
             return was_free;
         }
         false
@@ -373,9 +372,7 @@
             return true;
         };
         let probe = runs.map(|r| r.since).filter(|at| *at >= until).min();
-        now >= until
-            && (!self.is_on_probe
-                || probe.is_none_or(|at| now.saturating_duration_since(at) >= QUARANTINE))
+        now >= until && probe.is_none_or(|at| now.saturating_duration_since(at) >= QUARANTINE)
     }
 }
 
