Values of the store may arrive slowly

Cause: a table of 1,240 routes takes more than 1.5 s over a link of 2 Mbit/s, but a read of a key had 0.7 s for head and body together, and a watch its wait and 0.7 s. Ruled out: the store (it answered within 5 ms), the watch itself (it was answered at once and cut off in the body). Change: the body of a response with values has 4 s of its own, as pages of lists had already; the head keeps its time, so a connection that went silent is given up as fast as before.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -85,8 +85,8 @@
         self.exchange(step, req, self.timeout + wait, Duration::ZERO)
     }
 
-    /// Sends a request with a large response: its head must arrive within the client's timeout, its
-    /// body within another `body_timeout`.
+    /// Sends a request with a large response: its head must arrive within the client's timeout plus
+    /// `wait`, its body within another `body_timeout`.
     ///
     /// # Errors
     ///
@@ -95,9 +95,10 @@
         &self,
         step: &'static str,
         req: Request<Vec<u8>>,
+        wait: Duration,
         body_timeout: Duration,
     ) -> Result<Response<Vec<u8>>> {
-        self.exchange(step, req, self.timeout, body_timeout)
+        self.exchange(step, req, self.timeout + wait, body_timeout)
     }
 
     fn exchange(
