An owner decides once for all events that arrive together

Cause: each event was followed by a whole run of the owner: a look at every run of every worker with a parked report, a commit, a placement round. Forty submissions that arrive within a moment were stored in three transactions of one job each, the others after those. Change: events that are delivered together are followed by one run.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -76,6 +76,8 @@
     lookups: IndexMap<u64, Token>,
     next: u64,
     timer: FixedTimerKey,
+    /// Whether [`Controller::run`] is queued behind events that were delivered together.
+    is_run_queued: bool,
 }
 
 impl Controller {
@@ -105,6 +107,7 @@
             lookups: IndexMap::new(),
             next: 0,
             timer: FixedTimerKey::default(),
+            is_run_queued: true,
         })
     }
 
@@ -115,6 +118,7 @@
 
     /// Runs what is due and sets the timer for the next due time.
     fn run(&mut self, cx: CX![]) {
+        self.is_run_queued = false;
         let (now, wall) = (cx.now(), self.clock.wall());
         if self.election_sent.is_none() {
             let nonce = Nonce(self.rng.random());
@@ -188,7 +192,15 @@
             }
             Event::Resign => self.resign(cx),
         }
-        self.run(cx);
+        self.run_after_events(cx);
+    }
+
+    /// Queues one run for all events that are delivered together, so that its cost does not grow
+    /// with their number.
+    fn run_after_events(&mut self, cx: CX![]) {
+        if !std::mem::replace(&mut self.is_run_queued, true) {
+            call!([cx], run());
+        }
     }
 
     /// Serves a caller's request here if this entry is the owner, or forwards it to the owner.
