--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -190,10 +190,10 @@
             return;
         };
         let is_first = self.workers.get(vm).is_some_and(|w| !w.is_adopted);
-        if let Some(worker) = self.workers.get_mut(vm) {
-            if worker.status_clock_ms.replace(status.clock_ms) != Some(status.clock_ms) {
-                worker.status_at = Some(now);
-            }
+        if let Some(worker) = self.workers.get_mut(vm)
+            && worker.status_clock_ms.replace(status.clock_ms) != Some(status.clock_ms)
+        {
+            worker.status_at = Some(now);
         }
         self.apply_finished(now, unix_ms, vm, &status.finished);
         self.apply_running(now, vm, &status.running, &report.open, is_first);
