A new owner keeps early reports; ownership is not taken right after an outage

The new owner then needed 6.3 s to read 696 jobs: each of 240 companions sent it its whole status again and again meanwhile, told that it was no owner yet. Ruled out: expiry of the lease (the key was there, at its old revision), a weak entry (this one has 0.5 cores and 200 Mbit/s). Change: an entry does not take the key from a living owner while the store does not respond to itself, nor within a second of its return; reports that arrive during the load are kept, the latest of each VM, and answered once it is done; an owner that has not replied yet gets one report at a time; replies of an entry that is no owner delay the next report like failures do. Also: the claim and the changes of ownership have files of their own (elector/claim.rs, node/ownership.rs), moved as they were. Tests: key_is_not_claimed_from_an_owner_right_after_an_outage, reports_that_arrive_during_the_load_wait_for_it, owner_that_has_not_replied_yet_gets_one_report.

--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -36,6 +36,8 @@
     in_flight: IndexMap<u64, SentReport>,
     /// The status that the owner is expected to hold.
     shared_status: SharedStatus,
+    /// Whether this owner has replied to a report.
+    has_reply: bool,
     /// Whether the owner takes changes to the status in place of a whole one.
     owner_takes_changes: bool,
     /// The number of the last report with a whole status.
@@ -51,6 +53,12 @@
         self.owner.and(self.not_before)
     }
 
+    /// Returns how many reports may be in flight. An owner that has not replied yet may still load
+    /// its jobs while all companions report to it, so each sends one report.
+    fn max_in_flight(&self) -> usize {
+        if self.has_reply { MAX_IN_FLIGHT } else { 1 }
+    }
+
     /// Delays the next report; an owner or a link that is overloaded gets fewer of them.
     fn back_off(&mut self, now: Instant) {
         let delay = RETRY_AFTER * 2_u32.saturating_pow(self.failures);
@@ -82,6 +90,7 @@
         self.syncs.in_flight.clear();
         self.syncs.not_before = None;
         self.syncs.failures = 0;
+        self.syncs.has_reply = false;
         self.syncs.owner_takes_changes = false;
         self.syncs.shared_status.clear();
     }
@@ -97,7 +106,7 @@
             return;
         }
         let is_due = self.syncs.in_flight.is_empty()
-            || (self.syncs.has_changes && self.syncs.in_flight.len() < MAX_IN_FLIGHT);
+            || (self.syncs.has_changes && self.syncs.in_flight.len() < self.syncs.max_in_flight());
         if !is_due {
             return;
         }
@@ -149,11 +158,10 @@
                 return;
             }
         };
-        self.syncs.failures = 0;
         if !reply.is_owner {
             // A later report arrived first, or the entry is not the owner any more.
             if self.syncs.in_flight.is_empty() {
-                self.syncs.not_before = Some(now + RETRY_AFTER);
+                self.syncs.back_off(now);
             }
             return;
         }
@@ -161,6 +169,8 @@
             return;
         }
         self.epoch = reply.epoch;
+        self.syncs.failures = 0;
+        self.syncs.has_reply = true;
         self.syncs.owner_takes_changes = reply.takes_changes;
         // A whole status that was sent after this report is on its way already.
         if reply.needs_status && number >= self.syncs.last_whole {
--- a/crates/agent/tests/reports.rs
+++ b/crates/agent/tests/reports.rs
@@ -117,3 +117,23 @@
     let longest = gaps.last().expect("several reports");
     assert_eq!(*longest, Duration::from_millis(800));
 }
+
+/// The load: all companions report to a new owner at once, each time their workers' statuses change.
+#[test]
+fn owner_that_has_not_replied_yet_gets_one_report() {
+    let mut harness = running();
+    let record = OwnerRecord {
+        name: "another".into(),
+        addr: "127.0.0.1:2".parse().expect("an address"),
+        epoch: Epoch(2),
+        nonce: Nonce(2),
+    };
+    harness.state.owner_seen(&record);
+    harness.run();
+    let (first, _) = harness.last_sync();
+
+    report_of_another_run(&mut harness, 1);
+    report_of_another_run(&mut harness, 2);
+
+    assert_eq!(harness.last_sync().0, first);
+}
--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -1,12 +1,13 @@
 //! Leader election: the entry that holds a leased key in the store owns the jobs.
 
+mod claim;
 mod resume;
 
 use std::time::SystemTime;
 
 use base::prelude::*;
-use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord, Replacement};
-use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, Revision, StoreCall, StoreReply};
+use jobs::owner::{EPOCH_KEY, OwnerRecord, Replacement};
+use ports::store::{KeyValue, LeaseId, Revision, StoreCall, StoreReply};
 
 use self::resume::Resume;
 
@@ -57,6 +58,10 @@
 /// How long the store must have failed for its next response to count as its return.
 const OUTAGE_AFTER: Duration = Duration::from_secs(1);
 
+/// How long after the store's return an owner's report that it cannot reach the store counts as
+/// outdated: several times the interval of its attempts.
+const OUTDATED_REPORT: Duration = Duration::from_secs(1);
+
 /// How long a claim waits after the store's return, so that the owner can resume: twice the
 /// interval of its attempts.
 const RESUME_TIME: Duration = Duration::from_millis(400);
@@ -114,6 +119,8 @@
     nonce: Nonce,
     /// Since when the store has not responded to this entry.
     failing_since: Option<Instant>,
+    /// When the last outage of the store ended.
+    back_at: Option<Instant>,
 }
 
 impl Elector {
@@ -129,6 +136,7 @@
             claim_from: None,
             nonce: Nonce(0),
             failing_since: None,
+            back_at: None,
         }
     }
 
@@ -139,9 +147,20 @@
 
     /// Records a response of the store; returns true if it ends an outage.
     fn store_responded(&mut self, now: Instant) -> bool {
-        self.failing_since
+        let is_back = self
+            .failing_since
             .take()
-            .is_some_and(|since| now.saturating_duration_since(since) >= OUTAGE_AFTER)
+            .is_some_and(|since| now.saturating_duration_since(since) >= OUTAGE_AFTER);
+        if is_back {
+            self.back_at = Some(now);
+        }
+        is_back
+    }
+
+    /// Returns true if the store does not respond to this entry, or has not for long again.
+    fn is_store_out(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < OUTDATED_REPORT;
+        self.failing_since.is_some() || self.back_at.is_some_and(is_recent)
     }
 
     /// Returns the latest known owner.
@@ -240,8 +259,12 @@
 
     /// Schedules a claim of the key held by the owner at `epoch`, which cannot reach the store.
     ///
-    /// If this entry cannot reach the store either, the claim fails without effect.
+    /// Does nothing if this entry cannot reach the store either, or could not just before: then the
+    /// owner may have reached it meanwhile.
     pub fn claim_from(&mut self, now: Instant, epoch: Epoch) {
+        if self.is_store_out(now) {
+            return;
+        }
         let is_free = matches!(self.phase, Phase::Following) && self.claim_at.is_none();
         let owner = self.seen.as_ref().filter(|(owner, _)| owner.epoch == epoch);
         if let Some(owner) = owner.filter(|_| is_free && !self.has_resigned) {
@@ -409,112 +432,6 @@
         }
     }
 
-    fn claim(
-        &mut self,
-        lease: LeaseId,
-        granted: Instant,
-        epoch: Option<&KeyValue>,
-    ) -> Option<Call> {
-        let last = epoch
-            .and_then(|kv| std::str::from_utf8(&kv.value).ok())
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
-        let record = OwnerRecord {
-            epoch: Epoch(last).next(),
-            nonce: self.nonce,
-            ..self.cfg.me.clone()
-        };
-        let call = self.claim_call(lease, &record, epoch);
-        self.phase = Phase::Claiming {
-            lease,
-            record,
-            granted,
-        };
-        call
-    }
-
-    /// Returns the transaction that claims the key.
-    ///
-    /// A repeat passes no `epoch`: if the first attempt took effect, it has changed that key's
-    /// revision itself, and the conflict returns this entry's own value.
-    fn claim_call(
-        &self,
-        lease: LeaseId,
-        record: &OwnerRecord,
-        epoch: Option<&KeyValue>,
-    ) -> Option<Call> {
-        let owner = self
-            .claim_from
-            .as_ref()
-            .map_or(Expect::Absent, |(_, r)| Expect::Revision(*r));
-        let mut expected = vec![(OWNER_KEY.into(), owner)];
-        let expect = epoch.map_or(Expect::Absent, |kv| Expect::Revision(kv.revision));
-        expected.push((EPOCH_KEY.into(), expect));
-        let owner = KeyWrite {
-            key: OWNER_KEY.into(),
-            value: record.encode().ok()?,
-            lease: Some(lease),
-        };
-        let epoch = KeyWrite {
-            key: EPOCH_KEY.into(),
-            value: record.epoch.0.to_string().into_bytes().into(),
-            lease: None,
-        };
-        Some(StoreCall::Txn {
-            expected,
-            writes: vec![owner, epoch],
-            deletes: Vec::new(),
-        })
-    }
-
-    fn claimed(
-        &mut self,
-        now: Instant,
-        sent: (Instant, SystemTime),
-        lease: LeaseId,
-        granted: Instant,
-        record: &OwnerRecord,
-        reply: &StoreReply,
-    ) -> Option<Change> {
-        let revision = match reply {
-            StoreReply::Done { revision } => *revision,
-            StoreReply::Conflicts { current } => {
-                let mine = record.encode().ok()?;
-                let found = current.iter().find(|kv| &*kv.key == OWNER_KEY);
-                match found.filter(|kv| kv.value == mine) {
-                    Some(kv) => kv.revision,
-                    None => {
-                        self.follow(now);
-                        return None;
-                    }
-                }
-            }
-            _ => {
-                self.follow(now);
-                return None;
-            }
-        };
-        let age = now.duration_since(granted);
-        let renewed = (granted, sent.1.checked_sub(age).unwrap_or(sent.1));
-        self.phase = Phase::Leading(Leading {
-            lease,
-            revision,
-            record: record.clone(),
-            epoch_revision: revision,
-            resume: None,
-            renewed,
-            renewing: None,
-            next_renewal: now,
-        });
-        self.seen = Some((record.clone(), revision));
-        self.claim_at = None;
-        Some(Change::Elected {
-            epoch: record.epoch,
-            revision,
-            previous: self.claim_from.take().map(|(previous, _)| previous),
-        })
-    }
-
     fn renewed(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/crates/controller/src/elector/claim.rs
@@ -0,0 +1,119 @@
+//! Claiming the owner's key under the next epoch.
+
+use std::time::SystemTime;
+
+use base::prelude::*;
+use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
+use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, StoreCall, StoreReply};
+
+use super::{Call, Change, Elector, Leading, Phase};
+
+impl Elector {
+    /// Returns the claim of the epoch after the one in the store.
+    pub(super) fn claim(
+        &mut self,
+        lease: LeaseId,
+        granted: Instant,
+        epoch: Option<&KeyValue>,
+    ) -> Option<Call> {
+        let last = epoch
+            .and_then(|kv| std::str::from_utf8(&kv.value).ok())
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let record = OwnerRecord {
+            epoch: Epoch(last).next(),
+            nonce: self.nonce,
+            ..self.cfg.me.clone()
+        };
+        let call = self.claim_call(lease, &record, epoch);
+        self.phase = Phase::Claiming {
+            lease,
+            record,
+            granted,
+        };
+        call
+    }
+
+    /// Returns the transaction that claims the key.
+    ///
+    /// A repeat passes no `epoch`: if the first attempt took effect, it has changed that key's
+    /// revision itself, and the conflict returns this entry's own value.
+    pub(super) fn claim_call(
+        &self,
+        lease: LeaseId,
+        record: &OwnerRecord,
+        epoch: Option<&KeyValue>,
+    ) -> Option<Call> {
+        let owner = self
+            .claim_from
+            .as_ref()
+            .map_or(Expect::Absent, |(_, r)| Expect::Revision(*r));
+        let mut expected = vec![(OWNER_KEY.into(), owner)];
+        let expect = epoch.map_or(Expect::Absent, |kv| Expect::Revision(kv.revision));
+        expected.push((EPOCH_KEY.into(), expect));
+        let owner = KeyWrite {
+            key: OWNER_KEY.into(),
+            value: record.encode().ok()?,
+            lease: Some(lease),
+        };
+        let epoch = KeyWrite {
+            key: EPOCH_KEY.into(),
+            value: record.epoch.0.to_string().into_bytes().into(),
+            lease: None,
+        };
+        Some(StoreCall::Txn {
+            expected,
+            writes: vec![owner, epoch],
+            deletes: Vec::new(),
+        })
+    }
+
+    /// Handles the reply to a claim.
+    pub(super) fn claimed(
+        &mut self,
+        now: Instant,
+        sent: (Instant, SystemTime),
+        lease: LeaseId,
+        granted: Instant,
+        record: &OwnerRecord,
+        reply: &StoreReply,
+    ) -> Option<Change> {
+        let revision = match reply {
+            StoreReply::Done { revision } => *revision,
+            StoreReply::Conflicts { current } => {
+                let mine = record.encode().ok()?;
+                let found = current.iter().find(|kv| &*kv.key == OWNER_KEY);
+                match found.filter(|kv| kv.value == mine) {
+                    Some(kv) => kv.revision,
+                    None => {
+                        self.follow(now);
+                        return None;
+                    }
+                }
+            }
+            _ => {
+                self.follow(now);
+                return None;
+            }
+        };
+        let age = now.duration_since(granted);
+        let renewed = (granted, sent.1.checked_sub(age).unwrap_or(sent.1));
+        self.phase = Phase::Leading(Leading {
+            lease,
+            revision,
+            record: record.clone(),
+            epoch_revision: revision,
+            resume: None,
+            renewed,
+            renewing: None,
+            next_renewal: now,
+        });
+        self.seen = Some((record.clone(), revision));
+        self.claim_at = None;
+        Some(Change::Elected {
+            epoch: record.epoch,
+            revision,
+            previous: self.claim_from.take().map(|(previous, _)| previous),
+        })
+    }
+}
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,15 +1,17 @@
 //! The actor of an entry: takes part in the election and owns the jobs while elected.
 
+mod ownership;
+
 use std::time::SystemTime;
 
 use base::prelude::*;
 use base::unix_ms;
 use crossbeam_channel::Sender;
 use host::KeyUpdate;
-use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, OwnerRecord, Replacement};
+use jobs::owner::{AdviceRequest, JOB_PREFIX, OwnerRecord, Replacement};
 use jobs::report::{SyncReply, SyncReport};
-use jobs::{Effect, JobReply, JobRequest, Owner, OwnerCfg, Token};
-use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
+use jobs::{Effect, JobReply, JobRequest, Owner, Token};
+use ports::store::{KeyValue, StoreCall, StoreReply};
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -18,8 +20,8 @@
 use stakker::{CX, FixedTimerKey, call};
 use wire::Responder;
 
-use crate::elector::{Change, Elector, ElectorCfg};
-use crate::load::{Load, LoadStep};
+use crate::elector::{Elector, ElectorCfg};
+use crate::load::Load;
 use crate::{Event, StoreToken};
 
 /// The maximum random delay of a claim, so that entries do not all claim at once.
@@ -73,6 +75,8 @@
     owner: Option<Owner>,
     callers: IndexMap<Token, Responder<JobReply>>,
     companions: IndexMap<Token, Responder<SyncReply>>,
+    /// The latest report of each VM that arrived while the jobs were being loaded.
+    early_reports: IndexMap<Name, (SyncReport, Responder<SyncReply>)>,
     lookups: IndexMap<u64, Token>,
     next: u64,
     timer: FixedTimerKey,
@@ -104,6 +108,7 @@
             owner: None,
             callers: IndexMap::new(),
             companions: IndexMap::new(),
+            early_reports: IndexMap::new(),
             lookups: IndexMap::new(),
             next: 0,
             timer: FixedTimerKey::default(),
@@ -244,11 +249,22 @@
         if let Some((owner, unix_ms, token)) = self.active_owner(now) {
             owner.sync(now, unix_ms, token, report);
             self.companions.insert(token, responder);
+        } else if self.load.is_some() {
+            self.keep_report(report, responder);
         } else {
             responder.send(SyncReply::default());
         }
     }
 
+    /// Keeps a report until the jobs are loaded, so that companions need not send it again and
+    /// again meanwhile.
+    fn keep_report(&mut self, report: SyncReport, responder: Responder<SyncReply>) {
+        let vm = Arc::clone(&report.vm);
+        if let Some((_, earlier)) = self.early_reports.insert(vm, (report, responder)) {
+            earlier.send(SyncReply::default());
+        }
+    }
+
     fn key_seen(&mut self, cx: CX![], kv: Option<&KeyValue>) {
         let jitter = self.rng.random_range(Duration::ZERO..CLAIM_JITTER);
         let before = self.elector.owner().cloned();
@@ -301,93 +317,6 @@
         self.changed(cx, change);
     }
 
-    fn changed(&mut self, cx: CX![], change: Option<Change>) {
-        match change {
-            Some(Change::Elected {
-                epoch,
-                revision,
-                previous,
-            }) => {
-                info!(self.log, "entry: elected"; "epoch" => epoch.0);
-                self.notify_previous(previous.as_ref(), revision);
-                self.operation_metrics.count("ownership", "taken");
-                self.load = Some(Load::new(epoch, revision));
-                self.load_next();
-            }
-            Some(Change::Resumed { revision }) => self.resume_owner(revision),
-            Some(Change::OwnershipLost(why)) => self.stop_owner(cx, why),
-            None => {}
-        }
-    }
-
-    fn notify_previous(&self, previous: Option<&OwnerRecord>, revision: Revision) {
-        if let (Some(previous), Some(record)) = (previous, self.elector.owner()) {
-            let by = Replacement {
-                record: record.clone(),
-                revision,
-            };
-            self.ports.notify_replaced(previous, by);
-        }
-    }
-
-    fn load_next(&self) {
-        if let Some(load) = &self.load {
-            self.ports.store(StoreToken::Load(load.epoch), load.call());
-        }
-    }
-
-    fn loaded(&mut self, cx: CX![], epoch: Epoch, reply: Result<StoreReply>) {
-        let Some(load) = self.load.as_mut().filter(|l| l.epoch == epoch) else {
-            return;
-        };
-        if let Err(e) = &reply {
-            warn!(self.log, "entry: load failed"; "error" => %e);
-        }
-        match load.handle_reply(reply) {
-            LoadStep::Next => self.load_next(),
-            LoadStep::Again => {
-                stakker::after!(LOAD_RETRY, [cx], retry_load(epoch));
-            }
-            LoadStep::Done => self.start_owner(cx),
-            LoadStep::GiveUp => self.step_down(cx),
-        }
-    }
-
-    fn retry_load(&mut self, _cx: CX![], epoch: Epoch) {
-        if self.load.as_ref().is_some_and(|l| l.epoch == epoch) {
-            self.load_next();
-        }
-    }
-
-    /// Steps down after a failed load, so that an entry with a better connection can take over.
-    fn step_down(&mut self, cx: CX![]) {
-        warn!(self.log, "entry: gives up ownership"; "why" => "the jobs cannot be read");
-        self.load = None;
-        if let Some(call) = self.elector.step_down(cx.now()) {
-            self.election_call(cx.now(), self.clock.wall(), call);
-        }
-    }
-
-    /// Starts the owner from the completed load.
-    fn start_owner(&mut self, cx: CX![]) {
-        let Some(load) = self.load.take() else {
-            return;
-        };
-        let elector = &self.cfg.elector;
-        let cfg = OwnerCfg {
-            epoch: load.epoch,
-            owner_key: OWNER_KEY.into(),
-            owner_revision: load.revision,
-            worker_lease: self.cfg.worker_lease,
-            predecessor_grace: elector.lease + elector.outage_grace,
-            retention: self.cfg.retention,
-        };
-        let mut owner = Owner::new(cfg, self.log.clone());
-        let [jobs, progress, vms] = load.into_parts();
-        owner.load(cx.now(), &jobs, &progress, &vms);
-        self.owner = Some(owner);
-    }
-
     /// Replies to the caller whose request named a job that the owner had not loaded.
     fn lookup_done(&mut self, id: u64, reply: Result<StoreReply>) {
         let Some(token) = self.lookups.swap_remove(&id) else {
@@ -438,30 +367,6 @@
         }
     }
 
-    /// Goes on with the owner, or with its load, after the key has been taken again.
-    fn resume_owner(&mut self, revision: Revision) {
-        info!(self.log, "entry: ownership resumed"; "revision" => revision);
-        self.operation_metrics.count("ownership", "resumed");
-        if let Some(load) = self.load.as_mut() {
-            load.revision = revision;
-        }
-        if let Some(owner) = self.owner.as_mut() {
-            owner.resume(revision);
-        }
-    }
-
-    /// Drops the owner and any load in progress after ownership has ended.
-    fn stop_owner(&mut self, cx: CX![], why: &'static str) {
-        self.load = None;
-        let Some(owner) = self.owner.take() else {
-            return;
-        };
-        self.operation_metrics.count("ownership", "lost");
-        warn!(self.log, "entry: no longer the owner"; "epoch" => owner.epoch().0, "why" => why);
-        let effects = owner.step_down();
-        self.carry_out(cx, effects);
-    }
-
     fn resign(&mut self, cx: CX![]) {
         if let Some(call) = self.elector.resign() {
             self.stop_owner(cx, "the process stops");
--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -1,4 +1,4 @@
-//! The actor of an entry that owns the jobs, under a burst of submissions.
+//! The actor of an entry that owns the jobs, under a burst of submissions or reports.
 
 use base::ManualClock;
 use base::prelude::*;
@@ -6,9 +6,10 @@
 use fakes::store::MemStore;
 use host::{Actors, KeyUpdate};
 use jobs::owner::{AdviceRequest, Replacement};
+use jobs::report::{SyncReply, SyncReport};
 use jobs::{JobReply, JobRequest, JobSpec, RouteTerms, StageSpec};
 use parking_lot::Mutex;
-use ports::store::{StoreCall, StoreReply};
+use ports::store::StoreCall;
 use report::OperationMetrics;
 use slog::{Logger, o};
 use wire::Responder;
@@ -47,6 +48,28 @@
 
 impl Entry {
     fn elected() -> Self {
+        let mut entry = Self::new();
+        entry.settle();
+        entry
+    }
+
+    /// Creates an entry that is elected and has not read its jobs yet; returns the reads.
+    fn loading() -> (Self, Vec<(StoreToken, StoreCall)>) {
+        let mut entry = Self::new();
+        loop {
+            entry.run();
+            let calls = entry.calls.take();
+            let is_load =
+                |(token, _): &(StoreToken, StoreCall)| matches!(token, StoreToken::Load(_));
+            if calls.iter().any(is_load) {
+                return (entry, calls);
+            }
+            entry.reply_to(calls);
+        }
+    }
+
+    /// Creates an entry that has seen the owner's key missing.
+    fn new() -> Self {
         let clock = Arc::new(ManualClock::new());
         let calls = Arc::new(RecordedCalls::default());
         let cfg = NodeCfg {
@@ -83,7 +106,6 @@
             .deliver(Event::OwnerKey(KeyUpdate::Current(None)));
         entry.run();
         entry.clock.advance(Duration::from_millis(100));
-        entry.settle();
         entry
     }
 
@@ -99,14 +121,31 @@
             if calls.is_empty() {
                 return;
             }
-            for (token, call) in calls {
-                let reply = self.store.call(self.clock.now(), &call);
-                self.node.deliver(Event::Store(token, reply));
-            }
+            self.reply_to(calls);
             self.run();
         }
     }
 
+    fn reply_to(&mut self, calls: Vec<(StoreToken, StoreCall)>) {
+        for (token, call) in calls {
+            let reply = self.store.call(self.clock.now(), &call);
+            self.node.deliver(Event::Store(token, reply));
+        }
+    }
+
+    fn report(&mut self, vm: &str, number: u64, replies: &Arc<Mutex<Vec<SyncReply>>>) {
+        let replies = Arc::clone(replies);
+        let report = SyncReport {
+            vm: vm.into(),
+            boot: 1,
+            number,
+            epoch: Epoch(0),
+            worker: None,
+        };
+        let responder = Responder::new(move |reply| replies.lock().push(reply));
+        self.node.deliver(Event::Sync(Box::new(report), responder));
+    }
+
     fn submit(&mut self, id: &str, replies: &Arc<Mutex<Vec<JobReply>>>) {
         let replies = Arc::clone(replies);
         let request = JobRequest::Submit {
@@ -155,11 +194,28 @@
         })
         .sum();
     assert_eq!(stored, 40, "in {} calls", calls.len());
-    for (token, call) in calls {
-        let reply = entry.store.call(entry.clock.now(), &call);
-        assert!(matches!(reply, Ok(StoreReply::Done { .. })), "{reply:?}");
-        entry.node.deliver(Event::Store(token, reply));
-    }
+    entry.reply_to(calls);
     entry.settle();
     assert_eq!(*replies.lock(), vec![JobReply::Accepted; 40]);
 }
+
+/// The load: all companions report to a new owner that still reads its jobs.
+#[test]
+fn reports_that_arrive_during_the_load_wait_for_it() {
+    let (mut entry, reads) = Entry::loading();
+    let replies = Arc::new(Mutex::new(Vec::new()));
+    for i in 0..240 {
+        entry.report(&format!("vm-{i}"), 1, &replies);
+    }
+    entry.report("vm-0", 2, &replies);
+    entry.run();
+    let early = replies.lock().clone();
+
+    entry.reply_to(reads);
+    entry.settle();
+
+    assert_eq!(early, [SyncReply::default()], "only the replaced report");
+    let replies = replies.lock();
+    assert_eq!(replies.len(), 241);
+    assert!(replies[1..].iter().all(|reply| reply.is_owner));
+}
--- a/crates/controller/tests/resume.rs
+++ b/crates/controller/tests/resume.rs
@@ -190,3 +190,27 @@
     assert_eq!(first, None);
     assert!(matches!(second, Some(Change::Elected { .. })), "{second:?}");
 }
+
+/// The owner's refusals arrive late: it has reached the store again before others hear of them.
+#[test]
+fn key_is_not_claimed_from_an_owner_right_after_an_outage() {
+    let mut cluster = Cluster::new();
+    let (mut a, mut b) = (elector("a"), elector("b"));
+    cluster.elect(&mut a);
+    cluster.elect(&mut b);
+    for _ in 0..12 {
+        b.store_failed(cluster.now);
+        b.claim_from(cluster.now, Epoch(1));
+        cluster.now += STEP;
+    }
+
+    cluster.elect(&mut b);
+    b.claim_from(cluster.now, Epoch(1));
+    let at_return = cluster.elect(&mut b);
+    cluster.advance(Duration::from_secs(1));
+    b.claim_from(cluster.now, Epoch(1));
+    let later = cluster.elect(&mut b);
+
+    assert_eq!(at_return, None);
+    assert!(matches!(later, Some(Change::Elected { .. })), "{later:?}");
+}
