--- a/tests/config/harness.rs
+++ b/tests/config/harness.rs
@@ -1,6 +1,6 @@
 //! Test harness: a store, entries and companions on loopback.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 
 use base::SystemClock;
@@ -145,6 +145,11 @@
         .map_or(Generation(0), |status| status.entry.generation)
 }
 
+/// Returns true if a process accepts connections at the address.
+pub fn is_listening(addr: SocketAddr) -> bool {
+    TcpStream::connect(addr).is_ok()
+}
+
 pub fn wait_for_generation(addr: SocketAddr, expected: Generation) {
     wait_until(|| generation(addr) >= expected);
     assert_eq!(generation(addr), expected);
--- a/tests/config/main.rs
+++ b/tests/config/main.rs
@@ -13,8 +13,8 @@
 use fakes::target::{ServiceTime, TargetServer, TargetSettings};
 use fakes::worker::{WorkerServer, WorkerSettings};
 use harness::{
-    Cluster, client, companion, generation, secured_companion, try_apply, wait_for_generation,
-    wait_until,
+    Cluster, client, companion, generation, is_listening, secured_companion, try_apply,
+    wait_for_generation, wait_until,
 };
 use ops::{EntryPort, Exit, HttpEntry};
 use ports::store::{Expect, Store, StoreCall};
@@ -143,7 +143,8 @@
     let cfg = second.cfg().clone();
     first.kill();
     second.kill();
-    wait_until(|| generation(http_addr) == Generation(0));
+    // The listeners close a moment after the entry has stopped to respond.
+    wait_until(|| !is_listening(http_addr) && !is_listening(cfg.rpc_addr));
 
     let third = entry::App::start(cfg, &harness::log());
     let third = third.expect("entry at the address configured in the companion");
