--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -219,3 +219,25 @@
     assert_eq!(replies.len(), 241);
     assert!(replies[1..].iter().all(|reply| reply.is_owner));
 }
+
+#[test]
+fn owner_whose_lease_expired_goes_on_without_reading_its_jobs_again() {
+    let mut entry = Entry::elected();
+    let replies = Arc::new(Mutex::new(Vec::new()));
+    entry.clock.advance(Duration::from_millis(2100));
+    entry.store.expire(entry.clock.now());
+    let mut calls = Vec::new();
+
+    entry.submit("00000000000000a1", &replies);
+    for _ in 0..40 {
+        entry.run();
+        let made = entry.calls.take();
+        calls.extend(made.iter().map(|(token, _)| *token));
+        entry.reply_to(made);
+        entry.clock.advance(Duration::from_millis(10));
+    }
+
+    let is_load = |token: &StoreToken| matches!(token, StoreToken::Load(_));
+    assert!(!calls.iter().any(is_load), "{calls:?}");
+    assert_eq!(*replies.lock(), [JobReply::Accepted]);
+}
