Companions tell unanswered calls from those without effect, in logs and metrics

A start that was retried after a call without a reply looked like any other in the logs: 'start rejected' told neither that an earlier call was outstanding nor, on a 503, that anything was rejected. The lines now carry the number of unanswered calls; the counters of calls split 'failed' by whether the call may still take effect. No decision changes.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -192,8 +192,17 @@
     drop(events.send(event));
 }
 
+/// Returns the outcome of a call for metrics; only an unanswered call may still take effect.
 fn outcome<T>(reply: &Result<T>) -> &'static str {
-    if reply.is_ok() { "answered" } else { "failed" }
+    match reply {
+        Ok(_) => "answered",
+        Err(e) if e.kind().is_outcome_unknown() => "unanswered",
+        Err(e) => match e.kind() {
+            ErrorKind::Overloaded => "overloaded",
+            ErrorKind::NotListening => "not_listening",
+            _ => "failed",
+        },
+    }
 }
 
 impl App {
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -32,6 +32,8 @@
 struct OpenStart {
     order: StartOrder,
     progress: Progress,
+    /// Calls without a reply: the worker may still carry them out, also after later calls.
+    unanswered: u32,
     /// Whether the owner has ordered a stop of the run.
     is_stopping: bool,
 }
@@ -83,6 +85,7 @@
             let open = OpenStart {
                 order,
                 progress: Progress::Due(now),
+                unanswered: 0,
                 is_stopping: false,
             };
             self.open.insert(open.order.run.clone(), open);
@@ -176,6 +179,18 @@
         }
     }
 
+    /// Records a call of unknown outcome.
+    pub(crate) fn count_unanswered(&mut self, run: &TaskRun) {
+        if let Some(open) = self.open.get_mut(run) {
+            open.unanswered += 1;
+        }
+    }
+
+    /// Returns how many calls to start the run had no reply.
+    pub(crate) fn unanswered(&self, run: &TaskRun) -> u32 {
+        self.open.get(run).map_or(0, |open| open.unanswered)
+    }
+
     /// Schedules a retry of a start whose outcome is not known.
     pub(crate) fn retry(&mut self, now: Instant, run: &TaskRun) {
         if let Some(open) = self.open.get_mut(run) {
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -214,13 +214,18 @@
                 clock_ms: Some(clock_ms),
             }) => worker.starts.accepted(run, clock_ms),
             Ok(StartReply::Rejected { why, .. }) => {
-                info!(self.log, "companion: start rejected"; "run" => %run, "why" => ?why);
+                info!(self.log, "companion: start rejected";
+                    "run" => %run, "why" => ?why, "unanswered" => worker.starts.unanswered(run));
                 worker.starts.reject(run, why);
                 self.syncs.has_changes = true;
             }
             Ok(StartReply::WrongIncarnation) => worker.starts.retry(now, run),
             Err(e) => {
-                warn!(self.log, "companion: start failed"; "run" => %run, "error" => %e);
+                if e.kind().is_outcome_unknown() {
+                    worker.starts.count_unanswered(run);
+                }
+                warn!(self.log, "companion: start failed";
+                    "run" => %run, "error" => %e, "unanswered" => worker.starts.unanswered(run));
                 if e.kind() == ErrorKind::Overloaded {
                     worker.starts.reject(run, RejectKind::Room);
                     self.syncs.has_changes = true;
