A rejected retry does not release a start that may still be carried out

Callers saw a task run twice at the same time (TWICE), also after it was done, and workers over their capacity (LIMIT).

Cause: a call to start a run had no reply; workers may carry out such a call seconds later, after newer calls. The companion repeats the call, and a reply of 503, 429, 400 or 409 to the repeat was taken for the outcome of the start. The owner released the run and started the task elsewhere; then the first call took effect. The class: the absence of an effect of one call taken as proof for all calls of an order.

Change: a start with an earlier call of unknown outcome is stopped when a later call is rejected, and reported as rejected once the stop is answered and a later status lists the run neither as running nor as finished. A worker starts no run that it has stopped, so this is proof. Rejections without an earlier unanswered call release at once, as before.

--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -34,8 +34,8 @@
     progress: Progress,
     /// Calls without a reply: the worker may still carry them out, also after later calls.
     unanswered: u32,
-    /// Whether the owner has ordered a stop of the run.
-    is_stopping: bool,
+    /// Set once the run is to be stopped; the reason to report if it proves not to have started.
+    stopping: Option<RejectKind>,
 }
 
 /// The progress of a stop order.
@@ -86,7 +86,7 @@
                 order,
                 progress: Progress::Due(now),
                 unanswered: 0,
-                is_stopping: false,
+                stopping: None,
             };
             self.open.insert(open.order.run.clone(), open);
         }
@@ -95,7 +95,7 @@
     /// Adds an order to stop.
     pub(crate) fn order_stop(&mut self, now: Instant, run: TaskRun) {
         if let Some(open) = self.open.get_mut(&run) {
-            open.is_stopping = true;
+            open.stopping.get_or_insert(RejectKind::Stopped);
         }
         let stop = self.stops.entry(run).or_insert(Stop::Due(now));
         if matches!(stop, Stop::Done(_)) {
@@ -131,7 +131,7 @@
     pub(crate) fn take_due(&mut self, now: Instant) -> Vec<StartOrder> {
         let mut due = Vec::new();
         for open in self.open.values_mut() {
-            if open.is_stopping {
+            if open.stopping.is_some() {
                 continue;
             }
             if let Progress::Due(at) = open.progress
@@ -160,7 +160,7 @@
 
     /// Returns when the next start or stop is to be sent.
     pub(crate) fn next_due(&self) -> Option<Instant> {
-        let starts = self.open.values().filter(|o| !o.is_stopping);
+        let starts = self.open.values().filter(|o| o.stopping.is_none());
         let starts = starts.filter_map(|o| match o.progress {
             Progress::Due(at) => Some(at),
             _ => None,
@@ -198,8 +198,19 @@
         }
     }
 
-    pub(crate) fn reject(&mut self, run: &TaskRun, why: RejectKind) {
-        if self.open.shift_remove(run).is_some() {
+    /// Handles a call to start that the worker rejected.
+    ///
+    /// An earlier call without a reply may still take effect, so the run is then stopped: the worker
+    /// starts no run that it has stopped.
+    pub(crate) fn reject(&mut self, now: Instant, run: &TaskRun, why: RejectKind) {
+        let Some(open) = self.open.get_mut(run) else {
+            return;
+        };
+        if open.unanswered > 0 {
+            open.stopping = Some(why);
+            self.order_stop(now, run.clone());
+        } else {
+            self.open.shift_remove(run);
             self.rejected.insert(run.clone(), why);
         }
     }
@@ -238,9 +249,9 @@
             if is_running(run) || (!has_finished(run) && clock_ms <= *at + stop_ms) {
                 return true;
             }
-            open.shift_remove(run);
+            let why = open.shift_remove(run).and_then(|open| open.stopping);
             if !has_finished(run) {
-                never_started.push((run.clone(), RejectKind::Stopped));
+                never_started.push((run.clone(), why.unwrap_or(RejectKind::Stopped)));
             }
             false
         });
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -216,7 +216,7 @@
             Ok(StartReply::Rejected { why, .. }) => {
                 info!(self.log, "companion: start rejected";
                     "run" => %run, "why" => ?why, "unanswered" => worker.starts.unanswered(run));
-                worker.starts.reject(run, why);
+                worker.starts.reject(now, run, why);
                 self.syncs.has_changes = true;
             }
             Ok(StartReply::WrongIncarnation) => worker.starts.retry(now, run),
@@ -227,7 +227,7 @@
                 warn!(self.log, "companion: start failed";
                     "run" => %run, "error" => %e, "unanswered" => worker.starts.unanswered(run));
                 if e.kind() == ErrorKind::Overloaded {
-                    worker.starts.reject(run, RejectKind::Room);
+                    worker.starts.reject(now, run, RejectKind::Room);
                     self.syncs.has_changes = true;
                 } else {
                     worker.starts.retry(now, run);
--- /dev/null
+++ b/crates/agent/tests/late_calls.rs
@@ -0,0 +1,116 @@
+//! Calls without a reply, which the worker may carry out after later ones.
+
+mod harness;
+
+use agent::{Action, StartReply, StopCall};
+use base::prelude::*;
+use harness::{Harness, no_reply, run_of};
+use jobs::report::RejectKind;
+
+/// Returns a companion whose first call to start a run had no reply, and whose retry is on its way.
+fn retrying() -> Harness {
+    let mut harness = Harness::fenced();
+    harness.order(&run_of(0));
+    harness.started(&run_of(0), Err(no_reply()));
+    harness.advance(100);
+    harness.run();
+    assert_eq!(harness.starts().len(), 2);
+    harness
+}
+
+fn stops(harness: &Harness) -> Vec<StopCall> {
+    let stops = harness.actions.iter().filter_map(|action| match action {
+        Action::Stop(_, call) => Some(call.clone()),
+        _ => None,
+    });
+    stops.collect()
+}
+
+fn overloaded() -> Error {
+    Error::new(ErrorKind::Overloaded, "start", "worker", "status 503")
+}
+
+fn rejection(why: RejectKind) -> StartReply {
+    StartReply::Rejected {
+        why,
+        clock_ms: Some(10_000),
+    }
+}
+
+#[test]
+fn rejected_retry_does_not_release_a_start_that_may_be_carried_out_late() {
+    let replies = [
+        Err(overloaded()),
+        Ok(rejection(RejectKind::Room)),
+        Ok(rejection(RejectKind::Late)),
+        Ok(rejection(RejectKind::Ticket)),
+        Ok(rejection(RejectKind::Fence)),
+        Ok(rejection(RejectKind::Invalid)),
+    ];
+    for reply in replies {
+        let mut harness = retrying();
+
+        harness.started(&run_of(0), reply);
+
+        let report = harness.next_report();
+        assert!(report.rejected.is_empty(), "{:?}", report.rejected);
+        assert_eq!(report.open, [run_of(0)]);
+        assert_eq!(stops(&harness).len(), 1, "the run is stopped");
+    }
+}
+
+#[test]
+fn start_that_may_be_carried_out_late_is_rejected_once_its_stop_is_confirmed() {
+    let mut harness = retrying();
+    harness.started(&run_of(0), Err(overloaded()));
+    assert!(harness.next_report().rejected.is_empty());
+
+    harness.stopped(&run_of(0));
+    harness.advance(400);
+    harness.complete_long_poll(&[], &[]);
+
+    let report = harness.next_report();
+    let rejected: Vec<_> = report.rejected.iter().map(|r| (&r.run, r.why)).collect();
+    assert_eq!(rejected, [(&run_of(0), RejectKind::Room)]);
+    assert!(report.open.is_empty());
+}
+
+#[test]
+fn start_carried_out_late_before_its_stop_is_reported_as_running() {
+    let mut harness = retrying();
+    harness.started(&run_of(0), Err(overloaded()));
+
+    harness.advance(50);
+    harness.complete_long_poll(&[run_of(0)], &[]);
+
+    let report = harness.next_report();
+    let running = &report.status.expect("a status is reported").running;
+    assert_eq!(running.len(), 1);
+    assert!(report.rejected.is_empty());
+}
+
+#[test]
+fn rejected_start_without_an_earlier_call_is_released_at_once() {
+    let mut harness = Harness::fenced();
+    harness.order(&run_of(0));
+
+    harness.started(&run_of(0), Err(overloaded()));
+
+    let report = harness.next_report();
+    assert_eq!(report.rejected.len(), 1);
+    assert!(stops(&harness).is_empty());
+}
+
+#[test]
+fn rejected_start_whose_earlier_call_found_the_port_closed_is_released_at_once() {
+    let mut harness = Harness::fenced();
+    harness.order(&run_of(0));
+    let closed = Error::new(ErrorKind::NotListening, "start", "worker", "refused");
+    harness.started(&run_of(0), Err(closed));
+    harness.advance(100);
+    harness.run();
+
+    harness.started(&run_of(0), Err(overloaded()));
+
+    assert_eq!(harness.next_report().rejected.len(), 1);
+}
