A redelivered order does not start a known run again

Cause: the owner resends an order until a report shows the run. The companion forgot a run as soon as a status listed it, so an order that arrived again was taken as a new one: a second call to start the run, now listed as running. Where the worker shed that call (503), the run was reported as rejected and released while it ran.

Change: a companion remembers the runs that a status has shown, as it did those whose rejection the owner has recorded, and ignores orders for them.

--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -4,8 +4,9 @@
 use jobs::TaskRun;
 use jobs::report::{RejectKind, Rejected, StartOrder, WorkerStatus};
 
-/// How many rejected runs are remembered after the owner has recorded their rejection.
-const MAX_TOMBSTONES: usize = 1024;
+/// How many runs are remembered after their outcome is known: more than a worker starts while a
+/// reply of the owner is on its way.
+const MAX_CONCLUDED: usize = 1024;
 
 /// Delay before a start or stop without a reply is retried.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
@@ -59,8 +60,9 @@
     stops: IndexMap<TaskRun, Stop>,
     /// Starts that will never take effect and whose rejection the owner has not recorded.
     rejected: IndexMap<TaskRun, RejectKind>,
-    /// Starts whose rejection the owner has recorded, against redelivered orders.
-    tombstones: IndexSet<TaskRun>,
+    /// Runs that a status has shown, and starts whose rejection the owner has recorded: a
+    /// redelivered order must not start them again.
+    concluded: IndexSet<TaskRun>,
 }
 
 impl Starts {
@@ -70,7 +72,7 @@
             open: IndexMap::new(),
             stops: IndexMap::new(),
             rejected: IndexMap::new(),
-            tombstones: IndexSet::new(),
+            concluded: IndexSet::new(),
         }
     }
 
@@ -79,7 +81,7 @@
         let run = &order.run;
         let is_known = self.open.contains_key(run)
             || self.rejected.contains_key(run)
-            || self.tombstones.contains(run)
+            || self.concluded.contains(run)
             || self.stops.contains_key(run);
         if !is_known {
             let open = OpenStart {
@@ -227,8 +229,10 @@
         let is_running = |run: &TaskRun| status.running.iter().any(|row| row.run == *run);
         let has_finished = |run: &TaskRun| status.finished.iter().any(|row| row.run == *run);
         let mut never_started = Vec::new();
+        let concluded = &mut self.concluded;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
+                concluded.insert(run.clone());
                 return false;
             }
             if let Progress::Accepted(at) = open.progress
@@ -250,25 +254,30 @@
                 return true;
             }
             let why = open.shift_remove(run).and_then(|open| open.stopping);
-            if !has_finished(run) {
+            if has_finished(run) {
+                concluded.insert(run.clone());
+            } else {
                 never_started.push((run.clone(), why.unwrap_or(RejectKind::Stopped)));
             }
             false
         });
         self.rejected.extend(never_started);
+        self.forget_oldest();
     }
 
-    /// Drops rejected starts that the owner has recorded, but keeps tombstones so that a
-    /// redelivered order does not start them.
+    /// Drops rejected starts that the owner has recorded, but remembers their runs.
     pub(crate) fn acknowledge_rejects(&mut self, runs: &[TaskRun]) {
         for run in runs {
             if self.rejected.shift_remove(run).is_some() {
-                self.tombstones.insert(run.clone());
+                self.concluded.insert(run.clone());
             }
         }
-        while self.tombstones.len() > MAX_TOMBSTONES {
-            self.tombstones.shift_remove_index(0);
-        }
+        self.forget_oldest();
+    }
+
+    fn forget_oldest(&mut self) {
+        let surplus = self.concluded.len().saturating_sub(MAX_CONCLUDED);
+        self.concluded.drain(..surplus);
     }
 
     pub(crate) fn open_runs(&self) -> Vec<TaskRun> {
