A status is settled only once no stop can be in progress

A run that is being stopped may be in neither list of the worker. The owner therefore draws conclusions (run vanished, worker adopted) only from settled statuses. A status counted as settled 0.3 s after the last stop call was *sent*. That breaks in two ways, by reading: a call without a reply is carried out 2 to 12 s later, and a call answered after up to 0.4 s may have begun just before.

Change: a status is settled if no stop call of this process has an unknown outcome or may be in progress by the worker's clock, and if the stop calls of an earlier process, which the fencing token ends, have been over for the time of a stop since the first status. A stop whose run has ended is not repeated.

Tests: four of late_calls.rs failed before. In state.rs the arrangement of status_without_an_accepted_run_is_not_settled gains an earlier status, since the first one is never settled now; its assertions are unchanged.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -36,8 +36,8 @@
     pub(crate) poll_after: Option<Instant>,
     /// When the last status poll was made.
     pub(crate) status_polled_at: Option<Instant>,
-    /// The latest time at which a stop call may have been made.
-    pub(crate) stopped_at: Instant,
+    /// The worker's clock in the first status, which an earlier companion process's calls precede.
+    pub(crate) first_status_ms: Option<u64>,
     /// When the worker last replied, or sent its first heartbeat.
     pub(crate) answered_at: Instant,
     /// Since when connections to the worker are refused.
@@ -46,9 +46,6 @@
 
 impl WorkerIncarnation {
     /// Creates the state for an incarnation that sent its first heartbeat at `now`.
-    ///
-    /// An earlier companion process on this VM may have made a stop call just before, so
-    /// `stopped_at` is `now`.
     pub(crate) fn new(heartbeat: Heartbeat, now: Instant, stop_time: Duration) -> Self {
         Self {
             heartbeat,
@@ -60,7 +57,7 @@
             status: None,
             status_clock_ms: 0,
             starts: Starts::new(stop_time),
-            stopped_at: now,
+            first_status_ms: None,
             answered_at: now,
             refused_since: None,
             is_long_polling: false,
@@ -104,7 +101,6 @@
     worker: &mut WorkerIncarnation,
     now: Instant,
     fence: u64,
-    is_settled: bool,
     reply: LongPollReply,
 ) -> bool {
     worker.clock = Some(WorkerClock::new(reply.clock_ms, now));
@@ -116,15 +112,16 @@
     if known.is_some_and(|known| (fence, reply.clock_ms) <= known) {
         return false;
     }
+    let first_status_ms = *worker.first_status_ms.get_or_insert(reply.clock_ms);
     let mut status = WorkerStatus {
         fence,
         clock_ms: reply.clock_ms,
-        is_settled,
+        is_settled: false,
         running: reply.running,
         finished: reply.ends,
     };
     worker.starts.reconcile(&status, reply.clock_ms);
-    status.is_settled &= !worker.starts.has_unconfirmed();
+    status.is_settled = worker.starts.is_settled(first_status_ms, reply.clock_ms);
     let last_end = |s: &WorkerStatus| s.finished.iter().map(|e| e.number).max();
     // A status that is no longer settled can wait: the owner draws conclusions from settled ones.
     let is_first = worker
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -247,10 +247,11 @@
         let open = &mut self.open;
         let stop_ms = self.stop_ms;
         self.stops.retain(|run, stop| {
-            let Stop::Done(at) = stop else {
-                return true;
+            let may_be_stopping = match stop {
+                Stop::Done(at) => is_running(run) || clock_ms <= *at + stop_ms,
+                Stop::Due(_) | Stop::Sent => true,
             };
-            if is_running(run) || (!has_finished(run) && clock_ms <= *at + stop_ms) {
+            if may_be_stopping && !has_finished(run) {
                 return true;
             }
             let why = open.shift_remove(run).and_then(|open| open.stopping);
@@ -297,8 +298,19 @@
         self.stops.values().any(|s| matches!(s, Stop::Done(_))) || self.has_unconfirmed()
     }
 
+    /// Returns true if a status made at `clock_ms` of the worker's clock lists every run.
+    ///
+    /// A run that is being stopped may be in neither list. Stop calls of this process are known until
+    /// their outcome shows. Those of an earlier one carry a lower fencing token, so they begin before
+    /// the first status, made at `first_status_ms`.
+    pub(crate) fn is_settled(&self, first_status_ms: u64, clock_ms: u64) -> bool {
+        clock_ms > first_status_ms + self.stop_ms
+            && self.stops.is_empty()
+            && !self.has_unconfirmed()
+    }
+
     /// Returns true if the worker accepted a start that no status has shown yet.
-    pub(crate) fn has_unconfirmed(&self) -> bool {
+    fn has_unconfirmed(&self) -> bool {
         self.open
             .values()
             .any(|o| matches!(o.progress, Progress::Accepted(_)))
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -163,8 +163,7 @@
                 worker.answered_at = now;
                 worker.refused_since = None;
                 worker.poll_after = has_ends.then(|| now + STATUS_POLL_INTERVAL);
-                let is_settled = now.duration_since(worker.stopped_at) > self.stop_time;
-                let has_changes = record_status(worker, now, done.fence, is_settled, reply);
+                let has_changes = record_status(worker, now, done.fence, reply);
                 // Every long poll that waited is reported, since its figures age quickly.
                 self.syncs.has_changes |= has_changes || done.is_waiting;
             }
@@ -328,7 +327,6 @@
             worker.heartbeat.incarnation,
         );
         for run in worker.starts.take_due_stops(now) {
-            worker.stopped_at = now;
             let call = StopCall {
                 worker: worker_id.clone(),
                 fence,
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -182,6 +182,12 @@
         self.run();
     }
 
+    pub fn fail_stop(&mut self, run: &TaskRun) {
+        self.state
+            .stopped(self.now, Incarnation(1), run, Err(no_reply()));
+        self.run();
+    }
+
     /// Replies to the last report without orders, and returns the next report.
     pub fn next_report(&mut self) -> WorkerReport {
         self.reply_to_report(|_| ());
--- a/crates/agent/tests/late_calls.rs
+++ b/crates/agent/tests/late_calls.rs
@@ -5,7 +5,7 @@
 use agent::{Action, StartReply, StopCall};
 use base::prelude::*;
 use harness::{Harness, no_reply, run_of};
-use jobs::report::RejectKind;
+use jobs::report::{EndKind, FinishedRun, RejectKind};
 
 /// Returns a companion whose first call to start a run had no reply, and whose retry is on its way.
 fn retrying() -> Harness {
@@ -114,3 +114,72 @@
 
     assert_eq!(harness.next_report().rejected.len(), 1);
 }
+
+#[test]
+fn status_is_not_settled_while_a_stop_may_be_carried_out_late() {
+    let mut harness = Harness::fenced();
+    harness.complete_long_poll(&[run_of(0), run_of(1)], &[]);
+    harness.reply_to_report(|reply| reply.stops = vec![run_of(0)]);
+    harness.fail_stop(&run_of(0));
+
+    // The worker carries out the call now: the run is in neither list.
+    harness.advance(2500);
+    harness.complete_long_poll(&[run_of(1)], &[]);
+
+    let status = harness.next_report().status.expect("a status");
+    assert!(!status.is_settled);
+}
+
+#[test]
+fn status_is_not_settled_while_a_stop_answered_late_is_in_progress() {
+    let mut harness = Harness::fenced();
+    harness.complete_long_poll(&[run_of(0)], &[]);
+    harness.advance(1000);
+    harness.reply_to_report(|reply| reply.stops = vec![run_of(0)]);
+    harness.advance(350);
+    harness.stopped(&run_of(0));
+
+    harness.advance(10);
+    harness.complete_long_poll(&[], &[]);
+
+    let status = harness.next_report().status.expect("a status");
+    assert!(!status.is_settled);
+}
+
+#[test]
+fn status_is_not_settled_while_a_stop_of_an_earlier_process_may_be_in_progress() {
+    let mut harness = Harness::fenced();
+    harness.advance(3000);
+
+    harness.complete_long_poll(&[], &[]);
+    let first = harness.next_report().status.expect("a status");
+    harness.advance(400);
+    harness.complete_long_poll(&[], &[]);
+    let second = harness.next_report().status.expect("a status");
+
+    assert!(!first.is_settled);
+    assert!(second.is_settled);
+}
+
+#[test]
+fn stop_without_a_reply_is_not_repeated_once_its_run_has_ended() {
+    let mut harness = Harness::fenced();
+    harness.complete_long_poll(&[run_of(0)], &[]);
+    harness.reply_to_report(|reply| reply.stops = vec![run_of(0)]);
+    harness.fail_stop(&run_of(0));
+    let end = FinishedRun {
+        number: 1,
+        run: run_of(0),
+        how: EndKind::Stopped,
+        checkpoint: None,
+    };
+
+    harness.advance(400);
+    harness.complete_long_poll(&[], &[end]);
+    harness.advance(400);
+    harness.run();
+
+    let status = harness.next_report().status.expect("a status");
+    assert!(status.is_settled);
+    assert_eq!(stops(&harness).len(), 1);
+}
--- a/crates/agent/tests/state.rs
+++ b/crates/agent/tests/state.rs
@@ -290,6 +290,7 @@
 #[test]
 fn status_without_an_accepted_run_is_not_settled() {
     let mut harness = Harness::fenced();
+    harness.complete_long_poll(&[], &[]);
     harness.advance(1000);
     harness.order(&run_of(0));
     let clock_ms = harness.clock_ms;
