Orders wait for a free call in the companion's state, where they can be withdrawn

Cause: the companion marked a start as sent when it was put into the queue of its four call threads. Each call without a reply holds a thread for 0.4 s, so the queue grew to seconds; a stop, a drain or a higher fencing token no longer reached a start that waited there, and the stop waited behind it.

Change: the state hands out as many calls as there are threads. Stops go first, then status polls, starts and throttles; the fencing token and the lease of a call are those of when it leaves. Throttles that wait are replaced by later ones and dropped with the incarnation or fencing token that they were ordered for.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -18,6 +18,7 @@
 
 use crate::event::{Event, LongPollDone};
 use crate::node::{Node, OutboundCalls};
+use crate::orders::MAX_CALLS;
 use crate::ports::{
     HeartbeatCodec, LongPollCall, Runner, StartCall, StopCall, ThrottleCall, WorkerMessage,
 };
@@ -33,9 +34,6 @@
 /// the other sends newer state meanwhile.
 const REPORT_THREADS: usize = 2;
 
-/// How many calls to the worker are made at once, besides the long poll that waits.
-const CALL_THREADS: usize = 4;
-
 /// Timeout of a report; the owner holds a report open for less than this.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -131,7 +129,7 @@
         };
         Self {
             long_polls: spawn(1),
-            immediate: spawn(CALL_THREADS),
+            immediate: spawn(MAX_CALLS),
             reports: Self::start_reports(events, operation_metrics),
         }
     }
@@ -179,7 +177,7 @@
                 // No retry: the owner repeats the order while the throttle is wanted.
                 warn!(log, "companion: throttle call failed"; "run" => %call.run, "error" => %e);
             }
-            return;
+            Event::Throttled
         }
     };
     match &event {
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -19,6 +19,8 @@
     /// A stop call completed, with the worker's clock in milliseconds; `None` if another
     /// incarnation of the worker replied.
     Stopped(Incarnation, TaskRun, Result<Option<u64>>),
+    /// A throttle call completed.
+    Throttled,
     /// The report with this number completed.
     Synced(u64, Result<SyncReply>),
     /// The owner's key in the store was read, or could not be.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod event;
 mod incarnation;
 mod node;
+mod orders;
 mod ports;
 mod starts;
 mod state;
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -24,7 +24,7 @@
     fn start(&self, incarnation: Incarnation, call: StartCall);
     /// Stops a run; [`Event::Stopped`] follows.
     fn stop(&self, incarnation: Incarnation, call: StopCall);
-    /// Throttles a run; no event follows.
+    /// Throttles a run; [`Event::Throttled`] follows.
     fn throttle(&self, call: ThrottleCall);
     /// Reports to the owner; [`Event::Synced`] follows.
     fn sync(&self, to: SocketAddr, number: u64, report: SyncReport);
@@ -64,6 +64,7 @@
             Event::Stopped(incarnation, run, reply) => {
                 self.state.stopped(now, incarnation, &run, reply)
             }
+            Event::Throttled => self.state.throttled(),
             Event::Synced(number, reply) => self.state.synced(now, number, reply),
             Event::OwnerKey(seen) => self.owner_seen(seen),
         }
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -129,35 +129,22 @@
             .retain(|_, open| matches!(open.progress, Progress::Accepted(_)));
     }
 
-    /// Returns the starts to send now, and marks them as sent.
-    pub(crate) fn take_due(&mut self, now: Instant) -> Vec<StartOrder> {
-        let mut due = Vec::new();
-        for open in self.open.values_mut() {
-            if open.stopping.is_some() {
-                continue;
-            }
-            if let Progress::Due(at) = open.progress
-                && at <= now
-            {
-                open.progress = Progress::Sent;
-                due.push(open.order.clone());
-            }
-        }
-        due
+    /// Returns a start to send now, and marks it as sent.
+    pub(crate) fn take_due(&mut self, now: Instant) -> Option<StartOrder> {
+        let is_due = |open: &&mut OpenStart| {
+            open.stopping.is_none() && matches!(open.progress, Progress::Due(at) if at <= now)
+        };
+        let open = self.open.values_mut().find(is_due)?;
+        open.progress = Progress::Sent;
+        Some(open.order.clone())
     }
 
-    /// Returns the stops to send now, and marks them as sent.
-    pub(crate) fn take_due_stops(&mut self, now: Instant) -> Vec<TaskRun> {
-        let mut due = Vec::new();
-        for (run, stop) in &mut self.stops {
-            if let Stop::Due(at) = stop
-                && *at <= now
-            {
-                *stop = Stop::Sent;
-                due.push(run.clone());
-            }
-        }
-        due
+    /// Returns a stop to send now, and marks it as sent.
+    pub(crate) fn take_due_stop(&mut self, now: Instant) -> Option<TaskRun> {
+        let is_due = |stop: &&mut Stop| matches!(stop, Stop::Due(at) if *at <= now);
+        let (run, stop) = self.stops.iter_mut().find(|(_, stop)| is_due(stop))?;
+        *stop = Stop::Sent;
+        Some(run.clone())
     }
 
     /// Returns when the next start or stop is to be sent.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -2,14 +2,13 @@
 
 use base::prelude::*;
 use jobs::TaskRun;
-use jobs::report::{RejectKind, SyncReport, WorkerReport};
+use jobs::report::{SyncReport, WorkerReport};
 use slog::{Logger, info, warn};
 
 use crate::event::LongPollDone;
 use crate::incarnation::{WorkerIncarnation, record_status};
-use crate::ports::{
-    Heartbeat, LongPollCall, StartCall, StartReply, StopCall, ThrottleCall, WorkerMessage,
-};
+use crate::orders::CallSlots;
+use crate::ports::{Heartbeat, LongPollCall, StartCall, StopCall, ThrottleCall, WorkerMessage};
 use crate::sync::Syncs;
 use crate::worker_clock::WorkerClock;
 
@@ -52,8 +51,9 @@
     pub(crate) epoch: Epoch,
     pub(crate) worker: Option<WorkerIncarnation>,
     pub(crate) syncs: Syncs,
+    pub(crate) calls: CallSlots,
     /// Runs to throttle, with their share of speed in percent.
-    throttles: Vec<(TaskRun, u32)>,
+    pub(crate) throttles: IndexMap<TaskRun, u32>,
     /// The longest time that a stop takes, [`STOP_MARGIN`] included.
     stop_time: Duration,
 }
@@ -72,7 +72,8 @@
             epoch: Epoch(0),
             worker: None,
             syncs: Syncs::default(),
-            throttles: Vec::new(),
+            calls: CallSlots::default(),
+            throttles: IndexMap::new(),
         }
     }
 
@@ -115,6 +116,7 @@
                 now,
                 self.stop_time,
             ));
+            self.throttles.clear();
             self.syncs.has_changes = true;
         }
         let Some(worker) = self.worker.as_mut() else {
@@ -139,6 +141,9 @@
 
     /// Handles the outcome of a long poll.
     pub fn long_polled(&mut self, now: Instant, done: LongPollDone) {
+        if !done.is_waiting {
+            self.calls.release();
+        }
         let Some(worker) = self
             .worker
             .as_mut()
@@ -186,82 +191,14 @@
         }
     }
 
-    /// Handles the outcome of a start call.
-    pub fn started(
-        &mut self,
-        now: Instant,
-        incarnation: Incarnation,
-        run: &TaskRun,
-        reply: Result<StartReply>,
-    ) {
-        let Some(worker) = self
-            .worker
-            .as_mut()
-            .filter(|w| w.heartbeat.incarnation == incarnation)
-        else {
-            return;
-        };
-        match reply {
-            Ok(StartReply::Started { clock_ms }) => {
-                worker.clock = Some(WorkerClock::new(clock_ms, now));
-                worker.starts.accepted(run, clock_ms);
-            }
-            // An earlier call may have started the run although its reply was lost; the next
-            // status shows it.
-            Ok(StartReply::Rejected {
-                why: RejectKind::Old,
-                clock_ms: Some(clock_ms),
-            }) => worker.starts.accepted(run, clock_ms),
-            Ok(StartReply::Rejected { why, .. }) => {
-                info!(self.log, "companion: start rejected";
-                    "run" => %run, "why" => ?why, "unanswered" => worker.starts.unanswered(run));
-                worker.starts.reject(now, run, why);
-                self.syncs.has_changes = true;
-            }
-            Ok(StartReply::WrongIncarnation) => worker.starts.retry(now, run),
-            Err(e) => {
-                if e.kind().is_outcome_unknown() {
-                    worker.starts.count_unanswered(run);
-                }
-                warn!(self.log, "companion: start failed";
-                    "run" => %run, "error" => %e, "unanswered" => worker.starts.unanswered(run));
-                if e.kind() == ErrorKind::Overloaded {
-                    worker.starts.reject(now, run, RejectKind::Room);
-                    self.syncs.has_changes = true;
-                } else {
-                    worker.starts.retry(now, run);
-                }
-            }
-        }
-    }
-
-    /// Handles the outcome of a stop call.
-    pub fn stopped(
-        &mut self,
-        now: Instant,
-        incarnation: Incarnation,
-        run: &TaskRun,
-        reply: Result<Option<u64>>,
-    ) {
-        let Some(worker) = self
-            .worker
-            .as_mut()
-            .filter(|w| w.heartbeat.incarnation == incarnation)
-        else {
-            return;
-        };
-        let clock_ms = reply.unwrap_or_else(|e| {
-            warn!(self.log, "companion: stop failed"; "run" => %run, "error" => %e);
-            None
-        });
-        worker.starts.stop_answered(now, run, clock_ms);
-    }
-
     /// Returns the calls to make now.
     pub fn run(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
+        // Stops come first: a start that waits may no longer be wanted.
+        self.send_stops(now, &mut actions);
         self.long_poll(now, &mut actions);
-        self.send_orders(now, &mut actions);
+        self.send_starts(now, &mut actions);
+        self.send_throttles(&mut actions);
         self.sync_due(now, &mut actions);
         actions
     }
@@ -270,6 +207,8 @@
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
         let worker = self.worker.as_ref();
         let long_poll = worker.and_then(|w| w.poll_after);
+        // The end of a call makes other calls due.
+        let worker = worker.filter(|_| self.calls.is_free());
         let status_poll = worker
             .filter(|w| w.starts.awaits_status() && !w.is_status_polling)
             .map(|w| {
@@ -299,7 +238,11 @@
             .status_polled_at
             .is_none_or(|at| now.duration_since(at) >= STATUS_POLL_INTERVAL);
         let needs_status_poll = !worker.has_current_status() || worker.starts.awaits_status();
-        if worker.fence > 0 && needs_status_poll && is_status_poll_due && !worker.is_status_polling
+        if worker.fence > 0
+            && needs_status_poll
+            && is_status_poll_due
+            && !worker.is_status_polling
+            && self.calls.take()
         {
             worker.is_status_polling = true;
             worker.status_polled_at = Some(now);
@@ -317,48 +260,6 @@
         }
     }
 
-    fn send_orders(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(worker) = self.worker.as_mut() else {
-            return;
-        };
-        let (worker_id, fence, incarnation) = (
-            worker.heartbeat.id.clone(),
-            worker.fence,
-            worker.heartbeat.incarnation,
-        );
-        for run in worker.starts.take_due_stops(now) {
-            let call = StopCall {
-                worker: worker_id.clone(),
-                fence,
-                run,
-            };
-            actions.push(Action::Stop(incarnation, call));
-        }
-        for (run, percent) in self.throttles.drain(..) {
-            actions.push(Action::Throttle(ThrottleCall {
-                worker: worker_id.clone(),
-                fence,
-                run,
-                percent,
-            }));
-        }
-        let Some(deadline_ms) = worker.deadline_ms.filter(|_| !worker.is_draining()) else {
-            return;
-        };
-        for order in worker.starts.take_due(now) {
-            let call = StartCall {
-                worker: worker_id.clone(),
-                fence,
-                deadline_ms,
-                run: order.run,
-                payload: order.payload,
-                checkpoint: order.checkpoint,
-                ticket: order.ticket,
-            };
-            actions.push(Action::Start(incarnation, call));
-        }
-    }
-
     /// Returns the report about the worker; `None` before its first heartbeat.
     pub(crate) fn worker_report(&self, now: Instant) -> Option<WorkerReport> {
         let worker = self.worker.as_ref()?;
@@ -379,8 +280,4 @@
             rejected: worker.starts.rejected(),
         })
     }
-
-    pub(crate) fn queue_throttles(&mut self, throttles: Vec<(TaskRun, u32)>) {
-        self.throttles.extend(throttles);
-    }
 }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -199,6 +199,7 @@
             }
             if reply.fence > worker.fence {
                 worker.starts.drop_unanswered();
+                self.throttles.clear();
             }
             worker.fence = reply.fence;
             worker.stored_ends = worker.stored_ends.max(reply.stored_ends);
@@ -215,6 +216,6 @@
             }
             reply.throttles
         };
-        self.queue_throttles(throttles);
+        self.throttles.extend(throttles);
     }
 }
--- a/crates/agent/tests/late_calls.rs
+++ b/crates/agent/tests/late_calls.rs
@@ -5,6 +5,7 @@
 use agent::{Action, StartReply, StopCall};
 use base::prelude::*;
 use harness::{Harness, no_reply, run_of};
+use jobs::TaskRun;
 use jobs::report::{EndKind, FinishedRun, RejectKind};
 
 /// Returns a companion whose first call to start a run had no reply, and whose retry is on its way.
@@ -183,3 +184,52 @@
     assert!(status.is_settled);
     assert_eq!(stops(&harness).len(), 1);
 }
+
+/// Returns a companion whose worker leaves the first orders unanswered, with one more start waiting.
+fn with_waiting_start() -> (Harness, TaskRun) {
+    let mut harness = Harness::fenced();
+    for index in 0..5 {
+        harness.order(&run_of(index));
+    }
+    let sent: Vec<TaskRun> = harness.starts().into_iter().map(|call| call.run).collect();
+    let waiting = (0..5).map(run_of).find(|run| !sent.contains(run));
+    (harness, waiting.expect("not every start is sent at once"))
+}
+
+fn count_starts(harness: &Harness, run: &TaskRun) -> usize {
+    harness.starts().iter().filter(|c| c.run == *run).count()
+}
+
+#[test]
+fn start_that_waits_for_calls_in_progress_is_not_sent_after_its_stop_is_ordered() {
+    let (mut harness, waiting) = with_waiting_start();
+
+    harness.reply_to_report(|reply| reply.stops = vec![waiting.clone()]);
+    harness.started(&run_of(0), Err(no_reply()));
+    harness.advance(20);
+    harness.run();
+
+    assert_eq!(count_starts(&harness, &waiting), 0);
+    assert_eq!(stops(&harness).len(), 1, "the stop goes before other calls");
+}
+
+#[test]
+fn start_that_waits_for_calls_in_progress_is_not_sent_after_the_fence_rises() {
+    let (mut harness, waiting) = with_waiting_start();
+
+    harness.reply_to_report(|reply| reply.fence = 9);
+    for index in 0..5 {
+        harness.started(&run_of(index), Err(no_reply()));
+    }
+
+    assert_eq!(count_starts(&harness, &waiting), 0);
+}
+
+#[test]
+fn start_that_waits_for_calls_in_progress_is_sent_when_one_ends() {
+    let (mut harness, waiting) = with_waiting_start();
+
+    harness.started(&run_of(0), Err(no_reply()));
+
+    assert_eq!(count_starts(&harness, &waiting), 1);
+}
