A start on a draining worker is settled at once

By reading: a start whose call was in progress when the worker began to drain was neither sent again nor stopped, and one ordered after that waited until the worker left. The task was charged to that worker for the whole drain, which may take many seconds.

Change: while the worker drains, starts that no call may have reached are rejected, and one with an unanswered call is stopped.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -138,6 +138,9 @@
         let Some(worker) = self.worker.as_mut() else {
             return;
         };
+        if worker.heartbeat.draining.is_some() {
+            self.syncs.has_changes |= worker.starts.reject_unsent(now);
+        }
         let Some(deadline_ms) = worker.deadline_ms.filter(|_| !worker.is_draining()) else {
             return;
         };
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -105,19 +105,21 @@
         }
     }
 
-    /// Orders a stop for all starts that are to be sent, since a draining worker starts none.
-    pub(crate) fn stop_unsent(&mut self) {
-        let unsent: Vec<TaskRun> = self
+    /// Rejects the starts that are to be sent, since a draining worker starts none.
+    ///
+    /// One whose earlier call had no reply is stopped instead. Returns true if any was rejected.
+    pub(crate) fn reject_unsent(&mut self, now: Instant) -> bool {
+        let is_unsent = |o: &OpenStart| matches!(o.progress, Progress::Due(_));
+        let unsent = self
             .open
             .iter()
-            .filter(|(_, o)| matches!(o.progress, Progress::Due(_)))
-            .map(|(run, _)| run.clone())
-            .collect();
+            .filter(|(_, o)| is_unsent(o) && o.stopping.is_none());
+        let unsent: Vec<TaskRun> = unsent.map(|(run, _)| run.clone()).collect();
+        let before = self.rejected.len();
         for run in unsent {
-            // An earlier call may have started the run although its reply was lost, so the run is
-            // stopped instead of dropped.
-            self.order_stop(Instant::now(), run);
+            self.reject(now, &run, RejectKind::Draining);
         }
+        self.rejected.len() > before
     }
 
     /// Drops the starts without a reply, because the fencing token has risen.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -124,7 +124,6 @@
         };
         if heartbeat.draining.is_some() && worker.heartbeat.draining.is_none() {
             info!(self.log, "companion: worker drains"; "worker" => %heartbeat.id);
-            worker.starts.stop_unsent();
             self.syncs.has_changes = true;
         }
         if worker.is_gone {
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -54,6 +54,15 @@
     }
 
     pub fn send_heartbeat(&mut self, incarnation: u64, number: u64) {
+        self.deliver_heartbeat(incarnation, number, None);
+    }
+
+    pub fn send_draining(&mut self, number: u64) {
+        self.deliver_heartbeat(1, number, Some(Duration::from_secs(5)));
+        self.run();
+    }
+
+    fn deliver_heartbeat(&mut self, incarnation: u64, number: u64, draining: Option<Duration>) {
         let heartbeat = Heartbeat {
             id: "worker".into(),
             incarnation: Incarnation(incarnation),
@@ -62,7 +71,7 @@
             zone: "north".into(),
             labels: Vec::new(),
             capacity: Resources::new(16, 1000, 0),
-            draining: None,
+            draining,
             clock_ms: Some(self.clock_ms),
         };
         self.state
