Owner leads on a proof of its key, not on renewals of its lease

Seen by callers: TWICE and LIMIT are possible. A new owner waits for the owner lease and the outage grace (5 s) until it takes it that its predecessor has stopped. The predecessor could go on longer: to the end of any outage of its watch. Cause: a successful renewal of the lease counted as proof of ownership. A key can be gone, or be another's, while the lease lives: revoked by the store, or taken by an entry that was told that the owner cannot reach the store. If the watch hears nothing (a silent connection), the old owner renews and leads on. Change: the time that an owner may lead counts from when the last call was sent whose reply showed the key at its own revision: the claim, the transaction of a resumption, or a read. The store's answers are linearizable, so nobody else was elected before that call was sent, and the new owner's 5 s begin later. A read follows a renewal when the last proof is older than 3/8 of the lease, which is every second renewal: one read a second (a renewal is priced at a tenth of a read, a read at every one would double the cost and gain a quarter of a second in an outage). A missing key suspends ownership, another revision ends it. If reads fail beyond lease and grace, the owner reads before it renews, so that the lease expires and others can claim. The age of the lease is kept apart and counts from the renewal's sending time. The harness carries out the calls that follow a renewal; no assertion was changed.

--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -1,6 +1,7 @@
 //! Leader election: the entry that holds a leased key in the store owns the jobs.
 
 mod claim;
+mod renewal;
 mod resume;
 
 use std::time::SystemTime;
@@ -93,6 +94,8 @@
     resume: Option<Resume>,
     /// When the last successful renewal was sent, on both clocks.
     renewed: (Instant, SystemTime),
+    /// When the last call was sent whose reply showed the key at `revision`, on both clocks.
+    proved: (Instant, SystemTime),
     /// The outstanding call.
     renewing: Option<SentCall>,
     next_renewal: Instant,
@@ -101,7 +104,7 @@
 /// An outstanding call of the owner.
 #[derive(Clone, Copy, Debug)]
 struct SentCall {
-    /// The step of a resumption; `None` for a renewal.
+    /// The step of a resumption; `None` for a renewal or a read of the key.
     step: Option<Resume>,
 }
 
@@ -170,29 +173,24 @@
 
     /// Returns true if this entry is the owner and its lease cannot have expired.
     pub fn is_lease_valid(&self, now: Instant, wall: SystemTime) -> bool {
-        self.lease_age(now, wall)
-            .is_some_and(|age| age < self.cfg.lease)
+        self.leading()
+            .is_some_and(|l| renewal::age((now, wall), l.renewed) < self.cfg.lease)
     }
 
-    /// Returns true if this entry is the owner and its lease and outage grace have not ended.
+    /// Returns true if this entry is the owner and the lease and the outage grace have not passed
+    /// since its key was last proved to be there.
     pub fn may_lead(&self, now: Instant, wall: SystemTime) -> bool {
-        self.lease_age(now, wall)
-            .is_some_and(|age| age < self.cfg.lease + self.cfg.outage_grace)
+        let limit = self.cfg.lease + self.cfg.outage_grace;
+        self.leading()
+            .is_some_and(|l| renewal::age((now, wall), l.proved) < limit)
     }
 
-    /// Returns the time since the lease was renewed: the larger of the two clocks' readings, since
-    /// the monotonic clock may stop while the VM is suspended and the wall clock may jump.
-    fn lease_age(&self, now: Instant, wall: SystemTime) -> Option<Duration> {
-        let Phase::Leading(leading) = &self.phase else {
-            return None;
-        };
-        if leading.resume.is_some() {
-            return None;
+    /// Returns the state of an ownership that is not suspended.
+    fn leading(&self) -> Option<&Leading> {
+        match &self.phase {
+            Phase::Leading(leading) if leading.resume.is_none() => Some(leading),
+            _ => None,
         }
-        let by_wall = wall
-            .duration_since(leading.renewed.1)
-            .unwrap_or(Duration::ZERO);
-        Some(now.duration_since(leading.renewed.0).max(by_wall))
     }
 
     /// Records that a transaction found the owner's key missing.
@@ -342,7 +340,7 @@
             {
                 let step = leading.resume;
                 leading.renewing = Some(SentCall { step });
-                leading.call(self.cfg.lease)
+                leading.call(now, &self.cfg)
             }
             _ => None,
         }
@@ -415,14 +413,10 @@
             }
             (Phase::Leading(mut leading), reply) => {
                 let step = leading.renewing.take().and_then(|sent| sent.step);
-                let change = match step {
-                    Some(step) => self.resumed(now, sent, step, leading, reply),
-                    None => {
-                        self.renewed(now, sent, leading, &reply);
-                        None
-                    }
-                };
-                (None, change)
+                match step {
+                    Some(step) => (None, self.resumed(now, sent, step, leading, reply)),
+                    None => self.renewed(now, sent, leading, reply),
+                }
             }
             (Phase::Following, _) => (None, None),
             _ => {
@@ -431,25 +425,4 @@
             }
         }
     }
-
-    fn renewed(
-        &mut self,
-        now: Instant,
-        sent: (Instant, SystemTime),
-        mut leading: Leading,
-        reply: &Result<StoreReply>,
-    ) {
-        match reply {
-            Ok(StoreReply::Leased { .. }) => {
-                leading.renewed = sent;
-                leading.next_renewal = now + self.cfg.lease / 4;
-            }
-            Ok(StoreReply::LeaseGone) => leading.suspend(now),
-            _ => leading.next_renewal = now + self.cfg.lease / 10,
-        }
-        if leading.resume.is_some() {
-            leading.next_renewal = now;
-        }
-        self.phase = Phase::Leading(leading);
-    }
 }
--- a/crates/controller/src/elector/claim.rs
+++ b/crates/controller/src/elector/claim.rs
@@ -105,6 +105,7 @@
             epoch_revision: revision,
             resume: None,
             renewed,
+            proved: sent,
             renewing: None,
             next_renewal: now,
         });
--- a/crates/controller/src/elector/resume.rs
+++ b/crates/controller/src/elector/resume.rs
@@ -10,7 +10,7 @@
 use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
 use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, StoreCall, StoreReply};
 
-use super::{Change, Elector, Leading, Phase};
+use super::{Change, Elector, ElectorCfg, Leading, Phase};
 
 /// How far an owner has come in taking its key again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,10 +34,10 @@
     }
 
     /// Returns the call that is due: a renewal, or the next step of a resumption.
-    pub(super) fn call(&self, ttl: Duration) -> Option<StoreCall> {
+    pub(super) fn call(&self, now: Instant, cfg: &ElectorCfg) -> Option<StoreCall> {
         match self.resume {
-            None => Some(StoreCall::LeaseRenew { lease: self.lease }),
-            Some(Resume::Granting) => Some(StoreCall::LeaseGrant { ttl }),
+            None => Some(self.renewal(now, cfg)),
+            Some(Resume::Granting) => Some(StoreCall::LeaseGrant { ttl: cfg.lease }),
             Some(Resume::Claiming { lease, .. }) => Some(StoreCall::Txn {
                 expected: vec![
                     (OWNER_KEY.into(), Expect::Absent),
@@ -87,7 +87,7 @@
             }
             (Resume::Claiming { lease, granted }, Ok(StoreReply::Done { revision })) => {
                 leading.record = leading.next_record();
-                leading.take(lease, granted, revision);
+                leading.take(lease, granted, revision, sent);
                 Some(Change::Resumed { revision })
             }
             (Resume::Claiming { lease, granted }, Ok(StoreReply::Conflicts { current })) => {
@@ -100,7 +100,7 @@
                     // An earlier attempt took effect, and its reply was lost.
                     Some((record, revision)) => {
                         leading.record = record;
-                        leading.take(lease, granted, revision);
+                        leading.take(lease, granted, revision, sent);
                         Some(Change::Resumed { revision })
                     }
                     None => {
@@ -128,10 +128,18 @@
 }
 
 impl Leading {
-    /// Records that the key was written at `revision` with a lease.
-    fn take(&mut self, lease: LeaseId, granted: (Instant, SystemTime), revision: u64) {
+    /// Records that the key was written at `revision` with a lease, as the reply to a call sent at
+    /// `proved` shows.
+    fn take(
+        &mut self,
+        lease: LeaseId,
+        granted: (Instant, SystemTime),
+        revision: u64,
+        proved: (Instant, SystemTime),
+    ) {
         self.lease = lease;
         self.renewed = granted;
+        self.proved = proved;
         self.revision = revision;
         self.resume = None;
     }
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -8,7 +8,7 @@
 use controller::{Change, Elector, ElectorCfg};
 use fakes::store::MemStore;
 use jobs::owner::{OWNER_KEY, OwnerRecord};
-use ports::store::{KeyValue, StoreCall, StoreReply};
+use ports::store::{Expect, KeyValue, StoreCall, StoreReply};
 
 pub const LEASE: Duration = Duration::from_secs(2);
 pub const GRACE: Duration = Duration::from_secs(3);
@@ -60,24 +60,49 @@
             let (following, decided) = elector.reply(self.now, (self.now, self.wall), reply);
             change = decided.or(change);
             next = following;
-            if matches!(call, StoreCall::LeaseRenew { .. }) {
-                break;
-            }
         }
         change
     }
 
-    /// Makes one call of an elector, if one is due, and returns the change; drops the reply to a
-    /// transaction if `is_lost`.
+    /// Makes the call of an elector that is due, if any, with those that follow it, and returns the
+    /// change; drops the replies to transactions if `is_lost`.
     pub fn step(&mut self, elector: &mut Elector, is_lost: bool) -> Option<Change> {
-        let call = elector.run(self.now, Nonce(8))?;
-        let reply = self.store.call(self.now, &call);
-        let reply = if is_lost && matches!(call, StoreCall::Txn { .. }) {
-            Err(Error::new(ErrorKind::Timeout, "call", "store", "no answer"))
-        } else {
-            reply
+        self.step_without(elector, |call| {
+            is_lost && matches!(call, StoreCall::Txn { .. })
+        })
+    }
+
+    /// As [`Cluster::step`]; drops the replies that `is_lost` selects.
+    pub fn step_without(
+        &mut self,
+        elector: &mut Elector,
+        is_lost: impl Fn(&StoreCall) -> bool,
+    ) -> Option<Change> {
+        let mut change = None;
+        let mut next = elector.run(self.now, Nonce(8));
+        while let Some(call) = next {
+            let reply = self.store.call(self.now, &call);
+            let reply = if is_lost(&call) {
+                Err(Error::new(ErrorKind::Timeout, "call", "store", "no answer"))
+            } else {
+                reply
+            };
+            let (following, decided) = elector.reply(self.now, (self.now, self.wall), reply);
+            change = decided.or(change);
+            next = following;
+        }
+        change
+    }
+
+    /// Deletes the owner's key, though its lease goes on.
+    pub fn revoke_key(&mut self) {
+        let delete = StoreCall::Delete {
+            key: OWNER_KEY.into(),
+            expect: Expect::Any,
         };
-        elector.reply(self.now, (self.now, self.wall), reply).1
+        self.store
+            .call(self.now, &delete)
+            .expect("the key is deleted");
     }
 
     /// Lets the leases in the store expire, as in a long outage.
