Owner's right to act counts on CLOCK_BOOTTIME in place of the wall clock

Seen by callers: TWICE and LIMIT are possible if an owner's VM is suspended and its wall clock is stepped back before it goes on: it led beyond the 5 s that its successor waits. A wall clock stepped forward had the owner refuse all requests until its next renewal ("no entry owns the jobs"). Cause: the age of the owner's proof was the larger of the monotonic and the wall clock's difference. The first stands still during a suspension, the second can be stepped, so their larger one can be too small. The age is the larger of the monotonic and the boot time's difference; the wall clock is left for records. A claim keeps the reading of both clocks at the grant of its lease in place of one computed from the later call. The manual clock can suspend and step its wall clock alone. Evidence: two tests of the entry's actor in controller/tests/burst.rs. The elector's tests pass the boot time where they passed the wall clock; their assertions are unchanged.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -1,16 +1,21 @@
 //! The clock port: real time in production, advanced by hand in tests.
 
 use std::fmt;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A source of time.
 pub trait Clock: Send + Sync + fmt::Debug {
     /// Returns the monotonic time of this process.
     fn now(&self) -> Instant;
 
-    /// Returns the wall-clock time, for timestamps in logs and records.
+    /// Returns the wall-clock time, for timestamps in logs and records; it may be stepped.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the time since the VM was booted; it counts suspension and is never stepped.
+    fn boot_time(&self) -> Duration;
 }
 
 /// The system clock.
@@ -25,13 +30,35 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn boot_time(&self) -> Duration {
+        // Cannot fail: this clock is never negative.
+        clock_gettime(ClockId::Boottime)
+            .try_into()
+            .unwrap_or_default()
+    }
 }
 
-/// A clock that moves only when [`ManualClock::advance`] is called.
+/// A clock that moves only when told to.
 #[derive(Debug)]
 pub struct ManualClock {
     start: Instant,
-    elapsed: Mutex<Duration>,
+    readings: Mutex<Readings>,
+}
+
+/// What the clocks show, besides the instant at which they were created.
+#[derive(Clone, Copy, Debug)]
+struct Readings {
+    elapsed: Duration,
+    boot_time: Duration,
+    wall: SystemTime,
+}
+
+impl Readings {
+    fn suspend(&mut self, by: Duration) {
+        self.boot_time += by;
+        self.wall += by;
+    }
 }
 
 impl ManualClock {
@@ -39,25 +66,38 @@
     pub fn new() -> Self {
         Self {
             start: Instant::now(),
-            elapsed: Mutex::new(Duration::ZERO),
+            readings: Mutex::new(Readings {
+                elapsed: Duration::ZERO,
+                boot_time: Duration::ZERO,
+                wall: SystemTime::UNIX_EPOCH,
+            }),
         }
     }
 
     /// Moves the clock forward by the given duration.
     pub fn advance(&self, by: Duration) {
-        let mut elapsed = self
-            .elapsed
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        *elapsed += by;
+        let mut readings = self.readings();
+        readings.elapsed += by;
+        readings.suspend(by);
+    }
+
+    /// Moves the clock as during a suspension of the VM: the monotonic time stands still.
+    pub fn suspend(&self, by: Duration) {
+        self.readings().suspend(by);
+    }
+
+    /// Steps the wall clock alone.
+    pub fn set_wall(&self, wall: SystemTime) {
+        self.readings().wall = wall;
     }
 
     /// Returns by how much the clock has been advanced in total.
     pub fn elapsed(&self) -> Duration {
-        *self
-            .elapsed
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.readings().elapsed
+    }
+
+    fn readings(&self) -> MutexGuard<'_, Readings> {
+        self.readings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -73,6 +113,10 @@
     }
 
     fn wall(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH + self.elapsed()
+        self.readings().wall
+    }
+
+    fn boot_time(&self) -> Duration {
+        self.readings().boot_time
     }
 }
--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -4,8 +4,6 @@
 mod renewal;
 mod resume;
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use jobs::owner::{EPOCH_KEY, OwnerRecord, Replacement};
 use ports::store::{KeyValue, LeaseId, Revision, StoreCall, StoreReply};
@@ -28,6 +26,10 @@
 /// A store call made for the election.
 pub type Call = StoreCall;
 
+/// A reading of the monotonic clock and of the time since the VM was booted, neither of which can
+/// be stepped.
+pub type Clocks = (Instant, Duration);
+
 /// A change of ownership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -73,12 +75,12 @@
     Granting,
     ReadingEpoch {
         lease: LeaseId,
-        granted: Instant,
+        granted: Clocks,
     },
     Claiming {
         lease: LeaseId,
         record: OwnerRecord,
-        granted: Instant,
+        granted: Clocks,
     },
     Leading(Leading),
 }
@@ -93,9 +95,9 @@
     /// Set while ownership is suspended because the lease has expired.
     resume: Option<Resume>,
     /// When the last successful renewal was sent, on both clocks.
-    renewed: (Instant, SystemTime),
+    renewed: Clocks,
     /// When the last call was sent whose reply showed the key at `revision`, on both clocks.
-    proved: (Instant, SystemTime),
+    proved: Clocks,
     /// The outstanding call.
     renewing: Option<SentCall>,
     next_renewal: Instant,
@@ -172,17 +174,17 @@
     }
 
     /// Returns true if this entry is the owner and its lease cannot have expired.
-    pub fn is_lease_valid(&self, now: Instant, wall: SystemTime) -> bool {
+    pub fn is_lease_valid(&self, now: Instant, boot_time: Duration) -> bool {
         self.leading()
-            .is_some_and(|l| renewal::age((now, wall), l.renewed) < self.cfg.lease)
+            .is_some_and(|l| renewal::age((now, boot_time), l.renewed) < self.cfg.lease)
     }
 
     /// Returns true if this entry is the owner and the lease and the outage grace have not passed
     /// since its key was last proved to be there.
-    pub fn may_lead(&self, now: Instant, wall: SystemTime) -> bool {
+    pub fn may_lead(&self, now: Instant, boot_time: Duration) -> bool {
         let limit = self.cfg.lease + self.cfg.outage_grace;
         self.leading()
-            .is_some_and(|l| renewal::age((now, wall), l.proved) < limit)
+            .is_some_and(|l| renewal::age((now, boot_time), l.proved) < limit)
     }
 
     /// Returns the state of an ownership that is not suspended.
@@ -359,7 +361,7 @@
     pub fn reply(
         &mut self,
         now: Instant,
-        sent: (Instant, SystemTime),
+        sent: Clocks,
         reply: Result<StoreReply>,
     ) -> (Option<Call>, Option<Change>) {
         let is_back = match &reply {
@@ -376,7 +378,7 @@
                 (None, None)
             }
             (Phase::Granting, Ok(StoreReply::Leased { lease, .. })) => {
-                let granted = sent.0;
+                let granted = sent;
                 self.phase = Phase::ReadingEpoch { lease, granted };
                 let key = EPOCH_KEY.into();
                 (Some(StoreCall::Get { key }), None)
--- a/crates/controller/src/elector/claim.rs
+++ b/crates/controller/src/elector/claim.rs
@@ -1,19 +1,17 @@
 //! Claiming the owner's key under the next epoch.
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
 use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, StoreCall, StoreReply};
 
-use super::{Call, Change, Elector, Leading, Phase};
+use super::{Call, Change, Clocks, Elector, Leading, Phase};
 
 impl Elector {
     /// Returns the claim of the epoch after the one in the store.
     pub(super) fn claim(
         &mut self,
         lease: LeaseId,
-        granted: Instant,
+        granted: Clocks,
         epoch: Option<&KeyValue>,
     ) -> Option<Call> {
         let last = epoch
@@ -72,9 +70,9 @@
     pub(super) fn claimed(
         &mut self,
         now: Instant,
-        sent: (Instant, SystemTime),
+        sent: Clocks,
         lease: LeaseId,
-        granted: Instant,
+        granted: Clocks,
         record: &OwnerRecord,
         reply: &StoreReply,
     ) -> Option<Change> {
@@ -96,15 +94,13 @@
                 return None;
             }
         };
-        let age = now.duration_since(granted);
-        let renewed = (granted, sent.1.checked_sub(age).unwrap_or(sent.1));
         self.phase = Phase::Leading(Leading {
             lease,
             revision,
             record: record.clone(),
             epoch_revision: revision,
             resume: None,
-            renewed,
+            renewed: granted,
             proved: sent,
             renewing: None,
             next_renewal: now,
--- a/crates/controller/src/elector/renewal.rs
+++ b/crates/controller/src/elector/renewal.rs
@@ -4,13 +4,11 @@
 //! read that shows the key at this owner's revision does: nobody else can have been elected before
 //! that read was sent.
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use jobs::owner::OWNER_KEY;
 use ports::store::{KeyValue, StoreCall, StoreReply};
 
-use super::{Call, Change, Elector, ElectorCfg, Leading, Phase, SentCall};
+use super::{Call, Change, Clocks, Elector, ElectorCfg, Leading, Phase, SentCall};
 
 /// The longest time, as a part of the lease, between the last proof and a renewal without a read:
 /// longer than the interval of renewals, so that every second one is followed by a read.
@@ -36,7 +34,7 @@
     pub(super) fn renewed(
         &mut self,
         now: Instant,
-        sent: (Instant, SystemTime),
+        sent: Clocks,
         mut leading: Leading,
         reply: Result<StoreReply>,
     ) -> (Option<Call>, Option<Change>) {
@@ -68,7 +66,7 @@
     fn key_read(
         &mut self,
         now: Instant,
-        sent: (Instant, SystemTime),
+        sent: Clocks,
         mut leading: Leading,
         found: Option<&KeyValue>,
     ) -> Option<Change> {
@@ -91,9 +89,9 @@
     StoreCall::Get { key }
 }
 
-/// Returns the time between two readings of the clocks: the larger of the two differences, since
-/// the monotonic clock may stop while the VM is suspended and the wall clock may jump.
-pub(super) fn age(at: (Instant, SystemTime), since: (Instant, SystemTime)) -> Duration {
-    let by_wall = at.1.duration_since(since.1).unwrap_or(Duration::ZERO);
-    at.0.saturating_duration_since(since.0).max(by_wall)
+/// Returns the time between two readings: the larger of the two differences, since the monotonic
+/// clock may stand still while the VM is suspended.
+pub(super) fn age(at: Clocks, since: Clocks) -> Duration {
+    let by_boot = at.1.saturating_sub(since.1);
+    at.0.saturating_duration_since(since.0).max(by_boot)
 }
--- a/crates/controller/src/elector/resume.rs
+++ b/crates/controller/src/elector/resume.rs
@@ -4,13 +4,11 @@
 //! has happened without this owner. It then takes the key again under its epoch and keeps its
 //! state: nothing is loaded, no worker is adopted anew. Until then it does not lead.
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use jobs::owner::{EPOCH_KEY, OWNER_KEY, OwnerRecord};
 use ports::store::{Expect, KeyValue, KeyWrite, LeaseId, StoreCall, StoreReply};
 
-use super::{Change, Elector, ElectorCfg, Leading, Phase};
+use super::{Change, Clocks, Elector, ElectorCfg, Leading, Phase};
 
 /// How far an owner has come in taking its key again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,10 +16,7 @@
     /// A new lease is to be granted.
     Granting,
     /// The key is to be claimed with this lease, granted at this time of both clocks.
-    Claiming {
-        lease: LeaseId,
-        granted: (Instant, SystemTime),
-    },
+    Claiming { lease: LeaseId, granted: Clocks },
 }
 
 impl Leading {
@@ -73,7 +68,7 @@
     pub(super) fn resumed(
         &mut self,
         now: Instant,
-        sent: (Instant, SystemTime),
+        sent: Clocks,
         step: Resume,
         mut leading: Leading,
         reply: Result<StoreReply>,
@@ -130,13 +125,7 @@
 impl Leading {
     /// Records that the key was written at `revision` with a lease, as the reply to a call sent at
     /// `proved` shows.
-    fn take(
-        &mut self,
-        lease: LeaseId,
-        granted: (Instant, SystemTime),
-        revision: u64,
-        proved: (Instant, SystemTime),
-    ) {
+    fn take(&mut self, lease: LeaseId, granted: Clocks, revision: u64, proved: Clocks) {
         self.lease = lease;
         self.renewed = granted;
         self.proved = proved;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -22,7 +22,7 @@
 pub use app::{App, run};
 pub use cfg::ControllerCfg;
 pub use codec::{CallerCodec, CallerRequest, CallerResponse, Verb};
-pub use elector::{Call, Change, Elector, ElectorCfg};
+pub use elector::{Call, Change, Clocks, Elector, ElectorCfg};
 pub use event::{Event, StoreToken};
 pub use front::response_timeout;
 pub use jobs::owner::OwnerRecord;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -2,8 +2,6 @@
 
 mod ownership;
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use base::unix_ms;
 use crossbeam_channel::Sender;
@@ -20,7 +18,7 @@
 use stakker::{CX, FixedTimerKey, call};
 use wire::Responder;
 
-use crate::elector::{Elector, ElectorCfg};
+use crate::elector::{Clocks, Elector, ElectorCfg};
 use crate::load::Load;
 use crate::{Event, StoreToken};
 
@@ -59,8 +57,6 @@
     fn notify_replaced(&self, previous: &OwnerRecord, by: Replacement);
 }
 
-type Clocks = (Instant, SystemTime);
-
 /// The actor's state.
 pub(crate) struct Controller {
     cfg: NodeCfg,
@@ -124,19 +120,19 @@
     /// Runs what is due and sets the timer for the next due time.
     fn run(&mut self, cx: CX![]) {
         self.is_run_queued = false;
-        let (now, wall) = (cx.now(), self.clock.wall());
+        let now = cx.now();
         if self.election_sent.is_none() {
             let nonce = Nonce(self.rng.random());
             if let Some(call) = self.elector.run(now, nonce) {
-                self.election_call(now, wall, call);
+                self.election_call(now, call);
             }
         }
-        let may_lead = self.elector.may_lead(now, wall);
+        let may_lead = self.elector.may_lead(now, self.clock.boot_time());
         // A resumption takes two calls of the store; its owner need not send the reports back.
         let is_waiting = self.elector.is_resuming();
         if let Some(owner) = self.owner.as_mut().filter(|_| !is_waiting) {
             let effects = if may_lead {
-                owner.run(now, unix_ms(wall))
+                owner.run(now, unix_ms(self.clock.wall()))
             } else {
                 owner.pause()
             };
@@ -174,8 +170,8 @@
         self.operation_metrics.set_level("workers", workers);
     }
 
-    fn election_call(&mut self, now: Instant, wall: SystemTime, call: StoreCall) {
-        self.election_sent = Some((now, wall));
+    fn election_call(&mut self, now: Instant, call: StoreCall) {
+        self.election_sent = Some((now, self.clock.boot_time()));
         self.ports.store(StoreToken::Election, call);
     }
 
@@ -227,12 +223,11 @@
 
     /// Returns this entry's owner with the wall time and a new token, if it may act now.
     fn active_owner(&mut self, now: Instant) -> Option<(&mut Owner, u64, Token)> {
-        let wall = self.clock.wall();
-        if !self.elector.may_lead(now, wall) {
+        if !self.elector.may_lead(now, self.clock.boot_time()) {
             return None;
         }
         let token = self.token();
-        Some((self.owner.as_mut()?, unix_ms(wall), token))
+        Some((self.owner.as_mut()?, unix_ms(self.clock.wall()), token))
     }
 
     /// Passes a request to this entry's owner, or refuses it if this entry owns no jobs.
@@ -299,7 +294,7 @@
     }
 
     fn election_reply(&mut self, cx: CX![], reply: Result<StoreReply>) {
-        let (now, wall) = (cx.now(), self.clock.wall());
+        let now = cx.now();
         if let Err(e) = &reply {
             warn!(self.log, "entry: election call failed"; "error" => %e);
         }
@@ -309,10 +304,11 @@
         if let Some(owner) = self.owner.as_mut() {
             owner.store_reached(now, is_reached);
         }
-        let sent = self.election_sent.take().unwrap_or((now, wall));
+        let sent = self.election_sent.take();
+        let sent = sent.unwrap_or_else(|| (now, self.clock.boot_time()));
         let (next, change) = self.elector.reply(now, sent, reply);
         if let Some(next) = next {
-            self.election_call(now, wall, next);
+            self.election_call(now, next);
         }
         self.changed(cx, change);
     }
@@ -370,7 +366,7 @@
     fn resign(&mut self, cx: CX![]) {
         if let Some(call) = self.elector.resign() {
             self.stop_owner(cx, "the process stops");
-            self.election_call(cx.now(), self.clock.wall(), call);
+            self.election_call(cx.now(), call);
         }
     }
 }
--- a/crates/controller/src/node/ownership.rs
+++ b/crates/controller/src/node/ownership.rs
@@ -80,7 +80,7 @@
         self.load = None;
         self.release_early_reports();
         if let Some(call) = self.elector.step_down(cx.now()) {
-            self.election_call(cx.now(), self.clock.wall(), call);
+            self.election_call(cx.now(), call);
         }
     }
 
--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -241,3 +241,31 @@
     assert!(!calls.iter().any(is_load), "{calls:?}");
     assert_eq!(*replies.lock(), [JobReply::Accepted]);
 }
+
+#[test]
+fn owner_on_a_suspended_vm_whose_wall_clock_was_stepped_back_accepts_no_job() {
+    let mut entry = Entry::elected();
+    let replies = Arc::new(Mutex::new(Vec::new()));
+    let before = entry.clock.wall();
+    entry.clock.suspend(Duration::from_secs(10));
+    entry.clock.set_wall(before);
+
+    entry.submit("00000000000000a1", &replies);
+    entry.run();
+
+    assert!(entry.calls.take().is_empty());
+    assert!(matches!(replies.lock()[..], [JobReply::Refused { .. }]));
+}
+
+#[test]
+fn owner_whose_wall_clock_is_stepped_forward_goes_on() {
+    let mut entry = Entry::elected();
+    let replies = Arc::new(Mutex::new(Vec::new()));
+    let before = entry.clock.wall();
+    entry.clock.set_wall(before + Duration::from_secs(3600));
+
+    entry.submit("00000000000000a1", &replies);
+    entry.settle();
+
+    assert_eq!(*replies.lock(), [JobReply::Accepted]);
+}
--- a/crates/controller/tests/elector.rs
+++ b/crates/controller/tests/elector.rs
@@ -65,14 +65,14 @@
     let mut cluster = Cluster::new();
     let mut a = elector("a");
     cluster.elect(&mut a);
-    assert!(a.is_lease_valid(cluster.now, cluster.wall));
+    assert!(a.is_lease_valid(cluster.now, cluster.boot));
 
     cluster.advance(LEASE);
-    assert!(!a.is_lease_valid(cluster.now, cluster.wall));
-    assert!(a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.is_lease_valid(cluster.now, cluster.boot));
+    assert!(a.may_lead(cluster.now, cluster.boot));
 
     cluster.advance(GRACE);
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -82,9 +82,9 @@
     cluster.elect(&mut a);
 
     // The monotonic clock stops while the VM is suspended.
-    cluster.wall += LEASE + GRACE;
+    cluster.boot += LEASE + GRACE;
 
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -148,7 +148,7 @@
     let call = c.run(cluster.now, Nonce(9));
     let change = call.and_then(|call| {
         let reply = cluster.store.call(cluster.now, &call);
-        c.reply(cluster.now, (cluster.now, cluster.wall), reply).1
+        c.reply(cluster.now, (cluster.now, cluster.boot), reply).1
     });
 
     assert_eq!(change, None);
@@ -191,7 +191,7 @@
 
     let call = a.step_down(cluster.now).expect("it is the owner");
     let reply = cluster.store.call(cluster.now, &call);
-    a.reply(cluster.now, (cluster.now, cluster.wall), reply);
+    a.reply(cluster.now, (cluster.now, cluster.boot), reply);
     let first = cluster.elect(&mut a);
     let second = cluster.elect(&mut b);
 
@@ -207,7 +207,7 @@
 
     let call = a.step_down(cluster.now).expect("it is the owner");
     let reply = cluster.store.call(cluster.now, &call);
-    a.reply(cluster.now, (cluster.now, cluster.wall), reply);
+    a.reply(cluster.now, (cluster.now, cluster.boot), reply);
     cluster.elect(&mut a);
     cluster.advance(Duration::from_secs(3));
     let change = cluster.elect(&mut a);
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
-use std::time::SystemTime;
-
 use base::prelude::*;
 use controller::{Change, Elector, ElectorCfg};
 use fakes::store::MemStore;
@@ -15,7 +13,7 @@
 
 pub struct Cluster {
     pub now: Instant,
-    pub wall: SystemTime,
+    pub boot: Duration,
     pub store: MemStore,
 }
 
@@ -23,14 +21,14 @@
     pub fn new() -> Self {
         Self {
             now: Instant::now(),
-            wall: SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000),
+            boot: Duration::from_secs(1_000_000),
             store: MemStore::new(),
         }
     }
 
     pub fn advance(&mut self, by: Duration) {
         self.now += by;
-        self.wall += by;
+        self.boot += by;
     }
 
     pub fn key(&mut self) -> Option<KeyValue> {
@@ -57,7 +55,7 @@
             } else {
                 reply
             };
-            let (following, decided) = elector.reply(self.now, (self.now, self.wall), reply);
+            let (following, decided) = elector.reply(self.now, (self.now, self.boot), reply);
             change = decided.or(change);
             next = following;
         }
@@ -87,7 +85,7 @@
             } else {
                 reply
             };
-            let (following, decided) = elector.reply(self.now, (self.now, self.wall), reply);
+            let (following, decided) = elector.reply(self.now, (self.now, self.boot), reply);
             change = decided.or(change);
             next = following;
         }
--- a/crates/controller/tests/resume.rs
+++ b/crates/controller/tests/resume.rs
@@ -22,7 +22,7 @@
 
     assert_eq!(change, None);
     assert!(a.is_resuming());
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -35,7 +35,7 @@
     let change = cluster.step(&mut a, false);
 
     assert_eq!(change, None);
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -55,7 +55,7 @@
         panic!("expected a resumption, got {changes:?}");
     };
     assert!(revision > old);
-    assert!(a.may_lead(cluster.now, cluster.wall));
+    assert!(a.may_lead(cluster.now, cluster.boot));
     assert_eq!(cluster.elect(&mut b), None, "the key is taken");
     assert_eq!(b.owner().map(|o| o.epoch), Some(Epoch(1)));
 }
@@ -74,7 +74,7 @@
         matches!(changes[2], Some(Change::OwnershipLost(_))),
         "{changes:?}"
     );
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -147,7 +147,7 @@
     let changes: Vec<_> = (0..2).map(|_| cluster.step(&mut a, false)).collect();
 
     assert_eq!(changes, [None, None]);
-    assert!(a.may_lead(cluster.now, cluster.wall));
+    assert!(a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
--- a/crates/controller/tests/revoked.rs
+++ b/crates/controller/tests/revoked.rs
@@ -42,7 +42,7 @@
     let changes = keep_leading(&mut cluster, &mut a, LEASE + GRACE, |_| false);
 
     assert!(matches!(next, Some(Change::Elected { .. })), "{next:?}");
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
     assert!(
         matches!(changes[..], [Change::OwnershipLost(_)]),
         "{changes:?}"
@@ -63,7 +63,7 @@
         matches!(changes[..], [Change::Resumed { .. }]),
         "{changes:?}"
     );
-    assert!(a.may_lead(cluster.now, cluster.wall));
+    assert!(a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -73,7 +73,7 @@
     cluster.elect(&mut a);
 
     keep_leading(&mut cluster, &mut a, LEASE + GRACE, is_read);
-    let may_lead = a.may_lead(cluster.now, cluster.wall);
+    let may_lead = a.may_lead(cluster.now, cluster.boot);
     keep_leading(&mut cluster, &mut a, LEASE + RENEWAL, is_read);
 
     assert!(!may_lead);
@@ -90,7 +90,7 @@
     let changes = keep_leading(&mut cluster, &mut a, LEASE + GRACE, |_| false);
 
     assert_eq!(changes, []);
-    assert!(a.may_lead(cluster.now, cluster.wall));
+    assert!(a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -116,7 +116,7 @@
     let mut a = elector("a");
     cluster.elect(&mut a);
     cluster.advance(LEASE / 2);
-    let sent = (cluster.now, cluster.wall);
+    let sent = (cluster.now, cluster.boot);
     let renewal = a.run(cluster.now, Nonce(8)).expect("a renewal is due");
     let renewed = cluster.store.call(cluster.now, &renewal);
     let (read, _) = a.reply(cluster.now, sent, renewed);
@@ -126,11 +126,11 @@
 
     cluster.advance(LEASE + GRACE - Duration::from_millis(1));
     a.reply(cluster.now, sent, found);
-    let before = a.may_lead(cluster.now, cluster.wall);
+    let before = a.may_lead(cluster.now, cluster.boot);
     cluster.advance(Duration::from_millis(1));
 
     assert!(before);
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
@@ -139,15 +139,15 @@
     let mut a = elector("a");
     cluster.elect(&mut a);
     cluster.advance(LEASE / 2);
-    let sent = (cluster.now, cluster.wall);
+    let sent = (cluster.now, cluster.boot);
     let renewal = a.run(cluster.now, Nonce(8)).expect("a renewal is due");
     let renewed = cluster.store.call(cluster.now, &renewal);
 
     cluster.advance(LEASE + GRACE);
     a.reply(cluster.now, sent, renewed);
 
-    assert!(!a.is_lease_valid(cluster.now, cluster.wall));
-    assert!(!a.may_lead(cluster.now, cluster.wall));
+    assert!(!a.is_lease_valid(cluster.now, cluster.boot));
+    assert!(!a.may_lead(cluster.now, cluster.boot));
 }
 
 #[test]
