Reply to a commit of an earlier ownership is not taken for one of this ownership

Seen by callers: a job can be acknowledged (2xx) that is not stored, and is lost with the owner (LOST); likewise an end or a cancellation. Cause: found while reading the owner's right to act. Replies to commits are matched by a number that each owner counts from zero. An entry that loses ownership and wins it again while a commit is outstanding (a slow store) takes the late reply for that of its new commit of the same number: order of arrival stood for identity. Change: the token of a commit carries the owner's epoch, as that of a load does; a reply for another epoch is dropped. A transaction of an owner that steps down in the same run is no longer sent; the store would have rejected it. Evidence: one test of the entry's actor in controller/tests/burst.rs; before, the second job was accepted while its own transaction was outstanding.

--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -13,8 +13,8 @@
 pub enum StoreToken {
     /// A call of the elector.
     Election,
-    /// A commit of the owner.
-    Commit(u64),
+    /// A commit of the owner at the epoch.
+    Commit(Epoch, u64),
     /// A call of the initial load of the owner at the epoch.
     Load(Epoch),
     /// A lookup of a job that is not loaded.
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -283,8 +283,8 @@
         let now = cx.now();
         match token {
             StoreToken::Election => self.election_reply(cx, reply),
-            StoreToken::Commit(id) => {
-                if let Some(owner) = self.owner.as_mut() {
+            StoreToken::Commit(epoch, id) => {
+                if let Some(owner) = self.owner.as_mut().filter(|o| o.epoch() == epoch) {
                     owner.store_reply(now, id, reply);
                 }
             }
@@ -344,7 +344,13 @@
                         responder.send(*reply);
                     }
                 }
-                Effect::Store(id, call) => self.ports.store(StoreToken::Commit(id), call),
+                Effect::Store(id, call) => {
+                    // An owner that has just stepped down needs no reply.
+                    if let Some(owner) = &self.owner {
+                        self.ports
+                            .store(StoreToken::Commit(owner.epoch(), id), call);
+                    }
+                }
                 Effect::Lookup(token, job) => {
                     self.next += 1;
                     let id = self.next;
--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -5,11 +5,11 @@
 use controller::{Event, Node, NodeCfg, OwnerRecord, Ports, StoreToken};
 use fakes::store::MemStore;
 use host::{Actors, KeyUpdate};
-use jobs::owner::{AdviceRequest, Replacement};
+use jobs::owner::{AdviceRequest, OWNER_KEY, Replacement};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{JobReply, JobRequest, JobSpec, RouteTerms, StageSpec};
 use parking_lot::Mutex;
-use ports::store::StoreCall;
+use ports::store::{Expect, StoreCall, StoreReply};
 use report::OperationMetrics;
 use slog::{Logger, o};
 use wire::Responder;
@@ -109,6 +109,48 @@
         entry
     }
 
+    /// Lets another entry take the key for a moment.
+    fn lose_ownership(&mut self) {
+        let key: Name = OWNER_KEY.into();
+        let other = OwnerRecord {
+            name: "other".into(),
+            addr: "127.0.0.1:2".parse().expect("an address"),
+            epoch: Epoch(2),
+            nonce: Nonce(1),
+        };
+        let write = StoreCall::Put {
+            key: Arc::clone(&key),
+            value: other.encode().expect("a record"),
+            expect: Expect::Any,
+            lease: None,
+        };
+        let delete = StoreCall::Delete {
+            key: Arc::clone(&key),
+            expect: Expect::Any,
+        };
+        for call in [write, delete] {
+            let now = self.clock.now();
+            self.store
+                .call(now, &call)
+                .expect("the call is carried out");
+            let read = StoreCall::Get {
+                key: Arc::clone(&key),
+            };
+            let Ok(StoreReply::Got(found)) = self.store.call(now, &read) else {
+                panic!("expected a key");
+            };
+            let seen = Event::OwnerKey(KeyUpdate::Current(found));
+            self.node.deliver(seen);
+            self.run();
+        }
+    }
+
+    /// Lets the claim that is due succeed, and answers the calls that follow.
+    fn be_elected(&mut self) {
+        self.clock.advance(Duration::from_millis(100));
+        self.settle();
+    }
+
     fn run(&mut self) {
         self.node.run(self.clock.now());
     }
@@ -269,3 +311,28 @@
 
     assert_eq!(*replies.lock(), [JobReply::Accepted]);
 }
+
+/// The reply arrives when the entry has lost ownership and won it again: its next owner numbers its
+/// commits from the start.
+#[test]
+fn late_reply_to_a_commit_of_an_earlier_ownership_accepts_no_other_job() {
+    let mut entry = Entry::elected();
+    let replies = Arc::new(Mutex::new(Vec::new()));
+    entry.submit("00000000000000a1", &Arc::default());
+    entry.run();
+    let late = entry.calls.take();
+    entry.lose_ownership();
+    entry.be_elected();
+    entry.submit("00000000000000a2", &replies);
+    entry.run();
+    let outstanding = entry.calls.take();
+
+    for (token, _) in late {
+        let done = StoreReply::Done { revision: 1 };
+        entry.node.deliver(Event::Store(token, Ok(done)));
+    }
+    entry.run();
+
+    assert!(!outstanding.is_empty());
+    assert_eq!(*replies.lock(), []);
+}
