Run of an unknown job holds its worker until a settled status lacks it

Seen by callers: a worker is given more than its capacity (LIMIT). A run of a job that the owner does not know is told to stop; while that stop is in progress it is in neither list, and the worker got tasks although the run still used its resources. Cause: every status cleared `has_unknown_runs`, also one that the companion marks as unsettled because a stop is in progress. That took a missing row for an end. Change: only a settled status clears it. It cannot stick: a worker is adopted again (takeover, restart, lapse) only by a settled status, which clears it as well, and the companion marks statuses as settled again once no stop has been sent for the time of a stop. Evidence: run_of_unknown_job_holds_its_worker_while_it_is_being_stopped failed before (the task started beside the run), passes now. worker_restarted_during_stop_of_unknown_run_gets_tasks passes before and now; it guards against the flag staying set.

--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -14,14 +14,15 @@
         &mut self,
         now: Instant,
         vm: &Name,
-        rows: &[RunningRow],
+        status: &WorkerStatus,
         open: &[TaskRun],
         is_first: bool,
     ) {
-        if let Some(worker) = self.workers.get_mut(vm) {
+        // An unsettled status may lack a run that is being stopped and still uses resources.
+        if let Some(worker) = self.workers.get_mut(vm).filter(|_| status.is_settled) {
             worker.has_unknown_runs = false;
         }
-        for row in rows {
+        for row in &status.running {
             let is_wanted = self.update_run(now, vm, row) || (is_first && self.adopt(now, vm, row));
             if !is_wanted {
                 info!(self.log, "owner: run is not wanted"; "run" => %row.run, "vm" => %vm);
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -196,7 +196,7 @@
             worker.status_at = Some(now);
         }
         self.apply_finished(now, unix_ms, vm, &status.finished);
-        self.apply_running(now, vm, &status.running, &report.open, is_first);
+        self.apply_running(now, vm, &status, &report.open, is_first);
         if !is_first && status.is_settled {
             self.drop_vanished(vm, &status.running, &report.open);
         }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -147,7 +147,7 @@
     pub(super) may_have_orders: bool,
     /// Runs that the worker reports, of jobs that are not known; to be stopped.
     pub(super) unknown_runs: Vec<TaskRun>,
-    /// Whether the latest status report contained runs of unknown jobs.
+    /// Whether runs of unknown jobs were reported, and no settled status without any followed.
     pub(super) has_unknown_runs: bool,
     pub(super) finished: FinishedRuns,
     pub(super) noted_rejects: Vec<TaskRun>,
--- /dev/null
+++ b/crates/jobs/tests/releases.rs
@@ -0,0 +1,66 @@
+//! What frees a worker's resources or lets a task start again.
+
+mod harness;
+
+use base::prelude::*;
+use jobs::report::{FinishedRun, RunningRow};
+use jobs::{TaskId, TaskRun};
+
+use harness::{Harness, job, stage};
+
+fn harness_with_run_of_unknown_job() -> Harness {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 4);
+    harness.sync_all();
+    let task = TaskId {
+        job: "unknown".into(),
+        occurrence: 0,
+        stage: 0,
+        index: 0,
+    };
+    let attempt = Attempt(1);
+    harness.vm("vm").running.push(RunningRow {
+        run: TaskRun { task, attempt },
+        checkpoint: None,
+        percent: 1.0,
+        gauge: 0.0,
+    });
+    harness
+}
+
+/// Reports the VM's run and hides the end of its stop, as while the stop is in progress.
+fn begin_stop(harness: &mut Harness, name: &str) -> FinishedRun {
+    harness.sync(name);
+    harness.vm(name).is_settled = false;
+    let end = harness.vm(name).finished.pop();
+    end.expect("the run was ordered to stop")
+}
+
+#[test]
+fn run_of_unknown_job_holds_its_worker_while_it_is_being_stopped() {
+    let mut harness = harness_with_run_of_unknown_job();
+    let end = begin_stop(&mut harness, "vm");
+    harness.submit("job", job(vec![stage(1, 4)]));
+
+    harness.pass(Duration::from_secs(1), &["vm"]);
+    assert_eq!(harness.running(), [], "its resources are in use");
+
+    harness.vm("vm").finished.push(end);
+    harness.vm("vm").is_settled = true;
+    harness.pass(Duration::from_secs(1), &["vm"]);
+    assert_eq!(harness.running().len(), 1);
+}
+
+#[test]
+fn worker_restarted_during_stop_of_unknown_run_gets_tasks() {
+    let mut harness = harness_with_run_of_unknown_job();
+    begin_stop(&mut harness, "vm");
+    harness.submit("job", job(vec![stage(1, 4)]));
+    harness.sync_all();
+
+    harness.vm("vm").restart();
+    harness.vm("vm").is_settled = true;
+    harness.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(harness.running().len(), 1);
+}
