Owner hears a companion that restarted after its clock was set back

Seen by callers: after a companion restarts while its wall clock stands earlier than at its last start, its worker's tasks lapse and the worker gets nothing until the next takeover. The same befalls the living companion if a late report of another process with a later start arrives. Cause: `(boot, number)` was taken as an order, and `boot` is the wall clock at the start of the process. Change: `boot` only tells processes apart. A report of another process than the last one counts as a restart in either direction: the fencing token rises, so nothing follows from the report's status, and a false alarm costs one adoption. Once a status under the raised token arrives, its sender has learned that token from the reply to a report of its own, so it has outlived the others: their reports are ignored from then on. Of one process, only later numbers count, as before. No field changes, so older companions and owners go on to work together. The harness can deliver a report whose reply reaches nobody.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -13,6 +13,7 @@
 mod gang;
 mod owner_record;
 mod placement;
+mod processes;
 mod ranking;
 mod recent_usage;
 mod service_load;
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -170,6 +170,7 @@
             return;
         };
         worker.is_adopted = true;
+        worker.processes.record_adoption();
         worker.inherited_until = None;
         let is_reported = |id: &TaskRun| status.running.iter().any(|r| r.run == *id);
         // Starts sent under an earlier fencing token can't take effect any more, whether or not
--- a/crates/jobs/src/owner/colocation.rs
+++ b/crates/jobs/src/owner/colocation.rs
@@ -165,7 +165,7 @@
         // Rounded to whole cores, so that jobs of similar size share cached results.
         let cpu_milli = stage.resources.cpu_milli.next_multiple_of(1000);
         let mut cache = worker.added_load_cache.borrow_mut();
-        let stamp = (worker.number, worker.version);
+        let stamp = (worker.processes.last_number, worker.version);
         if cache.stamp != stamp {
             cache.stamp = stamp;
             cache.rows.clear();
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -38,22 +38,18 @@
             .workers
             .entry(Arc::clone(&vm))
             .or_insert_with(Worker::new);
-        if (boot, number) <= (worker.boot, worker.number) {
-            // Overtaken by a later report.
+        if worker.processes.is_overtaken(boot, number) {
             self.effects.push(Effect::Sync(token, Box::default()));
             return;
         }
-        if boot > worker.boot && worker.boot != 0 {
+        if worker.processes.record(boot, number) {
             // The companion's previous process may have passed on orders whose outcome is unknown.
             // Raising the fencing token stops those that have not taken effect; the next status
             // report shows those that have.
             info!(self.log, "owner: companion restarted"; "vm" => %vm);
             worker.raise_fence();
-        }
-        if boot > worker.boot {
             worker.shared_status.clear();
         }
-        (worker.boot, worker.number) = (boot, number);
         if let Some(parked) = worker.parked.take() {
             // Reports may come more often than the long poll times out, and each has to renew the
             // lease. This lease counts from when the older report was sent, so it expires before
--- a/crates/jobs/src/owner/throttle.rs
+++ b/crates/jobs/src/owner/throttle.rs
@@ -49,7 +49,7 @@
     pub(super) fn throttle_best_effort(&mut self, now: Instant) {
         let mut throttled = Vec::new();
         for (vm, worker) in &mut self.workers {
-            let stamp = (worker.number, worker.version);
+            let stamp = (worker.processes.last_number, worker.version);
             if std::mem::replace(&mut worker.throttled_for, stamp) == stamp {
                 continue;
             }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -7,6 +7,7 @@
 use ports::store::Revision;
 
 use super::Token;
+use super::processes::Processes;
 use super::recent_usage::RecentUsage;
 use super::service_load::Backlogged;
 use crate::report::{SharedStatus, WorkerReport};
@@ -125,8 +126,8 @@
 /// A worker and its companion; each VM has one.
 #[derive(Debug)]
 pub(super) struct Worker {
-    pub(super) boot: u64,
-    pub(super) number: u64,
+    /// The companion's processes.
+    pub(super) processes: Processes,
     /// The last report, without the status report and the starts.
     pub(super) last_report: Option<WorkerReport>,
     /// The status of the last report, to which the next one may carry changes.
@@ -178,8 +179,7 @@
 impl Worker {
     pub(super) fn new() -> Self {
         Self {
-            boot: 0,
-            number: 0,
+            processes: Processes::default(),
             last_report: None,
             shared_status: SharedStatus::default(),
             needs_status: false,
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -15,7 +15,7 @@
 pub struct SyncReport {
     /// The VM that the companion and its worker are on.
     pub vm: Name,
-    /// Identifies the companion's process; a later process has a larger number.
+    /// Identifies the companion's process; the numbers of processes have no order.
     pub boot: u64,
     /// The sequence number of the report.
     pub number: u64,
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -22,6 +22,9 @@
 pub const ROUTE: &str = "checks";
 pub const POOL: &str = "desk";
 
+/// Who gets the reply to a report whose sender has ended.
+const NOBODY: &str = "nobody";
+
 /// How the store responds to the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreMode {
@@ -205,7 +208,9 @@
                     Effect::Sync(token, reply) => {
                         let name = self.reporting.swap_remove(&token.0);
                         let name = name.expect("a report is answered once");
-                        self.vm(&name).apply_reply(*reply);
+                        if &*name != NOBODY {
+                            self.vm(&name).apply_reply(*reply);
+                        }
                     }
                     Effect::Store(id, call) => store_replies.push_back((id, self.execute(&call))),
                     Effect::Lookup(_, job) => self.lookups.push(job),
@@ -255,6 +260,22 @@
         self.settle();
     }
 
+    /// Delivers a late report of another process of a VM's companion, which has ended.
+    pub fn sync_late(&mut self, name: &str, boot: u64, number: u64) {
+        self.next += 1;
+        let token = self.next;
+        let clock_ms = self.unix_ms;
+        let report = SyncReport {
+            boot,
+            number,
+            ..self.vm(name).whole_report(clock_ms)
+        };
+        self.reporting.insert(token, NOBODY.into());
+        self.owner
+            .sync(self.now, self.unix_ms, Token(token), report);
+        self.settle();
+    }
+
     /// Syncs all VMs a few times, so that pending orders take effect.
     pub fn sync_all(&mut self) {
         let names: Vec<Name> = self.vms.keys().cloned().collect();
--- a/crates/jobs/tests/releases.rs
+++ b/crates/jobs/tests/releases.rs
@@ -64,3 +64,67 @@
 
     assert_eq!(harness.running().len(), 1);
 }
+
+/// Starts another process of the companion, which knows nothing.
+fn restart_companion(harness: &mut Harness, name: &str, boot: u64) {
+    let vm = harness.vm(name);
+    (vm.boot, vm.number, vm.epoch) = (boot, 0, Epoch(0));
+    vm.open.clear();
+    vm.rejected.clear();
+    vm.shared_status.clear();
+}
+
+fn harness_with_companion_set_back() -> Harness {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 8);
+    harness.vm("vm").boot = 1000;
+    harness.sync_all();
+    harness.submit("a", job(vec![stage(1, 4)]));
+    harness.sync_all();
+    restart_companion(&mut harness, "vm", 300);
+    harness
+}
+
+#[test]
+fn companion_whose_clock_was_set_back_is_heard() {
+    let mut harness = harness_with_companion_set_back();
+    let before = harness.running();
+    let fence = harness.vm("vm").fence;
+
+    harness.pass(Duration::from_secs(6), &["vm"]);
+    assert_eq!(harness.running(), before, "its run goes on");
+    assert!(harness.vm("vm").fence > fence, "orders of before are void");
+
+    harness.submit("b", job(vec![stage(1, 4)]));
+    harness.sync_all();
+    assert_eq!(harness.running().len(), 2);
+}
+
+#[test]
+fn late_report_of_ended_companion_is_ignored() {
+    let mut harness = harness_with_companion_set_back();
+    harness.pass(Duration::from_secs(1), &["vm"]);
+    let fence = harness.vm("vm").fence;
+
+    harness.sync_late("vm", 1000, 99);
+    harness.pass(Duration::from_secs(1), &["vm"]);
+
+    assert_eq!(harness.vm("vm").fence, fence);
+}
+
+#[test]
+fn late_report_of_unknown_process_does_not_silence_its_companion() {
+    for boot in [200, 5000] {
+        let mut harness = harness_with_companion_set_back();
+        harness.pass(Duration::from_secs(1), &["vm"]);
+        let before = harness.running();
+
+        harness.sync_late("vm", boot, 7);
+        harness.pass(Duration::from_secs(6), &["vm"]);
+        harness.submit("b", job(vec![stage(1, 4)]));
+        harness.pass(Duration::from_secs(1), &["vm"]);
+
+        let runs = harness.running();
+        assert!(runs.starts_with(&before) && runs.len() == 2, "{runs:?}");
+    }
+}
