A task waits while an unwanted run of it is being stopped

Seen by callers: a task runs twice at once (TWICE). A start that counted as rejected, or whose run was given up, was carried out late; the owner saw the run in a status, ordered its stop, and started the task elsewhere at once although the run went on. Cause: `stop_unwanted` charged the run to the worker but did not enter it among the task's active runs. That the stop had been ordered was taken for the run's end. Change: the run is entered, so the task waits until the run has ended by the worker's list, a rejection, an adoption or the lease; the next attempt number is higher than the run's. Evidence: task_waits_while_a_run_of_it_that_started_late_is_being_stopped failed before (attempt 2 on the other worker beside the late run), passes now.

--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -43,27 +43,27 @@
         }
     }
 
-    /// Stops a run that should not be there; its resources stay charged until it has ended.
+    /// Stops a run that should not be there; its resources stay charged, and its task waits, until
+    /// it has ended.
     fn stop_unwanted(&mut self, now: Instant, vm: &Name, row: &RunningRow) {
-        let job = self.jobs.get(&row.run.task.job);
-        let stage = job
-            .filter(|j| j.find(&row.run.task).is_some())
-            .map(|j| j.stage_of(&row.run.task).clone());
         let Some(worker) = self.workers.get_mut(vm) else {
             return;
         };
-        match stage {
-            Some(stage) => {
-                let mut run = new_run(&stage, now);
-                run.phase = Phase::Stopping { sent: None };
-                worker.insert(row.run.clone(), run);
-            }
+        let job = self.jobs.get_mut(&row.run.task.job);
+        let found = job.and_then(|j| j.find(&row.run.task).map(|at| (j, at)));
+        let Some((job, (instance, position))) = found else {
             // Its resources are not known, so nothing is placed on the worker until it ends.
-            None => {
-                worker.has_unknown_runs = true;
-                worker.unknown_runs.push(row.run.clone());
-            }
-        }
+            worker.has_unknown_runs = true;
+            worker.unknown_runs.push(row.run.clone());
+            return;
+        };
+        let mut run = new_run(job.stage_of(&row.run.task), now);
+        run.phase = Phase::Stopping { sent: None };
+        worker.insert(row.run.clone(), run);
+        job.update(instance, position, |task| {
+            task.active_runs.push((Arc::clone(vm), row.run.attempt));
+            task.last_attempt = task.last_attempt.max(row.run.attempt);
+        });
     }
 
     /// Applies the reported progress of a run; returns false if the run is not known.
--- a/crates/jobs/tests/releases.rs
+++ b/crates/jobs/tests/releases.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use base::prelude::*;
-use jobs::report::{FinishedRun, RunningRow};
+use jobs::report::{EndKind, FinishedRun, RejectKind, Rejected, RunningRow};
 use jobs::{TaskId, TaskRun};
 
 use harness::{Harness, job, stage};
@@ -128,3 +128,35 @@
         assert!(runs.starts_with(&before) && runs.len() == 2, "{runs:?}");
     }
 }
+
+#[test]
+fn task_waits_while_a_run_of_it_that_started_late_is_being_stopped() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 4);
+    harness.submit("job", job(vec![stage(1, 4)]));
+    harness.sync_all();
+    // The start counts as rejected, but the worker carries it out later.
+    let late = harness.vm("one").running.remove(0);
+    let run = late.run.clone();
+    let why = RejectKind::Room;
+    harness.vm("one").rejected = vec![Rejected {
+        run: run.clone(),
+        why,
+    }];
+    harness.vm("one").draining = true;
+    harness.sync_all();
+    harness.vm("one").running.push(late);
+    harness.vm("one").ignores_orders = true;
+    harness.sync("one");
+
+    harness.add_vm("two", 4);
+    harness.pass(Duration::from_secs(1), &["one", "two"]);
+    assert_eq!(harness.vm("two").running, [], "the late run still runs");
+
+    harness.vm("one").ignores_orders = false;
+    harness.vm("one").end(&run, EndKind::Stopped);
+    harness.pass(Duration::from_secs(1), &["one", "two"]);
+    let again = harness.vm("two").running[0].run.clone();
+    assert_eq!(again.task, run.task);
+    assert!(again.attempt > run.attempt);
+}
