Rejected start frees nothing while the lists show that the run started

Seen by callers: a task runs twice at once (TWICE) or a worker is over its capacity (LIMIT). One call of a start was carried out and another call of the same start was refused (503, 429, a lower fencing token): the run was released although it stood in the worker's list, or had stood there and was being stopped. Cause: a rejection was taken as proof that the run will never start, although it is the reply to one of several calls. Change: a rejection is ignored if the latest status lists the run, or if an earlier one did and no settled status lacks it since. `Old` and `Stopped` still count, which the companion concludes from the lists. An ignored run ends as any other does: by its end in the list, a settled status without it, a confirmed stop, or the lease. Evidence: run_listed_beside_its_rejection_is_kept and rejected_start_of_a_run_that_was_listed_before_frees_nothing failed before, pass now. This does not help where the call is carried out after the owner has handled the rejection.

--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -59,6 +59,7 @@
         };
         let mut run = new_run(job.stage_of(&row.run.task), now);
         run.phase = Phase::Stopping { sent: None };
+        run.was_listed = true;
         worker.insert(row.run.clone(), run);
         job.update(instance, position, |task| {
             task.active_runs.push((Arc::clone(vm), row.run.attempt));
@@ -74,6 +75,7 @@
         let Some(run) = worker.runs.get_mut(&row.run) else {
             return false;
         };
+        run.was_listed = true;
         if matches!(run.phase, Phase::Ordered { .. }) {
             run.phase = Phase::Running;
             run.last_progress = now;
@@ -120,6 +122,7 @@
         }
         let mut run = new_run(&stage, now);
         run.phase = Phase::Running;
+        run.was_listed = true;
         run.percent = row.percent;
         run.gauge = row.gauge;
         // The previous owner may have throttled it, so the speed is sent in any case.
@@ -193,11 +196,29 @@
         self.is_round_due = true;
     }
 
-    /// Handles a start that will never take effect.
-    pub(super) fn apply_rejection(&mut self, now: Instant, vm: &Name, rejected: &Rejected) {
+    /// Handles a start that will never take effect, unless the worker's lists show otherwise;
+    /// `status` is the latest.
+    pub(super) fn apply_rejection(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        rejected: &Rejected,
+        status: Option<&WorkerStatus>,
+    ) {
         let Some(worker) = self.workers.get_mut(vm) else {
             return;
         };
+        let is_listed = status.is_some_and(|s| s.running.iter().any(|r| r.run == rejected.run));
+        let is_settled = status.is_some_and(|s| s.is_settled);
+        let was_listed = worker.runs.get(&rejected.run).is_some_and(|r| r.was_listed);
+        // The companion concludes these two from the lists, others from the reply to one of several
+        // calls.
+        let is_by_lists = matches!(rejected.why, RejectKind::Old | RejectKind::Stopped);
+        if is_listed || (was_listed && !is_settled && !is_by_lists) {
+            warn!(self.log, "owner: rejection of a started run ignored";
+                "run" => %rejected.run, "vm" => %vm, "why" => ?rejected.why);
+            return;
+        }
         let Some(run) = worker.remove(&rejected.run) else {
             return;
         };
@@ -236,6 +257,7 @@
             sent: None,
             is_acknowledged: false,
         },
+        was_listed: false,
         charged: stage.charged(),
         demand_milli: stage.demand_milli(),
         is_best_effort: stage.best_effort,
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -177,7 +177,7 @@
     fn apply_report(&mut self, now: Instant, unix_ms: u64, vm: &Name, report: WorkerReport) {
         let fence = self.fence(vm);
         for rejected in &report.rejected {
-            self.apply_rejection(now, vm, rejected);
+            self.apply_rejection(now, vm, rejected, report.status.as_ref());
         }
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.noted_rejects = report.rejected.into_iter().map(|r| r.run).collect();
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -63,6 +63,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     pub(super) phase: Phase,
+    /// Whether a status has contained it, so that it has started.
+    pub(super) was_listed: bool,
     /// The resources charged to the worker.
     pub(super) charged: Resources,
     /// The expected processor use, also of best-effort tasks, in thousandths of a core.
--- a/crates/jobs/tests/releases.rs
+++ b/crates/jobs/tests/releases.rs
@@ -65,6 +65,11 @@
     assert_eq!(harness.running().len(), 1);
 }
 
+fn rejected(run: &TaskRun, why: RejectKind) -> Rejected {
+    let run = run.clone();
+    Rejected { run, why }
+}
+
 /// Starts another process of the companion, which knows nothing.
 fn restart_companion(harness: &mut Harness, name: &str, boot: u64) {
     let vm = harness.vm(name);
@@ -138,11 +143,7 @@
     // The start counts as rejected, but the worker carries it out later.
     let late = harness.vm("one").running.remove(0);
     let run = late.run.clone();
-    let why = RejectKind::Room;
-    harness.vm("one").rejected = vec![Rejected {
-        run: run.clone(),
-        why,
-    }];
+    harness.vm("one").rejected = vec![rejected(&run, RejectKind::Room)];
     harness.vm("one").draining = true;
     harness.sync_all();
     harness.vm("one").running.push(late);
@@ -160,3 +161,43 @@
     assert_eq!(again.task, run.task);
     assert!(again.attempt > run.attempt);
 }
+
+#[test]
+fn run_listed_beside_its_rejection_is_kept() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 4);
+    harness.sync_all();
+    harness.submit("job", job(vec![stage(1, 4)]));
+    let before = harness.running();
+    let run = before[0].1.clone();
+
+    // A start call was carried out; another one of the same run was refused.
+    harness.vm("one").rejected = vec![rejected(&run, RejectKind::Room)];
+    harness.add_vm("two", 4);
+    harness.pass(Duration::from_secs(2), &["one", "two"]);
+
+    assert_eq!(harness.running(), before);
+}
+
+#[test]
+fn rejected_start_of_a_run_that_was_listed_before_frees_nothing() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 4);
+    harness.submit("job", job(vec![stage(1, 4)]));
+    harness.sync_all();
+    let row = harness.vm("one").running.remove(0);
+    let run = row.run.clone();
+
+    // Its stop is in progress, so it is in neither list.
+    harness.cancel("job");
+    harness.vm("one").is_settled = false;
+    harness.vm("one").rejected = vec![rejected(&run, RejectKind::Room)];
+    harness.submit("next", job(vec![stage(1, 4)]));
+    harness.pass(Duration::from_secs(1), &["one"]);
+    assert_eq!(harness.running(), [], "its resources are in use");
+
+    harness.vm("one").rejected = vec![rejected(&run, RejectKind::Stopped)];
+    harness.vm("one").is_settled = true;
+    harness.pass(Duration::from_secs(1), &["one"]);
+    assert_eq!(harness.running().len(), 1, "it has ended");
+}
