Status with a full list of ended runs counts as unsettled

Seen by callers: a task that is done starts again (TWICE), if its worker holds 500 unacknowledged ends or more, for instance many short tasks while the store is away. Cause: a worker lists at most 500 ended runs at a time. A run whose end comes after these is in neither list, and a settled status without it was taken for "it vanished", in the steady state and at an adoption. Change: a status with 500 ended runs is not settled. Acknowledgements go on, so the list shrinks and a settled status follows once the store takes the ends. Evidence: done_task_whose_end_a_full_list_leaves_out_is_not_started_again failed before, with the same owner and after a takeover, and passes now. The harness's workers list at most 500 ends, as real ones do. How often a worker gets there was not measured.

--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -14,6 +14,10 @@
 /// How long after its last report a worker still gets tasks.
 pub(super) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1500);
 
+/// The maximum number of finished runs that a worker lists at a time. A status with as many may lack
+/// others, so it does not tell which runs have vanished.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The distance of the fencing tokens of two epochs: the maximum fence steps of a worker in one
 /// epoch.
 const FENCES_PER_EPOCH: u64 = 1 << 20;
@@ -174,8 +178,11 @@
     }
 
     /// Applies a worker's running and finished runs, and the starts it rejected.
-    fn apply_report(&mut self, now: Instant, unix_ms: u64, vm: &Name, report: WorkerReport) {
+    fn apply_report(&mut self, now: Instant, unix_ms: u64, vm: &Name, mut report: WorkerReport) {
         let fence = self.fence(vm);
+        if let Some(status) = &mut report.status {
+            status.is_settled &= status.finished.len() < MAX_LISTED_ENDS;
+        }
         for rejected in &report.rejected {
             self.apply_rejection(now, vm, rejected, report.status.as_ref());
         }
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -22,6 +22,9 @@
 pub const ROUTE: &str = "checks";
 pub const POOL: &str = "desk";
 
+/// The maximum number of finished runs that a worker lists at a time.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// Who gets the reply to a report whose sender has ended.
 const NOBODY: &str = "nobody";
 
@@ -353,7 +356,7 @@
             clock_ms,
             is_settled: self.is_settled,
             running: self.running.clone(),
-            finished: finished.cloned().collect(),
+            finished: finished.take(MAX_LISTED_ENDS).cloned().collect(),
         });
         SyncReport {
             vm: Arc::clone(&self.name),
--- a/crates/jobs/tests/releases.rs
+++ b/crates/jobs/tests/releases.rs
@@ -4,14 +4,11 @@
 
 use base::prelude::*;
 use jobs::report::{EndKind, FinishedRun, RejectKind, Rejected, RunningRow};
-use jobs::{TaskId, TaskRun};
+use jobs::{JobReply, JobState, TaskId, TaskRun};
 
-use harness::{Harness, job, stage};
+use harness::{Harness, MAX_LISTED_ENDS, job, stage};
 
-fn harness_with_run_of_unknown_job() -> Harness {
-    let mut harness = Harness::new();
-    harness.add_vm("vm", 4);
-    harness.sync_all();
+fn unknown_run() -> TaskRun {
     let task = TaskId {
         job: "unknown".into(),
         occurrence: 0,
@@ -19,8 +16,15 @@
         index: 0,
     };
     let attempt = Attempt(1);
+    TaskRun { task, attempt }
+}
+
+fn harness_with_run_of_unknown_job() -> Harness {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 4);
+    harness.sync_all();
     harness.vm("vm").running.push(RunningRow {
-        run: TaskRun { task, attempt },
+        run: unknown_run(),
         checkpoint: None,
         percent: 1.0,
         gauge: 0.0,
@@ -201,3 +205,37 @@
     harness.pass(Duration::from_secs(1), &["one"]);
     assert_eq!(harness.running().len(), 1, "it has ended");
 }
+
+#[test]
+fn done_task_whose_end_a_full_list_leaves_out_is_not_started_again() {
+    for is_inherited in [false, true] {
+        let mut harness = Harness::new();
+        harness.add_vm("vm", 4);
+        harness.submit("job", job(vec![stage(1, 4)]));
+        harness.sync_all();
+        let run = harness.running()[0].1.clone();
+        let earlier = (1..=MAX_LISTED_ENDS).map(|number| FinishedRun {
+            number: number as u64,
+            run: unknown_run(),
+            how: EndKind::Done,
+            checkpoint: None,
+        });
+        harness.vm("vm").finished = earlier.collect();
+        harness.vm("vm").end(&run, EndKind::Done);
+
+        if is_inherited {
+            harness.take_over();
+        }
+        harness.pass(Duration::from_secs(2), &["vm"]);
+
+        assert_eq!(harness.running(), []);
+        let completed = JobReply::Status(JobState::Completed);
+        assert_eq!(harness.status("job"), Some(completed));
+        let runs = harness
+            .vm("vm")
+            .finished
+            .iter()
+            .filter(|end| end.run.task == run.task);
+        assert_eq!(runs.count(), 1);
+    }
+}
