Lists with the maximum of ended runs conclude nothing in the companion

A worker lists at most 500 ended runs at a time. The companion took the absence of an accepted or stopped run from such lists for its end and reported it as rejected, which the owner believes: a task that is done could start again (TWICE).

Change: the adapter marks such lists as partial; no start or stop is concluded from the absence of a run, and the status is not settled.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -120,8 +120,11 @@
         running: reply.running,
         finished: reply.ends,
     };
-    worker.starts.reconcile(&status, reply.clock_ms);
-    status.is_settled = worker.starts.is_settled(first_status_ms, reply.clock_ms);
+    worker
+        .starts
+        .reconcile(&status, reply.clock_ms, reply.is_partial);
+    status.is_settled =
+        !reply.is_partial && worker.starts.is_settled(first_status_ms, reply.clock_ms);
     let last_end = |s: &WorkerStatus| s.finished.iter().map(|e| e.number).max();
     // A status that is no longer settled can wait: the owner draws conclusions from settled ones.
     let is_first = worker
--- a/crates/agent/src/ports.rs
+++ b/crates/agent/src/ports.rs
@@ -74,6 +74,8 @@
     pub running: Vec<RunningRow>,
     /// Finished runs that are not acknowledged.
     pub ends: Vec<FinishedRun>,
+    /// Whether runs may be missing from the lists, so that nothing follows from their absence.
+    pub is_partial: bool,
 }
 
 /// Starts a run; idempotent.
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -213,8 +213,8 @@
     }
 
     /// Completes starts and stops whose outcome shows in a status made at `clock_ms` of the
-    /// worker's clock.
-    pub(crate) fn reconcile(&mut self, status: &WorkerStatus, clock_ms: u64) {
+    /// worker's clock; the absence of a run from a partial status shows nothing.
+    pub(crate) fn reconcile(&mut self, status: &WorkerStatus, clock_ms: u64, is_partial: bool) {
         let is_running = |run: &TaskRun| status.running.iter().any(|row| row.run == *run);
         let has_finished = |run: &TaskRun| status.finished.iter().any(|row| row.run == *run);
         let mut never_started = Vec::new();
@@ -226,6 +226,7 @@
             }
             if let Progress::Accepted(at) = open.progress
                 && clock_ms > at + MAX_STATUS_LAG_MS
+                && !is_partial
             {
                 // The run finished and was acknowledged before this companion saw it.
                 never_started.push((run.clone(), RejectKind::Old));
@@ -237,7 +238,7 @@
         let stop_ms = self.stop_ms;
         self.stops.retain(|run, stop| {
             let may_be_stopping = match stop {
-                Stop::Done(at) => is_running(run) || clock_ms <= *at + stop_ms,
+                Stop::Done(at) => is_partial || is_running(run) || clock_ms <= *at + stop_ms,
                 Stop::Due(_) | Stop::Sent => true,
             };
             if may_be_stopping && !has_finished(run) {
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -143,6 +143,15 @@
 
     /// Completes a long poll with a status of these runs.
     pub fn complete_long_poll(&mut self, running: &[TaskRun], ends: &[FinishedRun]) {
+        self.deliver_status(running, ends, false);
+    }
+
+    /// Completes a long poll with a status that may lack runs.
+    pub fn complete_partially(&mut self, running: &[TaskRun]) {
+        self.deliver_status(running, &[], true);
+    }
+
+    fn deliver_status(&mut self, running: &[TaskRun], ends: &[FinishedRun], is_partial: bool) {
         let row = |run: &TaskRun| RunningRow {
             run: run.clone(),
             checkpoint: None,
@@ -160,6 +169,7 @@
                     incarnation: Some(Incarnation(1)),
                     running: running.iter().map(row).collect(),
                     ends: ends.to_vec(),
+                    is_partial,
                 }),
             },
         );
