An accepted run is not released while its stop is in progress

By reading (review): a start that the worker had accepted counted as over if no status listed it within a second of the worker's clock, also while a stop made the run disappear from both lists.

Change: the stop, which is concluded by its own rule, decides.

--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -219,6 +219,7 @@
         let has_finished = |run: &TaskRun| status.finished.iter().any(|row| row.run == *run);
         let mut never_started = Vec::new();
         let concluded = &mut self.concluded;
+        let stops = &self.stops;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
                 concluded.insert(run.clone());
@@ -227,6 +228,7 @@
             if let Progress::Accepted(at) = open.progress
                 && clock_ms > at + MAX_STATUS_LAG_MS
                 && !is_partial
+                && !stops.contains_key(run)
             {
                 // The run finished and was acknowledged before this companion saw it.
                 never_started.push((run.clone(), RejectKind::Old));
--- a/crates/agent/tests/late_calls.rs
+++ b/crates/agent/tests/late_calls.rs
@@ -233,3 +233,19 @@
 
     assert_eq!(count_starts(&harness, &waiting), 1);
 }
+
+#[test]
+fn accepted_run_is_not_released_while_its_stop_is_in_progress() {
+    let mut harness = Harness::fenced();
+    harness.order(&run_of(0));
+    let clock_ms = harness.clock_ms;
+    harness.started(&run_of(0), Ok(StartReply::Started { clock_ms }));
+    harness.advance(990);
+    harness.reply_to_report(|reply| reply.stops = vec![run_of(0)]);
+    harness.stopped(&run_of(0));
+
+    harness.advance(20);
+    harness.complete_long_poll(&[], &[]);
+
+    assert!(harness.next_report().rejected.is_empty());
+}
