Calls wait until the worker's incarnation is heard again after a lost connection

Until its first heartbeat is handled such calls carry deadlines on the earlier clock, which the new one takes as far in the future: it holds runs for its longest lease (6 s), the owner counts 4.7 s. Behind a cut both then run: TWICE.

Change: after a connection that was refused or broken, or a poll without a reply, the companion polls without a deadline and with no acknowledged ends, and sends no order, until a status names the incarnation. A restart that no call notices is not covered: a call must have failed first.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -28,6 +28,9 @@
     pub(crate) status: Option<WorkerStatus>,
     pub(crate) status_clock_ms: u64,
     pub(crate) starts: Starts,
+    /// Whether no connection has failed since the incarnation was last heard. Until it is heard again,
+    /// another incarnation under the same id may receive its calls.
+    pub(crate) is_confirmed: bool,
     /// Whether a long poll that waits is in progress.
     pub(crate) is_long_polling: bool,
     /// Whether a status poll is in progress.
@@ -60,6 +63,7 @@
             first_status_ms: None,
             answered_at: now,
             refused_since: None,
+            is_confirmed: true,
             is_long_polling: false,
             is_status_polling: false,
             poll_after: None,
@@ -75,6 +79,20 @@
             .is_some_and(|s| s.fence == self.fence && s.is_settled)
     }
 
+    /// Returns true if calls wait for the next status.
+    pub(crate) fn needs_status_poll(&self) -> bool {
+        self.fence > 0 && (!self.is_confirmed || self.starts.awaits_status())
+    }
+
+    /// Records a failed call, which a restart of the worker may have caused.
+    pub(crate) fn call_failed(&mut self, kind: ErrorKind) {
+        let is_lost = matches!(
+            kind,
+            ErrorKind::Unreachable | ErrorKind::NotListening | ErrorKind::Interrupted
+        );
+        self.is_confirmed &= !is_lost;
+    }
+
     /// Records a failed call; returns true if connections have been refused for [`ENDED_AFTER`],
     /// so that the worker's process has ended.
     pub(crate) fn refused(&mut self, now: Instant, kind: ErrorKind) -> bool {
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -73,6 +73,7 @@
             }
             Ok(StartReply::WrongIncarnation) => worker.starts.retry(now, run),
             Err(e) => {
+                worker.call_failed(e.kind());
                 if e.kind().is_outcome_unknown() {
                     worker.starts.count_unanswered(run);
                 }
@@ -106,6 +107,7 @@
         };
         let clock_ms = reply.unwrap_or_else(|e| {
             warn!(self.log, "companion: stop failed"; "run" => %run, "error" => %e);
+            worker.call_failed(e.kind());
             None
         });
         worker.starts.stop_answered(now, run, clock_ms);
@@ -118,7 +120,7 @@
     }
 
     pub(crate) fn send_stops(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(worker) = self.worker.as_mut() else {
+        let Some(worker) = self.worker.as_mut().filter(|w| w.is_confirmed) else {
             return;
         };
         while self.calls.is_free()
@@ -141,7 +143,8 @@
         if worker.heartbeat.draining.is_some() {
             self.syncs.has_changes |= worker.starts.reject_unsent(now);
         }
-        let Some(deadline_ms) = worker.deadline_ms.filter(|_| !worker.is_draining()) else {
+        let may_start = worker.is_confirmed && !worker.is_draining();
+        let Some(deadline_ms) = worker.deadline_ms.filter(|_| may_start) else {
             return;
         };
         while self.calls.is_free()
@@ -162,7 +165,7 @@
     }
 
     pub(crate) fn send_throttles(&mut self, actions: &mut Vec<Action>) {
-        let Some(worker) = self.worker.as_ref() else {
+        let Some(worker) = self.worker.as_ref().filter(|w| w.is_confirmed) else {
             return;
         };
         while self.calls.is_free()
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -166,6 +166,7 @@
                 let has_ends = reply.ends.iter().any(|e| e.number > worker.stored_ends);
                 worker.answered_at = now;
                 worker.refused_since = None;
+                worker.is_confirmed = true;
                 worker.poll_after = has_ends.then(|| now + STATUS_POLL_INTERVAL);
                 let has_changes = record_status(worker, now, done.fence, reply);
                 // Every long poll that waited is reported, since its figures age quickly.
@@ -176,10 +177,13 @@
                     self.log,
                     "companion: another incarnation of the worker replied"
                 );
+                worker.is_confirmed = false;
                 worker.poll_after = Some(now + LONG_POLL_RETRY);
             }
             Err(e) => {
                 warn!(self.log, "companion: hold failed"; "error" => %e);
+                // A worker that does not reply may have restarted as well.
+                worker.is_confirmed = false;
                 worker.poll_after = Some(now + LONG_POLL_RETRY);
                 if worker.refused(now, e.kind()) {
                     warn!(self.log, "companion: worker ended"; "worker" => %worker.heartbeat.id);
@@ -207,14 +211,16 @@
         let worker = self.worker.as_ref();
         let long_poll = worker.and_then(|w| w.poll_after);
         // The end of a call makes other calls due.
-        let worker = worker.filter(|_| self.calls.is_free());
+        let worker = worker.filter(|w| self.calls.is_free() && !w.is_gone);
         let status_poll = worker
-            .filter(|w| w.starts.awaits_status() && !w.is_status_polling)
+            .filter(|w| w.needs_status_poll() && !w.is_status_polling)
             .map(|w| {
                 w.status_polled_at
                     .map_or(now, |at| at + STATUS_POLL_INTERVAL)
             });
-        let starts = worker.and_then(|w| w.starts.next_due());
+        let starts = worker
+            .filter(|w| w.is_confirmed)
+            .and_then(|w| w.starts.next_due());
         let due = [long_poll, status_poll, starts, self.syncs.next_due()];
         due.into_iter().flatten().min()
     }
@@ -226,17 +232,22 @@
         if worker.poll_after.is_some_and(|at| at > now) {
             return;
         }
+        // Deadlines and numbers of ended runs mean nothing to another incarnation.
         let call = |worker: &WorkerIncarnation, wait: Duration| LongPollCall {
             worker: worker.heartbeat.id.clone(),
             fence: worker.fence,
-            deadline_ms: worker.deadline_ms,
-            stored_ends: worker.stored_ends,
+            deadline_ms: worker.deadline_ms.filter(|_| worker.is_confirmed),
+            stored_ends: if worker.is_confirmed {
+                worker.stored_ends
+            } else {
+                0
+            },
             wait,
         };
         let is_status_poll_due = worker
             .status_polled_at
             .is_none_or(|at| now.duration_since(at) >= STATUS_POLL_INTERVAL);
-        let needs_status_poll = !worker.has_current_status() || worker.starts.awaits_status();
+        let needs_status_poll = !worker.has_current_status() || worker.needs_status_poll();
         if worker.fence > 0
             && needs_status_poll
             && is_status_poll_due
