Orders to a worker take turns by how long they have been due

The limit on calls in progress let retries of unanswered orders, which stand first in their list, push out orders that had never been sent: with eight unanswered starts or stops two were never called, and a start beside eight unanswered stops never left. Found by review; new with that limit.

Change: the order that has been due for longest goes next, and stops take half of the calls at most while a start is due.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -123,7 +123,14 @@
         let Some(worker) = self.worker.as_mut().filter(|w| w.is_confirmed) else {
             return;
         };
+        // Stops go first, but must not hold up all starts while they have no reply.
+        let max_stops = if worker.starts.has_due(now) {
+            MAX_CALLS / 2
+        } else {
+            MAX_CALLS
+        };
         while self.calls.is_free()
+            && worker.starts.stops_in_progress() < max_stops
             && let Some(run) = worker.starts.take_due_stop(now)
         {
             self.calls.take();
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -39,6 +39,16 @@
     stopping: Option<RejectKind>,
 }
 
+impl OpenStart {
+    /// Returns when the start is to be sent, if it is.
+    fn due(&self) -> Option<Instant> {
+        match self.progress {
+            Progress::Due(at) if self.stopping.is_none() => Some(at),
+            _ => None,
+        }
+    }
+}
+
 /// The progress of a stop order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stop {
@@ -131,31 +141,46 @@
             .retain(|_, open| matches!(open.progress, Progress::Accepted(_)));
     }
 
-    /// Returns a start to send now, and marks it as sent.
+    /// Returns the start that has been due for longest, and marks it as sent.
     pub(crate) fn take_due(&mut self, now: Instant) -> Option<StartOrder> {
-        let is_due = |open: &&mut OpenStart| {
-            open.stopping.is_none() && matches!(open.progress, Progress::Due(at) if at <= now)
-        };
-        let open = self.open.values_mut().find(is_due)?;
+        let open = self.open.values_mut();
+        let due = open.filter_map(|open| Some((open.due()?, open)));
+        let (at, open) = due.min_by_key(|(at, _)| *at)?;
+        if at > now {
+            return None;
+        }
         open.progress = Progress::Sent;
         Some(open.order.clone())
     }
 
-    /// Returns a stop to send now, and marks it as sent.
+    /// Returns the stop that has been due for longest, and marks it as sent.
     pub(crate) fn take_due_stop(&mut self, now: Instant) -> Option<TaskRun> {
-        let is_due = |stop: &&mut Stop| matches!(stop, Stop::Due(at) if *at <= now);
-        let (run, stop) = self.stops.iter_mut().find(|(_, stop)| is_due(stop))?;
+        let due = self.stops.iter_mut().filter_map(|(run, stop)| match stop {
+            Stop::Due(at) if *at <= now => Some((*at, run, stop)),
+            _ => None,
+        });
+        let (_, run, stop) = due.min_by_key(|(at, ..)| *at)?;
         *stop = Stop::Sent;
         Some(run.clone())
     }
 
+    /// Returns how many calls to stop a run have no reply yet.
+    pub(crate) fn stops_in_progress(&self) -> usize {
+        let stops = self.stops.values();
+        stops.filter(|stop| matches!(stop, Stop::Sent)).count()
+    }
+
+    /// Returns true if a start is to be sent now.
+    pub(crate) fn has_due(&self, now: Instant) -> bool {
+        self.open
+            .values()
+            .filter_map(OpenStart::due)
+            .any(|at| at <= now)
+    }
+
     /// Returns when the next start or stop is to be sent.
     pub(crate) fn next_due(&self) -> Option<Instant> {
-        let starts = self.open.values().filter(|o| o.stopping.is_none());
-        let starts = starts.filter_map(|o| match o.progress {
-            Progress::Due(at) => Some(at),
-            _ => None,
-        });
+        let starts = self.open.values().filter_map(OpenStart::due);
         let stops = self.stops.values().filter_map(|s| match s {
             Stop::Due(at) => Some(*at),
             _ => None,
