Takeover tests run their job on both workers

Cause: the second worker had not reported when the job was placed, so all four tasks ran on the first one, and tests such as takeover_waits_for_lease_of_unresponsive_worker waited for a worker without tasks. Change: both workers report first, and the fixture asserts two tasks on each.

--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -12,9 +12,11 @@
     let mut harness = Harness::new();
     harness.add_vm("one", 16);
     harness.add_vm("two", 16);
+    harness.sync_all();
     harness.submit("a", job(vec![stage(4, 1)]));
     harness.sync_all();
-    assert_eq!(harness.running().len(), 4);
+    assert_eq!(harness.vm("one").running.len(), 2);
+    assert_eq!(harness.vm("two").running.len(), 2);
     harness
 }
 
