Takeover waits for a worker whose record cannot be decoded

Cause: a worker record that could not be decoded was skipped, as if nothing could run there. Only the key's absence proves that. Change: the worker is inherited by its key; its record is written anew once it reports. Evidence: takeover_waits_for_worker_whose_record_cannot_be_read and worker_whose_record_cannot_be_read_gets_tasks failed before (attempts 1025 beside attempts 1), pass now. Such a record has not been seen on a site.

--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -19,7 +19,7 @@
 pub const VM_PREFIX: &str = "mt/vm/";
 
 impl Owner {
-    /// Loads what the store held when this owner's epoch began; skips records that can't be
+    /// Loads what the store held when this owner's epoch began; skips records of jobs that can't be
     /// decoded.
     pub fn load(
         &mut self,
@@ -42,10 +42,10 @@
         }
         let until = now + self.cfg.predecessor_grace + lease_bound(self.cfg.worker_lease);
         for item in vms {
-            match decode::<WorkerRecord>(&item.key, &item.value) {
-                Ok(record) => self.load_vm(until, item, record),
-                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
-            }
+            // The key alone says that tasks may run there, whatever the record contains.
+            let record = decode::<WorkerRecord>(&item.key, &item.value)
+                .inspect_err(|e| warn!(self.log, "owner: record unreadable"; "error" => %e));
+            self.load_vm(until, item, record.ok());
         }
         info!(self.log, "owner: took over";
             "epoch" => self.cfg.epoch.0, "jobs" => self.jobs.len(),
@@ -75,11 +75,11 @@
         }
     }
 
-    fn load_vm(&mut self, until: Instant, item: &KeyValue, record: WorkerRecord) {
+    fn load_vm(&mut self, until: Instant, item: &KeyValue, record: Option<WorkerRecord>) {
         let vm: Name = item.key.strip_prefix(VM_PREFIX).unwrap_or(&item.key).into();
         let mut worker = Worker::new();
         worker.inherited_until = Some(until);
-        worker.stored_record.record = Some(record);
+        worker.stored_record.record = record;
         worker.stored_record.revision = item.revision;
         self.workers.insert(vm, worker);
     }
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -524,6 +524,23 @@
         .expect("the key is written");
 }
 
+/// Overwrites a key of the store.
+pub fn overwrite(harness: &mut Harness, key: &str, value: &[u8]) {
+    let call = StoreCall::Txn {
+        expected: Vec::new(),
+        writes: vec![KeyWrite {
+            key: key.into(),
+            value: value.into(),
+            lease: None,
+        }],
+        deletes: Vec::new(),
+    };
+    harness
+        .store
+        .call(harness.now, &call)
+        .expect("the key is written");
+}
+
 /// Deletes the owner's key, as the store does when the lease expires.
 pub fn delete_owner_key(harness: &mut Harness) {
     let call = StoreCall::Txn {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -3,10 +3,11 @@
 mod harness;
 
 use base::prelude::*;
+use jobs::owner::VM_PREFIX;
 use jobs::report::EndKind;
 use jobs::{JobReply, JobState, RouteTerms};
 
-use harness::{GRACE, Harness, StoreMode, WORKER_LEASE, job, stage, terms};
+use harness::{GRACE, Harness, StoreMode, WORKER_LEASE, job, overwrite, stage, terms};
 
 fn harness_with_running_job() -> Harness {
     let mut harness = Harness::new();
@@ -346,3 +347,33 @@
         "reports come more often than the long poll times out"
     );
 }
+
+#[test]
+fn takeover_waits_for_worker_whose_record_cannot_be_read() {
+    let mut harness = harness_with_running_job();
+    let before = harness.running();
+    overwrite(&mut harness, &format!("{VM_PREFIX}two"), b"");
+
+    harness.take_over();
+    harness.pass(GRACE + WORKER_LEASE, &["one"]);
+    assert_eq!(harness.running(), before, "it may run tasks");
+    harness.pass(Duration::from_secs(1), &["one"]);
+
+    assert_eq!(harness.vm("one").running.len(), 4, "its lease has expired");
+}
+
+#[test]
+fn worker_whose_record_cannot_be_read_gets_tasks() {
+    let mut harness = harness_with_running_job();
+    let before = harness.running();
+    overwrite(&mut harness, &format!("{VM_PREFIX}two"), b"");
+
+    harness.take_over();
+    harness.sync_all();
+    harness.submit("b", job(vec![stage(24, 1)]));
+    harness.sync_all();
+
+    let runs = harness.running();
+    assert!(before.iter().all(|run| runs.contains(run)));
+    assert_eq!(runs.len(), 28);
+}
