No start leaves under the fence at which a worker was reported gone

If the worker lives and its next heartbeat arrives first, a start that waits left under the old token: a run that the owner has released (TWICE).

Change: nothing starts on such a worker until the token has risen, or until the owner has replied to a report that says it lives, after which it ignores earlier ones.

Tests: the first of the two in state.rs failed before; the second guards against a worker that never gets tasks again.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -19,6 +19,9 @@
     /// The latest heartbeat.
     pub(crate) heartbeat: Heartbeat,
     pub(crate) is_gone: bool,
+    /// The fencing token under which the owner was told that the worker is gone: it releases all runs,
+    /// so nothing starts until the token has risen.
+    pub(crate) gone_fence: Option<u64>,
     pub(crate) clock: Option<WorkerClock>,
     pub(crate) fence: u64,
     /// When the lease of the tasks expires, on the worker's clock in milliseconds.
@@ -53,6 +56,7 @@
         Self {
             heartbeat,
             is_gone: false,
+            gone_fence: None,
             clock: None,
             fence: 0,
             deadline_ms: None,
@@ -79,6 +83,24 @@
             .is_some_and(|s| s.fence == self.fence && s.is_settled)
     }
 
+    pub(crate) fn record_gone(&mut self) {
+        self.is_gone = true;
+        self.gone_fence = Some(self.fence);
+    }
+
+    /// Returns the lease of starts, if any may be sent, on the worker's clock in milliseconds.
+    pub(crate) fn start_deadline_ms(&self) -> Option<u64> {
+        let takes_starts =
+            self.is_confirmed && !self.is_draining() && self.gone_fence != Some(self.fence);
+        self.deadline_ms.filter(|_| takes_starts)
+    }
+
+    /// Returns when the next start is to be sent.
+    pub(crate) fn next_start_due(&self) -> Option<Instant> {
+        self.start_deadline_ms()?;
+        self.starts.next_due()
+    }
+
     /// Returns true if calls wait for the next status.
     pub(crate) fn needs_status_poll(&self) -> bool {
         self.fence > 0 && (!self.is_confirmed || self.starts.awaits_status())
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -124,11 +124,8 @@
             return;
         };
         // Stops go first, but must not hold up all starts while they have no reply.
-        let max_stops = if worker.starts.has_due(now) {
-            MAX_CALLS / 2
-        } else {
-            MAX_CALLS
-        };
+        let has_start = worker.next_start_due().is_some_and(|at| at <= now);
+        let max_stops = if has_start { MAX_CALLS / 2 } else { MAX_CALLS };
         while self.calls.is_free()
             && worker.starts.stops_in_progress() < max_stops
             && let Some(run) = worker.starts.take_due_stop(now)
@@ -150,8 +147,7 @@
         if worker.heartbeat.draining.is_some() {
             self.syncs.has_changes |= worker.starts.reject_unsent(now);
         }
-        let may_start = worker.is_confirmed && !worker.is_draining();
-        let Some(deadline_ms) = worker.deadline_ms.filter(|_| may_start) else {
+        let Some(deadline_ms) = worker.start_deadline_ms() else {
             return;
         };
         while self.calls.is_free()
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -170,22 +170,18 @@
         stops.filter(|stop| matches!(stop, Stop::Sent)).count()
     }
 
-    /// Returns true if a start is to be sent now.
-    pub(crate) fn has_due(&self, now: Instant) -> bool {
-        self.open
-            .values()
-            .filter_map(OpenStart::due)
-            .any(|at| at <= now)
+    /// Returns when the next start is to be sent.
+    pub(crate) fn next_due(&self) -> Option<Instant> {
+        self.open.values().filter_map(OpenStart::due).min()
     }
 
-    /// Returns when the next start or stop is to be sent.
-    pub(crate) fn next_due(&self) -> Option<Instant> {
-        let starts = self.open.values().filter_map(OpenStart::due);
+    /// Returns when the next stop is to be sent.
+    pub(crate) fn next_stop_due(&self) -> Option<Instant> {
         let stops = self.stops.values().filter_map(|s| match s {
             Stop::Due(at) => Some(*at),
             _ => None,
         });
-        starts.chain(stops).min()
+        stops.min()
     }
 
     /// Records that the worker has or had the run; the next status shows which.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -84,7 +84,7 @@
             WorkerMessage::Leave(id) => {
                 if let Some(worker) = self.worker.as_mut().filter(|w| w.heartbeat.id == id) {
                     info!(self.log, "companion: worker left"; "worker" => %id);
-                    worker.is_gone = true;
+                    worker.record_gone();
                     self.syncs.has_changes = true;
                 }
             }
@@ -187,7 +187,7 @@
                 worker.poll_after = Some(now + LONG_POLL_RETRY);
                 if worker.refused(now, e.kind()) {
                     warn!(self.log, "companion: worker ended"; "worker" => %worker.heartbeat.id);
-                    worker.is_gone = true;
+                    worker.record_gone();
                     self.syncs.has_changes = true;
                 }
             }
@@ -218,10 +218,11 @@
                 w.status_polled_at
                     .map_or(now, |at| at + STATUS_POLL_INTERVAL)
             });
-        let starts = worker
+        let stops = worker
             .filter(|w| w.is_confirmed)
-            .and_then(|w| w.starts.next_due());
-        let due = [long_poll, status_poll, starts, self.syncs.next_due()];
+            .and_then(|w| w.starts.next_stop_due());
+        let starts = worker.and_then(WorkerIncarnation::next_start_due);
+        let due = [long_poll, status_poll, stops, starts, self.syncs.next_due()];
         due.into_iter().flatten().min()
     }
 
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -24,6 +24,8 @@
     /// A lower bound of the worker's clock when the report was sent, in milliseconds.
     clock_ms: Option<u64>,
     incarnation: Incarnation,
+    /// Whether the worker was heard again after an earlier report may have said that it is gone.
+    is_heard_again: bool,
 }
 
 /// The reports in flight, and the owner that they are sent to.
@@ -123,6 +125,7 @@
                 .and_then(|w| w.clock)
                 .map(|c| c.at_least(now)),
             incarnation: worker.map(|w| w.heartbeat.incarnation).unwrap_or_default(),
+            is_heard_again: worker.is_some_and(|w| w.gone_fence.is_some() && !w.is_gone),
         };
         self.syncs.in_flight.insert(number, sent);
         let mut worker = self.worker_report(now);
@@ -202,6 +205,10 @@
                 self.throttles.clear();
             }
             worker.fence = reply.fence;
+            if sent.is_heard_again {
+                // The owner ignores earlier reports from now on.
+                worker.gone_fence = None;
+            }
             worker.stored_ends = worker.stored_ends.max(reply.stored_ends);
             if let (Some(clock_ms), Some(lease_ms)) = (sent.clock_ms, reply.lease_ms) {
                 let deadline = clock_ms + lease_ms;
--- a/crates/agent/tests/state.rs
+++ b/crates/agent/tests/state.rs
@@ -212,6 +212,41 @@
     assert!(report.is_gone);
 }
 
+#[test]
+fn start_does_not_leave_under_the_fence_at_which_its_worker_was_reported_gone() {
+    let mut harness = Harness::fenced();
+    for _ in 0..4 {
+        harness.fail_long_poll(ErrorKind::NotListening);
+        harness.advance(100);
+        harness.run();
+    }
+    harness.order(&run_of(0));
+
+    harness.send_heartbeat(1, 2);
+    harness.run();
+    harness.complete_long_poll(&[], &[]);
+
+    assert!(harness.starts().is_empty(), "the owner has released it");
+}
+
+#[test]
+fn worker_heard_again_before_the_owner_knew_it_gone_gets_starts() {
+    let mut harness = Harness::fenced();
+    for _ in 0..4 {
+        harness.fail_long_poll(ErrorKind::NotListening);
+        harness.advance(100);
+        harness.run();
+    }
+    harness.send_heartbeat(1, 2);
+    harness.run();
+    harness.complete_long_poll(&[], &[]);
+    harness.next_report();
+
+    harness.order(&run_of(0));
+
+    assert_eq!(harness.starts().len(), 1);
+}
+
 #[test]
 fn reply_of_an_earlier_epoch_is_ignored() {
     let mut harness = Harness::fenced();
