A late leave of an earlier incarnation does not end the next one

After a freeze of the companion both may be in its backlog in either order; the leave then ended the new incarnation in the owner's eyes until its next heartbeat.

Change: the incarnation in a leave, if there is one, has to be the known one.

--- a/crates/agent/src/ports.rs
+++ b/crates/agent/src/ports.rs
@@ -34,8 +34,8 @@
 pub enum WorkerMessage {
     /// The worker is up.
     Heartbeat(Heartbeat),
-    /// The worker with this id leaves for good.
-    Leave(WorkerId),
+    /// The worker with this id leaves for good; its incarnation, if the worker says it.
+    Leave(WorkerId, Option<Incarnation>),
 }
 
 /// Decodes requests of the worker.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -81,8 +81,11 @@
     pub fn worker_message(&mut self, now: Instant, message: WorkerMessage) {
         match message {
             WorkerMessage::Heartbeat(heartbeat) => self.heartbeat(now, heartbeat),
-            WorkerMessage::Leave(id) => {
-                if let Some(worker) = self.worker.as_mut().filter(|w| w.heartbeat.id == id) {
+            WorkerMessage::Leave(id, incarnation) => {
+                let is_of = |w: &&mut WorkerIncarnation| {
+                    w.heartbeat.id == id && incarnation.is_none_or(|i| i == w.heartbeat.incarnation)
+                };
+                if let Some(worker) = self.worker.as_mut().filter(is_of) {
                     info!(self.log, "companion: worker left"; "worker" => %id);
                     worker.record_gone();
                     self.syncs.has_changes = true;
