Refused connections to a worker do not release its runs

Its heartbeats went on arriving all the while.

Cause: a refused connection was taken for the end of the process. It says that nobody accepts connections there, or that something on the path refuses them; that no run goes on is proven by the worker's leave, by its next incarnation or by the end of its lease.

Change: the companion reports such a worker as unresponsive at once, so that it gets no tasks and its lease is not renewed; the runs wait for the lease or the next incarnation.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -10,8 +10,8 @@
 /// How long a worker may go without replying before its lease is no longer renewed.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1300);
 
-/// How long connections to the worker must be refused before its process counts as ended.
-const ENDED_AFTER: Duration = Duration::from_millis(250);
+/// How long connections to the worker must be refused before its lease is no longer renewed.
+const REFUSED_AFTER: Duration = Duration::from_millis(250);
 
 /// The state of one incarnation of the worker.
 #[derive(Debug)]
@@ -48,6 +48,8 @@
     pub(crate) answered_at: Instant,
     /// Since when connections to the worker are refused.
     pub(crate) refused_since: Option<Instant>,
+    /// Whether connections have been refused for [`REFUSED_AFTER`].
+    pub(crate) is_refusing: bool,
 }
 
 impl WorkerIncarnation {
@@ -67,6 +69,7 @@
             first_status_ms: None,
             answered_at: now,
             refused_since: None,
+            is_refusing: false,
             is_confirmed: true,
             is_long_polling: false,
             is_status_polling: false,
@@ -115,20 +118,33 @@
         self.is_confirmed &= !is_lost;
     }
 
-    /// Records a failed call; returns true if connections have been refused for [`ENDED_AFTER`],
-    /// so that the worker's process has ended.
-    pub(crate) fn refused(&mut self, now: Instant, kind: ErrorKind) -> bool {
-        if kind != ErrorKind::NotListening {
+    /// Records a failed poll; returns true if the worker now counts as refusing connections.
+    pub(crate) fn poll_failed(&mut self, now: Instant, kind: ErrorKind) -> bool {
+        // Another incarnation may answer the next call.
+        self.is_confirmed = false;
+        let was_refusing = self.is_refusing;
+        if kind == ErrorKind::NotListening {
+            let since = *self.refused_since.get_or_insert(now);
+            self.is_refusing = now.duration_since(since) >= REFUSED_AFTER;
+        } else {
             self.refused_since = None;
-            return false;
+            self.is_refusing = false;
         }
-        let since = *self.refused_since.get_or_insert(now);
-        now.duration_since(since) >= ENDED_AFTER
+        self.is_refusing && !was_refusing
     }
 
-    /// Returns true if the worker has not replied for [`UNRESPONSIVE_AFTER`].
+    /// Records that the incarnation has answered a poll.
+    pub(crate) fn poll_answered(&mut self, now: Instant) {
+        self.answered_at = now;
+        self.refused_since = None;
+        self.is_refusing = false;
+        self.is_confirmed = true;
+    }
+
+    /// Returns true if the worker has not replied for [`UNRESPONSIVE_AFTER`] or refuses connections.
+    /// Neither proves that its runs have ended, so they wait for the end of its lease.
     pub(crate) fn is_unresponsive(&self, now: Instant) -> bool {
-        now.duration_since(self.answered_at) >= UNRESPONSIVE_AFTER
+        self.is_refusing || now.duration_since(self.answered_at) >= UNRESPONSIVE_AFTER
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -167,9 +167,7 @@
                 // A long poll returns at once while the worker lists any finished run, even if
                 // it is acknowledged.
                 let has_ends = reply.ends.iter().any(|e| e.number > worker.stored_ends);
-                worker.answered_at = now;
-                worker.refused_since = None;
-                worker.is_confirmed = true;
+                worker.poll_answered(now);
                 worker.poll_after = has_ends.then(|| now + STATUS_POLL_INTERVAL);
                 let has_changes = record_status(worker, now, done.fence, reply);
                 // Every long poll that waited is reported, since its figures age quickly.
@@ -185,12 +183,10 @@
             }
             Err(e) => {
                 warn!(self.log, "companion: hold failed"; "error" => %e);
-                // A worker that does not reply may have restarted as well.
-                worker.is_confirmed = false;
                 worker.poll_after = Some(now + LONG_POLL_RETRY);
-                if worker.refused(now, e.kind()) {
-                    warn!(self.log, "companion: worker ended"; "worker" => %worker.heartbeat.id);
-                    worker.record_gone();
+                if worker.poll_failed(now, e.kind()) {
+                    warn!(self.log, "companion: worker refuses connections";
+                        "worker" => %worker.heartbeat.id);
                     self.syncs.has_changes = true;
                 }
             }
--- a/crates/ops/src/explain.rs
+++ b/crates/ops/src/explain.rs
@@ -21,7 +21,7 @@
     "owner: worker drains",
     "owner: worker quarantined",
     "owner: worker known",
-    "companion: worker ended",
+    "companion: worker refuses connections",
     "companion: report failed",
 ];
 
