Correct two comments: refused connections, and what tells processes apart

NotListening said that the peer's process does not run, the conclusion that the incident showed to be wrong; boot numbers have no order any more. Comments only.

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -61,7 +61,7 @@
 impl AgentState {
     /// Creates the state of an agent that has received no heartbeat yet.
     ///
-    /// `boot` must be higher than that of any earlier process on the VM; `stop_time` is the longest
+    /// `boot` must differ from that of any earlier process on the VM; `stop_time` is the longest
     /// time that the worker takes to stop a run.
     pub fn new(vm: Name, boot: u64, stop_time: Duration, log: Logger) -> Self {
         Self {
--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -13,7 +13,7 @@
 pub enum ErrorKind {
     /// The peer could not be reached; the call had no effect.
     Unreachable,
-    /// Nothing listens at the address: the peer's process does not run; the call had no effect.
+    /// Connections to the address are refused; the call had no effect.
     NotListening,
     /// No response arrived in time; the call may have taken effect.
     Timeout,
