Companions report crashes of their worker and the runs that it had

The logs could not tell whether the runs of a lost worker were counted and forgotten, or never counted, nor a crash from a cut or a leave: an owner only logged how many runs were lost.

A companion outlives crashes of its worker and takeovers. When another incarnation appears without a leave or a drain before it, the companion reports the crash with the runs that may have started, how long each had run, and whether their lease still lasted, until an owner has recorded it. The owner logs and counts it, but draws no conclusion yet.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -1,6 +1,7 @@
 //! The companion's view of one incarnation of its worker.
 
 use base::prelude::*;
+use jobs::TaskRun;
 use jobs::report::WorkerStatus;
 
 use crate::ports::{Heartbeat, LongPollReply};
@@ -46,6 +47,10 @@
     pub(crate) first_status_ms: Option<u64>,
     /// When the worker last replied, or sent its first heartbeat.
     pub(crate) answered_at: Instant,
+    /// When a connection was first refused or reset since the worker last replied to a poll.
+    pub(crate) disconnected_at: Option<Instant>,
+    /// The runs in the latest status, with when they were started or first listed.
+    pub(crate) listed_since: IndexMap<TaskRun, Instant>,
     /// Since when connections to the worker are refused.
     pub(crate) refused_since: Option<Instant>,
     /// Whether connections have been refused for [`REFUSED_AFTER`].
@@ -68,6 +73,8 @@
             starts: Starts::new(stop_time),
             first_status_ms: None,
             answered_at: now,
+            disconnected_at: None,
+            listed_since: IndexMap::new(),
             refused_since: None,
             is_refusing: false,
             is_confirmed: true,
@@ -110,18 +117,34 @@
     }
 
     /// Records a failed call, which a restart of the worker may have caused.
-    pub(crate) fn call_failed(&mut self, kind: ErrorKind) {
+    pub(crate) fn call_failed(&mut self, now: Instant, kind: ErrorKind) {
         let is_lost = matches!(
             kind,
             ErrorKind::Unreachable | ErrorKind::NotListening | ErrorKind::Interrupted
         );
         self.is_confirmed &= !is_lost;
+        self.record_disconnect(now, kind);
+    }
+
+    fn record_disconnect(&mut self, now: Instant, kind: ErrorKind) {
+        if matches!(kind, ErrorKind::NotListening | ErrorKind::Interrupted) {
+            self.disconnected_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns true if the lease of the runs had certainly not expired at `at`.
+    pub(crate) fn had_lease(&self, at: Instant) -> bool {
+        let clock_ms = self.clock.map(|clock| clock.at_most(at));
+        self.deadline_ms
+            .zip(clock_ms)
+            .is_some_and(|(deadline_ms, clock_ms)| clock_ms < deadline_ms)
     }
 
     /// Records a failed poll; returns true if the worker now counts as refusing connections.
     pub(crate) fn poll_failed(&mut self, now: Instant, kind: ErrorKind) -> bool {
         // Another incarnation may answer the next call.
         self.is_confirmed = false;
+        self.record_disconnect(now, kind);
         let was_refusing = self.is_refusing;
         if kind == ErrorKind::NotListening {
             let since = *self.refused_since.get_or_insert(now);
@@ -136,6 +159,7 @@
     /// Records that the incarnation has answered a poll.
     pub(crate) fn poll_answered(&mut self, now: Instant) {
         self.answered_at = now;
+        self.disconnected_at = None;
         self.refused_since = None;
         self.is_refusing = false;
         self.is_confirmed = true;
@@ -176,6 +200,7 @@
         running: reply.running,
         finished: reply.ends,
     };
+    record_listed(worker, now, &status);
     worker
         .starts
         .reconcile(&status, reply.clock_ms, reply.is_partial);
@@ -196,3 +221,14 @@
     worker.status = Some(status);
     is_first || has_new_end || has_reject
 }
+
+/// Records since when each run of a status has been running.
+fn record_listed(worker: &mut WorkerIncarnation, now: Instant, status: &WorkerStatus) {
+    let known = std::mem::take(&mut worker.listed_since);
+    let since = |run: &TaskRun| {
+        let listed = known.get(run).copied();
+        listed.or_else(|| worker.starts.sent_at(run)).unwrap_or(now)
+    };
+    let rows = status.running.iter();
+    worker.listed_since = rows.map(|row| (row.run.clone(), since(&row.run))).collect();
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 //! and its state.
 
 mod app;
+mod crashes;
 mod event;
 mod incarnation;
 mod node;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -73,7 +73,7 @@
             }
             Ok(StartReply::WrongIncarnation) => worker.starts.retry(now, run),
             Err(e) => {
-                worker.call_failed(e.kind());
+                worker.call_failed(now, e.kind());
                 if e.kind().is_outcome_unknown() {
                     worker.starts.count_unanswered(run);
                 }
@@ -107,7 +107,7 @@
         };
         let clock_ms = reply.unwrap_or_else(|e| {
             warn!(self.log, "companion: stop failed"; "run" => %run, "error" => %e);
-            worker.call_failed(e.kind());
+            worker.call_failed(now, e.kind());
             None
         });
         worker.starts.stop_answered(now, run, clock_ms);
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -33,6 +33,8 @@
 struct OpenStart {
     order: StartOrder,
     progress: Progress,
+    /// When the first call was made.
+    sent_at: Option<Instant>,
     /// Calls without a reply: the worker may still carry them out, also after later calls.
     unanswered: u32,
     /// Set once the run is to be stopped; the reason to report if it proves not to have started.
@@ -97,6 +99,7 @@
             let open = OpenStart {
                 order,
                 progress: Progress::Due(now),
+                sent_at: None,
                 unanswered: 0,
                 stopping: None,
             };
@@ -150,6 +153,7 @@
             return None;
         }
         open.progress = Progress::Sent;
+        open.sent_at.get_or_insert(now);
         Some(open.order.clone())
     }
 
@@ -198,6 +202,20 @@
         }
     }
 
+    /// Returns when the first call to start an open run was made.
+    pub(crate) fn sent_at(&self, run: &TaskRun) -> Option<Instant> {
+        self.open.get(run)?.sent_at
+    }
+
+    /// Returns the open runs that the worker may have started, with when they were first sent.
+    pub(crate) fn maybe_started(&self) -> impl Iterator<Item = (&TaskRun, Instant)> {
+        let is_possible = |open: &OpenStart| {
+            open.unanswered > 0 || matches!(open.progress, Progress::Sent | Progress::Accepted(_))
+        };
+        let open = self.open.iter().filter(move |(_, open)| is_possible(open));
+        open.filter_map(|(run, open)| Some((run, open.sent_at?)))
+    }
+
     /// Returns how many calls to start the run had no reply.
     pub(crate) fn unanswered(&self, run: &TaskRun) -> u32 {
         self.open.get(run).map_or(0, |open| open.unanswered)
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -5,6 +5,7 @@
 use jobs::report::{SyncReport, WorkerReport};
 use slog::{Logger, info, warn};
 
+use crate::crashes::Crashes;
 use crate::event::LongPollDone;
 use crate::incarnation::{WorkerIncarnation, record_status};
 use crate::orders::CallSlots;
@@ -50,6 +51,7 @@
     pub(crate) log: Logger,
     pub(crate) epoch: Epoch,
     pub(crate) worker: Option<WorkerIncarnation>,
+    pub(crate) crashes: Crashes,
     pub(crate) syncs: Syncs,
     pub(crate) calls: CallSlots,
     /// Runs to throttle, with their share of speed in percent.
@@ -71,6 +73,7 @@
             log,
             epoch: Epoch(0),
             worker: None,
+            crashes: Crashes::default(),
             syncs: Syncs::default(),
             calls: CallSlots::default(),
             throttles: IndexMap::new(),
@@ -114,6 +117,7 @@
             info!(self.log, "companion: worker heard";
                 "worker" => %heartbeat.id,
                 "born" => heartbeat.incarnation.0, "pool" => %heartbeat.pool);
+            self.record_crash(now);
             self.worker = Some(WorkerIncarnation::new(
                 heartbeat.clone(),
                 now,
@@ -141,6 +145,19 @@
         worker.heartbeat = heartbeat;
     }
 
+    /// Records that another incarnation replaces the known one, which may have crashed.
+    fn record_crash(&mut self, now: Instant) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        if let Some(crash) = self.crashes.add(worker, now) {
+            warn!(self.log, "companion: worker crashed";
+                "worker" => %worker.heartbeat.id, "born" => crash.incarnation.0,
+                "runs" => crash.runs.len(), "within_lease" => crash.is_within_lease,
+                "silent_ms" => now.duration_since(worker.answered_at).as_millis());
+        }
+    }
+
     /// Handles the outcome of a long poll.
     pub fn long_polled(&mut self, now: Instant, done: LongPollDone) {
         if !done.is_waiting {
@@ -288,6 +305,7 @@
             changes: None,
             open: worker.starts.open_runs(),
             rejected: worker.starts.rejected(),
+            crashes: self.crashes.unrecorded().to_vec(),
         })
     }
 }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -215,6 +215,7 @@
                 worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
             }
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
+            self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
                 worker.starts.order(now, order);
             }
--- a/crates/agent/src/worker_clock.rs
+++ b/crates/agent/src/worker_clock.rs
@@ -28,4 +28,11 @@
         let since = u64::try_from(since).unwrap_or(u64::MAX) / 100 * 98;
         self.clock_ms + since
     }
+
+    /// Returns an upper bound of the worker's clock at `at`, in milliseconds, if the reading was not
+    /// delayed by more than the drift since.
+    pub(crate) fn at_most(&self, at: Instant) -> u64 {
+        let since = at.saturating_duration_since(self.read_at);
+        self.clock_ms + base::whole_ms(since.mul_f64(1.02))
+    }
 }
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod colocation;
 mod commit;
+mod crashes;
 mod finished;
 mod gang;
 mod owner_record;
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -78,6 +78,7 @@
             return;
         }
         let is_unresponsive = report.is_unresponsive;
+        self.apply_crashes(&vm, &report.crashes);
         self.apply_report(now, unix_ms, &vm, report);
         let Some(worker) = self.workers.get_mut(&vm) else {
             return;
@@ -253,6 +254,7 @@
         let reply = SyncReply {
             needs_status: std::mem::take(&mut worker.needs_status),
             noted_rejects: std::mem::take(&mut worker.noted_rejects),
+            noted_crashes: std::mem::take(&mut worker.noted_crashes),
             starts: orders.starts,
             stops: orders.stops,
             throttles: orders.throttles,
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -154,6 +154,8 @@
     pub(super) has_unknown_runs: bool,
     pub(super) finished: FinishedRuns,
     pub(super) noted_rejects: Vec<TaskRun>,
+    /// Earlier incarnations whose crashes the next reply acknowledges.
+    pub(super) noted_crashes: Vec<Incarnation>,
     pub(super) parked: Option<Parked>,
     pub(super) stored_record: StoredWorkerRecord,
     pub(super) health: Health,
@@ -195,6 +197,7 @@
             has_unknown_runs: false,
             finished: FinishedRuns::default(),
             noted_rejects: Vec::new(),
+            noted_crashes: Vec::new(),
             parked: None,
             stored_record: StoredWorkerRecord::default(),
             health: Health::default(),
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -59,6 +59,9 @@
     pub open: Vec<TaskRun>,
     /// Starts that will never take effect.
     pub rejected: Vec<Rejected>,
+    /// Crashes of earlier incarnations that the owner has not recorded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
 }
 
 impl WorkerReport {
@@ -78,6 +81,7 @@
             changes: None,
             open: Vec::new(),
             rejected: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 }
@@ -195,6 +199,28 @@
     Invalid,
 }
 
+/// A crash of a worker: another incarnation appeared on its VM although it neither left nor drained.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// The incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// Whether it ended while the lease of its runs lasted; else they may have ended before it.
+    pub is_within_lease: bool,
+    /// The runs that it may have had.
+    pub runs: Vec<CrashedRun>,
+}
+
+/// A run on a worker that crashed.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// The run.
+    pub run: TaskRun,
+    /// How long it had run when the worker was last connected, in milliseconds.
+    pub ran_ms: u64,
+}
+
 /// The owner's reply to a report.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -220,6 +246,9 @@
     pub stored_ends: u64,
     /// Rejected starts that the owner has processed.
     pub noted_rejects: Vec<TaskRun>,
+    /// Earlier incarnations of the worker whose crashes the owner has recorded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub noted_crashes: Vec<Incarnation>,
     /// Runs to start.
     pub starts: Vec<StartOrder>,
     /// Runs to stop.
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -8,8 +8,8 @@
 use fakes::store::MemStore;
 use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
 use jobs::report::{
-    EndKind, FinishedRun, Rejected, RunningRow, SharedStatus, StartOrder, SyncReply, SyncReport,
-    WorkerReport, WorkerStatus,
+    Crash, CrashedRun, EndKind, FinishedRun, Rejected, RunningRow, SharedStatus, StartOrder,
+    SyncReply, SyncReport, WorkerReport, WorkerStatus,
 };
 use jobs::{
     Effect, JobReply, JobRequest, JobSpec, Owner, OwnerCfg, RouteTerms, StageSpec, TaskRun, Token,
@@ -59,6 +59,8 @@
     pub running: Vec<RunningRow>,
     pub finished: Vec<FinishedRun>,
     pub rejected: Vec<Rejected>,
+    /// Crashes that the owner has not recorded.
+    pub crashes: Vec<Crash>,
     pub open: Vec<TaskRun>,
     pub stored_ends: u64,
     pub throttles: IndexMap<TaskRun, u32>,
@@ -143,6 +145,7 @@
             running: Vec::new(),
             finished: Vec::new(),
             rejected: Vec::new(),
+            crashes: Vec::new(),
             open: Vec::new(),
             stored_ends: 0,
             throttles: IndexMap::new(),
@@ -377,6 +380,7 @@
                 changes: None,
                 open: self.open.clone(),
                 rejected: self.rejected.clone(),
+                crashes: self.crashes.clone(),
             }),
         }
     }
@@ -388,6 +392,8 @@
             self.fence = self.fence.max(reply.fence);
             self.stored_ends = self.stored_ends.max(reply.stored_ends);
             self.rejected.clear();
+            self.crashes
+                .retain(|c| !reply.noted_crashes.contains(&c.incarnation));
             for order in &reply.starts {
                 self.start(order);
             }
@@ -429,6 +435,20 @@
         });
     }
 
+    /// Crashes and restarts; the companion reports the runs, of which each had run for `ran_ms`.
+    pub fn crash(&mut self, ran_ms: impl Fn(&TaskRun) -> u64) {
+        let runs = self.running.iter().map(|row| CrashedRun {
+            run: row.run.clone(),
+            ran_ms: ran_ms(&row.run),
+        });
+        self.crashes.push(Crash {
+            incarnation: Incarnation(self.incarnation),
+            is_within_lease: true,
+            runs: runs.collect(),
+        });
+        self.restart();
+    }
+
     /// Loses all state, as in a crash and a restart under the same id.
     pub fn restart(&mut self) {
         self.incarnation += 1;
--- a/crates/jobs/tests/reports.rs
+++ b/crates/jobs/tests/reports.rs
@@ -69,6 +69,7 @@
         changes: None,
         open: Vec::new(),
         rejected: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/ops/src/explain.rs
+++ b/crates/ops/src/explain.rs
@@ -15,12 +15,14 @@
 use crate::{Exit, Failure};
 
 /// Events of a worker that affect the runs on it.
-const VM_EVENTS: [&str; 7] = [
+const VM_EVENTS: [&str; 9] = [
     "owner: worker lease lapsed",
     "owner: worker left",
     "owner: worker drains",
     "owner: worker quarantined",
     "owner: worker known",
+    "owner: worker crashed",
+    "companion: worker crashed",
     "companion: worker refuses connections",
     "companion: report failed",
 ];
