Tasks that crash their workers are found and given up

Crashes were counted for nobody, since a crashed worker lists no failed run, and all tasks that a crash interrupted met again on the worker that had just come back.

Each crash that a companion reports is now evidence against its runs. The new crate blame decides who is at fault: runs on trial and those that had just started are suspected before others. A suspect starts again on trial, as the only one on a worker that has no other run that has just started, on at most half of the workers of a pool. It is cleared once a status lists it after it has lasted longer than at its crashes. Two prompt crashes on two VMs, one of them alone, prove a fault, unless workers crash for other causes too; then it takes three at about the same point of the work, two of them alone. Evidence is stored with the job's progress before the companion may forget the crash, so it outlives takeovers and outages of the store; records of earlier versions decode without it.

A worker that is only silent proves nothing. A suspect that loses worker after worker in this way is held until they are heard.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,10 +1,11 @@
 //! The in-memory state of a job: its tasks, and which of them may start.
 
 use base::prelude::*;
+use blame::{Evidence, Verdict};
 use ports::store::Revision;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobRecord, Progress, StageSpec, TaskId, TaskProgress};
+use crate::{Faults, JobRecord, Progress, StageSpec, TaskId, TaskProgress};
 
 /// The state of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,16 +55,33 @@
     pub last_attempt: Attempt,
     /// The last checkpoint.
     pub checkpoint: Option<Name>,
-    /// The VMs on which it failed, stalled or was rejected.
+    /// The VMs on which it failed, stalled, was rejected or was suspected of a crash.
     pub avoid: Vec<Name>,
+    /// The crashes of workers that it may be at fault for; those of a gang stand with its first task.
+    pub evidence: Vec<Evidence>,
+    /// It must not start before this time, since it is not known whether its last workers crashed.
+    pub held_until: Option<Instant>,
 }
 
 impl Task {
+    /// Returns what the crashes of workers say of the task.
+    pub fn verdict(&self) -> Verdict {
+        if self.evidence.is_empty() {
+            return Verdict::Clear;
+        }
+        blame::assess(&self.evidence)
+    }
+
     /// Returns true if the task is not done and has no run.
     pub fn is_waiting(&self) -> bool {
         !self.is_done && self.active_runs.is_empty()
     }
 
+    /// Returns true if the task must not start yet.
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
     fn progress(&self) -> TaskProgress {
         TaskProgress {
             is_done: self.is_done,
@@ -111,6 +129,8 @@
     /// When this owner accepted or loaded it.
     pub(crate) since: Instant,
     pub(crate) ended_unix_ms: Option<u64>,
+    /// Why it failed.
+    pub(crate) cause: Option<Name>,
     pub(crate) stored: Stored,
     /// The remaining critical path from the start of each stage, in milliseconds.
     remaining_paths_ms: Vec<u64>,
@@ -160,6 +180,7 @@
             idle_since: None,
             since: now,
             ended_unix_ms: None,
+            cause: None,
             stored: Stored::default(),
         }
     }
@@ -169,6 +190,12 @@
         self.state = progress.state;
         self.ended_unix_ms = progress.ended_unix_ms;
         self.stored.progress = revision;
+        self.cause = progress.faults.cause;
+        for (position, evidence) in progress.faults.evidence {
+            if let Some(task) = self.tasks.get_mut(position as usize) {
+                task.evidence = evidence;
+            }
+        }
         for (position, stored) in progress.tasks {
             if let Some(task) = self.tasks.get_mut(position as usize) {
                 task.is_done = stored.is_done;
@@ -195,9 +222,21 @@
             state: self.state,
             tasks,
             ended_unix_ms: self.ended_unix_ms,
+            faults: Faults {
+                evidence: self.evidence(),
+                cause: self.cause.clone(),
+            },
         }
     }
 
+    fn evidence(&self) -> Vec<(u32, Vec<Evidence>)> {
+        let tasks = (0..).zip(&self.tasks);
+        tasks
+            .filter(|(_, task)| !task.evidence.is_empty() && !task.is_done)
+            .map(|(position, task)| (position, task.evidence.clone()))
+            .collect()
+    }
+
     /// Marks the progress as changed, so that it is not stored yet.
     pub(crate) fn mark_changed(&mut self) {
         self.stored.version += 1;
@@ -226,6 +265,16 @@
         ((id.index as usize) < instance.tasks).then_some((at, instance.first + id.index as usize))
     }
 
+    /// Returns the position of the task that faults of a task are counted on: a gang fails as a whole.
+    pub(crate) fn counted_position(&self, instance: usize, position: usize) -> usize {
+        let instance = &self.instances[instance];
+        if self.stage(instance).gang {
+            instance.first
+        } else {
+            position
+        }
+    }
+
     pub(crate) fn task_id(&self, instance: &StageInstance, position: usize) -> TaskId {
         TaskId {
             job: self.id.clone(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,4 +14,4 @@
 pub use messages::{JobReply, JobRequest};
 pub use model::{AdviceTerms, JobSpec, RouteTerms, Schedule, StageSpec, TaskId, TaskRun};
 pub use owner::{Effect, Owner, OwnerCfg, Stats, Token};
-pub use progress::{JobRecord, Progress, TaskProgress, WorkerRecord};
+pub use progress::{Faults, JobRecord, Progress, TaskProgress, WorkerRecord};
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -47,6 +47,11 @@
     Accepted,
     /// The job's state.
     Status(JobState),
+    /// The job has failed.
+    Failed {
+        /// Why.
+        cause: Name,
+    },
     /// The cancellation is stored.
     Cancelled,
     /// The job does not exist.
@@ -74,7 +79,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Accepted => "accepted",
-            Self::Status(_) => "status",
+            Self::Status(_) | Self::Failed { .. } => "status",
             Self::Cancelled => "cancelled",
             Self::Gone => "gone",
             Self::Waiting(_) => "waiting",
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -122,6 +122,10 @@
     next_round: Option<Instant>,
     /// When runs were last checked for stalls.
     last_stall_check: Option<Instant>,
+    /// Whether there may be evidence against a task of which it is not known whether the worker crashed.
+    has_doubts: bool,
+    /// When a worker last crashed without a primary suspect among its runs.
+    unexplained_crash: Option<Instant>,
     /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
     had_unadopted_workers: bool,
 }
@@ -147,6 +151,9 @@
             repeat_round: None,
             next_round: None,
             last_stall_check: None,
+            // A previous owner may have left some.
+            has_doubts: true,
+            unexplained_crash: None,
             had_unadopted_workers: true,
         }
     }
@@ -231,7 +238,8 @@
         };
         info!(self.log, "owner: job ended";
             "job" => %id, "state" => ?state, "route" => %job.record.terms.route,
-            "after_ms" => unix_ms.saturating_sub(job.record.accepted_unix_ms));
+            "after_ms" => unix_ms.saturating_sub(job.record.accepted_unix_ms),
+            "cause" => job.cause.as_deref());
         self.stats.events.push(("job", state.name()));
         job.state = state;
         job.ended_unix_ms = Some(unix_ms);
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -4,6 +4,7 @@
 use slog::{info, warn};
 
 use super::Owner;
+use super::crashes::trial_of;
 use super::worker::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
 use crate::report::{RejectKind, Rejected, RunningRow, WorkerStatus};
 use crate::{JobState, StageSpec, Task, TaskRun};
@@ -23,12 +24,14 @@
             worker.has_unknown_runs = false;
         }
         for row in &status.running {
-            let is_wanted = self.update_run(now, vm, row) || (is_first && self.adopt(now, vm, row));
+            let is_wanted = self.update_run(now, vm, status.clock_ms, row)
+                || (is_first && self.adopt(now, vm, row));
             if !is_wanted {
                 info!(self.log, "owner: run is not wanted"; "run" => %row.run, "vm" => %vm);
                 self.stop_unwanted(now, vm, row);
             }
         }
+        self.end_trials(now, vm, status);
         let Some(worker) = self.workers.get_mut(vm) else {
             return;
         };
@@ -67,8 +70,9 @@
         });
     }
 
-    /// Applies the reported progress of a run; returns false if the run is not known.
-    fn update_run(&mut self, now: Instant, vm: &Name, row: &RunningRow) -> bool {
+    /// Applies the progress of a run in a status made at `clock_ms` of the worker's clock; returns false
+    /// if the run is not known.
+    fn update_run(&mut self, now: Instant, vm: &Name, clock_ms: u64, row: &RunningRow) -> bool {
         let Some(worker) = self.workers.get_mut(vm) else {
             return false;
         };
@@ -76,6 +80,9 @@
             return false;
         };
         run.was_listed = true;
+        if let Some(trial) = &mut run.trial {
+            trial.listed.get_or_insert((now, clock_ms));
+        }
         if matches!(run.phase, Phase::Ordered { .. }) {
             run.phase = Phase::Running;
             run.last_progress = now;
@@ -125,6 +132,7 @@
         run.was_listed = true;
         run.percent = row.percent;
         run.gauge = row.gauge;
+        run.trial = trial_of(job, instance, position);
         // The previous owner may have throttled it, so the speed is sent in any case.
         run.speed_sent = run.is_best_effort.then_some((SPEED_UNKNOWN, now));
         job.state = JobState::Running;
@@ -272,5 +280,6 @@
         speed_percent: FULL_SPEED,
         speed_sent: None,
         ticket: None,
+        trial: None,
     }
 }
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -103,7 +103,13 @@
             // An end is reported only once it is stored, since a new owner would not know it.
             self.reply(token, JobReply::Status(JobState::Running));
         } else {
-            self.reply(token, JobReply::Status(job.state));
+            let reply = match (job.state, &job.cause) {
+                (JobState::Failed, Some(cause)) => JobReply::Failed {
+                    cause: Arc::clone(cause),
+                },
+                (state, _) => JobReply::Status(state),
+            };
+            self.reply(token, reply);
         }
     }
 
--- a/crates/jobs/src/owner/crashes.rs
+++ b/crates/jobs/src/owner/crashes.rs
@@ -1,32 +1,481 @@
-//! Crashes of workers.
+//! Crashes of workers: the evidence against their runs, trials of suspects, and tasks given up.
+//!
+//! [`blame`] decides who is at fault. A suspect starts again on trial: on a worker without another
+//! trial, which takes no other task meanwhile. Once it has lasted longer than at its crashes, it is
+//! cleared.
 
 use base::prelude::*;
+use blame::{Candidate, Evidence, Strength, Verdict};
 use slog::{info, warn};
 
 use super::Owner;
-use crate::report::Crash;
+use super::worker::{Run, Trial, Worker};
+use crate::report::{Crash, CrashedRun, WorkerReport, WorkerStatus};
+use crate::{Job, JobState, TaskId, TaskRun};
+
+/// The share of a pool's workers that may run suspects at a time.
+const MAX_TRIAL_SHARE: f64 = 0.5;
+
+/// How long a suspect is held for each worker in a row, after the first one, of which it is not known
+/// whether it crashed.
+const HOLD: Duration = Duration::from_secs(5);
+
+/// The longest time that a suspect is held.
+const MAX_HOLD: Duration = Duration::from_secs(20);
+
+/// How long a worker takes no other task before a suspect starts there, so that no other run has just
+/// started when the suspect does.
+const RESERVED: Duration = Duration::from_millis(350);
+
+/// How long a worker stays reserved for the next suspect after a trial.
+const KEPT: Duration = Duration::from_millis(50);
+
+/// How long after a crash without a primary suspect others may have the same cause.
+const UNEXPLAINED: Duration = Duration::from_secs(60);
+
+/// How many recorded crashes of a VM are remembered.
+const MAX_RECORDED: usize = 16;
 
 impl Owner {
-    /// Records the crashes of earlier incarnations of a worker.
-    pub(super) fn apply_crashes(&mut self, vm: &Name, crashes: &[Crash]) {
+    /// Records the crashes of earlier incarnations of a worker; the companion may forget those whose
+    /// evidence is stored.
+    pub(super) fn apply_crashes(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+        vm: &Name,
+        crashes: &[Crash],
+    ) {
         for crash in crashes {
-            self.apply_crash(vm, crash);
+            let worker = self.workers.get(vm);
+            if worker.is_some_and(|w| !w.recorded_crashes.contains_key(&crash.incarnation)) {
+                self.apply_crash(now, unix_ms, vm, crash);
+            }
         }
+        let is_stored = |(id, version): &(JobId, u64)| {
+            let job = self.jobs.get(id);
+            job.is_none_or(|j| j.stored.stored_version >= *version)
+        };
         if let Some(worker) = self.workers.get_mut(vm) {
-            worker.noted_crashes = crashes.iter().map(|c| c.incarnation).collect();
+            let recorded = &worker.recorded_crashes;
+            let is_noted = |crash: &&Crash| {
+                let jobs = recorded.get(&crash.incarnation);
+                jobs.is_some_and(|jobs| jobs.iter().all(is_stored))
+            };
+            worker.noted_crashes = crashes
+                .iter()
+                .filter(is_noted)
+                .map(|crash| crash.incarnation)
+                .collect();
         }
     }
 
-    fn apply_crash(&mut self, vm: &Name, crash: &Crash) {
-        let shortest = crash.runs.iter().min_by_key(|r| r.ran_ms);
+    fn apply_crash(&mut self, now: Instant, unix_ms: u64, vm: &Name, crash: &Crash) {
+        let last_started = crash.runs.iter().min_by_key(|r| r.ran_ms);
         warn!(self.log, "owner: worker crashed";
             "vm" => %vm, "born" => crash.incarnation.0, "runs" => crash.runs.len(),
             "within_lease" => crash.is_within_lease,
-            "last_started" => shortest.map(|r| r.run.to_string()));
+            "last_started" => last_started.map(|r| r.run.to_string()));
         self.stats.events.push(("worker", "crashed"));
-        for run in &crash.runs {
-            info!(self.log, "owner: run on a crashed worker";
-                "run" => %run.run, "vm" => %vm, "ran_ms" => run.ran_ms);
+        let suspects = self.accuse(now, vm, crash);
+        let jobs: IndexSet<JobId> = suspects.iter().map(|task| task.job.clone()).collect();
+        for task in &suspects {
+            self.judge(unix_ms, vm, task);
+        }
+        let version = |id: JobId| {
+            let version = self.jobs.get(&id).map_or(0, |job| job.stored.version);
+            (id, version)
+        };
+        let jobs = jobs.into_iter().map(version).collect();
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.recorded_crashes.insert(crash.incarnation, jobs);
+            let surplus = worker.recorded_crashes.len().saturating_sub(MAX_RECORDED);
+            worker.recorded_crashes.drain(..surplus);
+        }
+    }
+
+    /// Adds a crash to the evidence against the tasks that the worker may have run, and returns
+    /// those tasks.
+    fn accuse(&mut self, now: Instant, vm: &Name, crash: &Crash) -> Vec<TaskId> {
+        let runs = self.candidates_of(crash);
+        let candidates: Vec<Candidate<'_>> = runs
+            .iter()
+            .map(|(_, ran_ms, evidence)| Candidate {
+                evidence,
+                ran_ms: *ran_ms,
+            })
+            .collect();
+        let (strengths, has_primary) = blame::attribute(&candidates);
+        if crash.is_within_lease && !has_primary {
+            self.unexplained_crash = Some(now);
+        }
+        let is_recent = |at: Instant| now.duration_since(at) < UNEXPLAINED;
+        let has_other_causes = self.unexplained_crash.is_some_and(is_recent);
+        let mut suspects = Vec::new();
+        for ((task, ran_ms, _), strength) in runs.iter().zip(strengths) {
+            info!(self.log, "owner: run on a lost worker";
+                "task" => %task, "vm" => %vm, "ran_ms" => ran_ms, "strength" => ?strength,
+                "is_crash" => crash.is_within_lease);
+            // Whatever ran for long may have ended before a crash of unknown time.
+            if !crash.is_within_lease && strength == Strength::Distant {
+                continue;
+            }
+            let evidence = Evidence {
+                vm: Arc::clone(vm),
+                incarnation: crash.incarnation,
+                ran_ms: *ran_ms,
+                strength,
+                is_certain: crash.is_within_lease,
+                has_other_causes,
+            };
+            self.add_evidence(task, evidence);
+            suspects.push(task.clone());
+        }
+        suspects
+    }
+
+    /// Returns the tasks that may be at fault for a crash, one for each gang, with how long they had
+    /// run and the earlier evidence against them.
+    fn candidates_of(&self, crash: &Crash) -> Vec<(TaskId, u64, Vec<Evidence>)> {
+        let mut found: IndexMap<TaskId, (u64, Vec<Evidence>)> = IndexMap::new();
+        for CrashedRun { run, ran_ms } in &crash.runs {
+            let job = self.jobs.get(&run.task.job);
+            let Some((job, (instance, position))) = job.and_then(|j| Some((j, j.find(&run.task)?)))
+            else {
+                continue;
+            };
+            let counted = job.counted_position(instance, position);
+            let task = &job.tasks[counted];
+            if job.state.has_ended() || task.is_done {
+                continue;
+            }
+            let id = job.task_id(&job.instances[instance], counted);
+            let entry = found.entry(id);
+            let (least, _) = entry.or_insert_with(|| (*ran_ms, task.evidence.clone()));
+            *least = (*least).min(*ran_ms);
+        }
+        let rows = found.into_iter();
+        rows.map(|(id, (ran_ms, evidence))| (id, ran_ms, evidence))
+            .collect()
+    }
+
+    /// Adds evidence against a task; it replaces what was known of the same incarnation.
+    fn add_evidence(&mut self, id: &TaskId, evidence: Evidence) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some((instance, position)) = job.find(id) else {
+            return;
+        };
+        let is_alone = evidence.is_certain && evidence.strength == Strength::Alone;
+        let task = &mut job.tasks[position];
+        task.evidence.retain(|e| !e.is_of_same_worker(&evidence));
+        let vm = Arc::clone(&evidence.vm);
+        self.has_doubts |= !evidence.is_certain;
+        task.evidence.push(evidence);
+        if task.verdict() != Verdict::Clear && !task.avoid.contains(&vm) {
+            task.avoid.push(vm);
+        }
+        if is_alone {
+            drop_checkpoint(job, instance, position);
+        }
+        job.mark_changed();
+        self.commits.mark_progress(&id.job);
+    }
+
+    /// Gives a task up that is proved to be at fault; puts one that is suspected on trial where it
+    /// already runs again.
+    fn judge(&mut self, unix_ms: u64, crashed: &Name, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some((instance, position)) = job.find(id).filter(|_| !job.state.has_ended()) else {
+            return;
+        };
+        let task = &job.tasks[position];
+        let verdict = task.verdict();
+        if verdict != Verdict::Clear {
+            info!(self.log, "owner: task suspected of crashes";
+                "task" => %id, "verdict" => ?verdict, "crashes" => task.evidence.len());
+            self.stats.events.push(("task", "suspected"));
+        }
+        if verdict == Verdict::Guilty {
+            self.give_up(unix_ms, id);
+            return;
+        }
+        let trial = trial_of(job, instance, position);
+        let task = &job.tasks[position];
+        for (vm, attempt) in task.active_runs.iter().filter(|(vm, _)| vm != crashed) {
+            let run = TaskRun {
+                task: id.clone(),
+                attempt: *attempt,
+            };
+            if let Some(worker) = self.workers.get_mut(vm)
+                && let Some(run) = worker.runs.get_mut(&run)
+            {
+                run.trial = trial;
+                worker.recount();
+            }
+        }
+    }
+
+    /// Fails a job because one of its tasks crashes its workers; clears others of the same crashes.
+    fn give_up(&mut self, unix_ms: u64, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some((_, position)) = job.find(id) else {
+            return;
+        };
+        let evidence = std::mem::take(&mut job.tasks[position].evidence);
+        let vms: Vec<&str> = evidence.iter().map(|e| &*e.vm).collect();
+        let vms = vms.join(", ");
+        let cause = format!("task {id} crashed {} workers ({vms})", evidence.len());
+        warn!(self.log, "owner: task given up";
+            "task" => %id, "crashes" => evidence.len(), "vms" => vms, "cause" => &cause);
+        self.stats.events.push(("task", "given_up"));
+        job.cause = Some(cause.into());
+        self.end_job(&id.job, JobState::Failed, unix_ms);
+        let others: Vec<JobId> = self.active.iter().cloned().collect();
+        for other in others {
+            self.clear_explained(&other, &evidence);
+        }
+    }
+
+    /// Removes evidence against the tasks of a job that another task's fault explains.
+    fn clear_explained(&mut self, id: &JobId, explained: &[Evidence]) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let is_explained = |e: &Evidence| explained.iter().any(|other| other.is_of_same_worker(e));
+        let mut has_changed = false;
+        for task in &mut job.tasks {
+            let before = task.evidence.len();
+            task.evidence.retain(|e| !is_explained(e));
+            has_changed |= task.evidence.len() != before;
+        }
+        if has_changed {
+            job.mark_changed();
+            self.commits.mark_progress(id);
+            self.is_round_due = true;
+        }
+    }
+
+    /// Clears the suspects that a status lists and that have lasted longer than at their crashes, by
+    /// the worker's clock: reports may repeat the last status of a worker that has crashed meanwhile.
+    pub(super) fn end_trials(&mut self, now: Instant, vm: &Name, status: &WorkerStatus) {
+        let Some(worker) = self.workers.get_mut(vm).filter(|w| w.has_trial()) else {
+            return;
+        };
+        let mut cleared = Vec::new();
+        for row in &status.running {
+            if let Some(run) = worker.runs.get_mut(&row.run)
+                && run.has_passed_trial(status.clock_ms)
+            {
+                run.trial = None;
+                cleared.push(row.run.task.clone());
+            }
         }
+        if cleared.is_empty() {
+            return;
+        }
+        worker.recount();
+        // The next suspect goes before other tasks, while no run here has just started.
+        worker.reserved_until = Some(now + KEPT);
+        self.is_round_due = true;
+        for id in cleared {
+            info!(self.log, "owner: suspect cleared"; "task" => %id, "vm" => %vm);
+            self.stats.events.push(("task", "cleared"));
+            self.clear_evidence(&id);
+        }
+    }
+
+    fn clear_evidence(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some((instance, position)) = job.find(id) else {
+            return;
+        };
+        let counted = job.counted_position(instance, position);
+        job.tasks[counted].evidence.clear();
+        job.mark_changed();
+        self.commits.mark_progress(&id.job);
+    }
+
+    /// Returns true if a task with this verdict may start in a pool, as far as trials are concerned.
+    pub(super) fn admits_trial(&self, now: Instant, pool: &PoolName, verdict: Verdict) -> bool {
+        if verdict == Verdict::Clear {
+            return true;
+        }
+        let is_of = |w: &&Worker| w.last_report.as_ref().is_some_and(|l| l.pool == *pool);
+        let workers = self.workers.values().filter(is_of);
+        if verdict == Verdict::PrimeSuspect {
+            let mut runs = workers.clone().flat_map(|w| w.runs.values());
+            if runs.any(|r| r.trial.is_some_and(|t| t.is_prime)) {
+                return false;
+            }
+        }
+        let with_trial = workers.clone().filter(|w| w.has_trial() && w.is_heard(now));
+        let max = (workers.count() as f64 * MAX_TRIAL_SHARE).max(1.0);
+        (with_trial.count() as f64) < max
+    }
+
+    /// Returns true if a suspect may start on a worker now; else reserves the worker until then.
+    pub(super) fn prepare_trial(&mut self, now: Instant, vm: &Name) -> bool {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return false;
+        };
+        let has_just_started =
+            |run: &Run| run.trial.is_none() && now.duration_since(run.since) < RESERVED;
+        if !worker.runs.values().any(has_just_started) {
+            return true;
+        }
+        if !worker.is_reserved(now) {
+            worker.reserved_until = Some(now + RESERVED + KEPT);
+        }
+        let retry = now + RESERVED / 4;
+        self.repeat_round = Some(self.repeat_round.map_or(retry, |at| at.min(retry)));
+        false
+    }
+
+    /// Records that a worker may have crashed under the suspects among its runs: its lease lapsed.
+    pub(super) fn suspect_lost_runs(&mut self, now: Instant, vm: &Name) {
+        let Some(worker) = self.workers.get(vm) else {
+            return;
+        };
+        let heard_at = worker.lease_from.unwrap_or(now);
+        let Some(incarnation) = worker.last_report.as_ref().map(|l| l.incarnation) else {
+            return;
+        };
+        let is_suspect = |run: &TaskRun| {
+            let job = self.jobs.get(&run.task.job);
+            let found = job.and_then(|j| Some((j, j.find(&run.task)?)));
+            found.is_some_and(|(job, (instance, position))| {
+                job.tasks[job.counted_position(instance, position)].verdict() != Verdict::Clear
+            })
+        };
+        let runs = worker.runs.iter();
+        let runs = runs.filter(|(id, run)| run.may_have_started() && is_suspect(id));
+        let runs = runs.map(|(id, run)| CrashedRun {
+            run: id.clone(),
+            ran_ms: base::whole_ms(heard_at.saturating_duration_since(run.since)),
+        });
+        let doubt = Crash {
+            incarnation,
+            is_within_lease: false,
+            runs: runs.collect(),
+        };
+        let suspects = self.accuse(now, vm, &doubt);
+        for id in suspects {
+            self.hold(now, &id);
+        }
+    }
+
+    /// Records that a worker may have crashed under its runs although its companion, which has
+    /// restarted too, does not report it.
+    pub(super) fn suspect_unreported_runs(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        report: &WorkerReport,
+    ) {
+        let last_report = self.workers.get(vm).and_then(|w| w.last_report.as_ref());
+        let Some(last) = last_report.filter(|l| !l.is_gone && l.draining_ms.is_none()) else {
+            return;
+        };
+        let mut crashes = report.crashes.iter();
+        if !crashes.any(|crash| crash.incarnation == last.incarnation) {
+            self.suspect_lost_runs(now, vm);
+        }
+    }
+
+    /// Delays the next start of a task that loses worker after worker, until it is known whether they
+    /// crash.
+    fn hold(&mut self, now: Instant, id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some((_, position)) = job.find(id) else {
+            return;
+        };
+        let task = &mut job.tasks[position];
+        let doubts = task.evidence.iter().filter(|e| !e.is_certain).count();
+        let surplus = u32::try_from(doubts.saturating_sub(1)).unwrap_or(u32::MAX);
+        if surplus > 0 {
+            let hold = HOLD.saturating_mul(surplus).min(MAX_HOLD);
+            task.held_until = Some(now + hold);
+            info!(self.log, "owner: suspect held"; "task" => %id, "hold_ms" => hold.as_millis());
+        }
+    }
+
+    /// Drops doubts about an incarnation that is heard again.
+    pub(super) fn clear_doubts(&mut self, vm: &Name, incarnation: Incarnation) {
+        let is_heard = |w: &&Worker| {
+            let last_report = w.last_report.as_ref();
+            w.lease_from.is_none() && last_report.is_some_and(|l| !l.is_unresponsive)
+        };
+        if !self.has_doubts || self.workers.get(vm).filter(is_heard).is_none() {
+            return;
+        }
+        self.has_doubts = false;
+        for id in &self.active {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let is_doubt =
+                |e: &Evidence| !e.is_certain && e.vm == *vm && e.incarnation == incarnation;
+            let mut has_changed = false;
+            for task in &mut job.tasks {
+                if task.evidence.iter().any(is_doubt) {
+                    task.evidence.retain(|e| !is_doubt(e));
+                    task.held_until = None;
+                    has_changed = true;
+                }
+                self.has_doubts |= task.evidence.iter().any(|e| !e.is_certain);
+            }
+            if has_changed {
+                job.mark_changed();
+                self.commits.mark_progress(id);
+                self.is_round_due = true;
+            }
+        }
+    }
+}
+
+/// Returns the trial of a task's next run, if the task is a suspect.
+pub(super) fn trial_of(job: &Job, instance: usize, position: usize) -> Option<Trial> {
+    let task = &job.tasks[job.counted_position(instance, position)];
+    let verdict = task.verdict();
+    (verdict != Verdict::Clear).then(|| Trial {
+        lasts: blame::trial(&task.evidence),
+        listed: None,
+        is_prime: verdict == Verdict::PrimeSuspect,
+    })
+}
+
+/// Makes a task start from its beginning, since its checkpoint may be what crashes the worker.
+fn drop_checkpoint(job: &mut Job, instance: usize, position: usize) {
+    let positions = if job.stage(&job.instances[instance]).gang {
+        job.instances[instance].range()
+    } else {
+        position..position + 1
+    };
+    for position in positions {
+        job.update(instance, position, |task| task.checkpoint = None);
+    }
+}
+
+impl Run {
+    fn may_have_started(&self) -> bool {
+        use super::worker::Phase;
+        !matches!(self.phase, Phase::Ordered { sent: None, .. })
+    }
+
+    fn has_passed_trial(&self, clock_ms: u64) -> bool {
+        self.trial.is_some_and(|trial| {
+            let lasted = trial.listed.map(|(_, at)| clock_ms.saturating_sub(at));
+            lasted.is_some_and(|lasted| Duration::from_millis(lasted) >= trial.lasts)
+        })
     }
 }
--- a/crates/jobs/src/owner/finished.rs
+++ b/crates/jobs/src/owner/finished.rs
@@ -130,12 +130,8 @@
         if job.state.has_ended() || job.tasks[position].is_done || is_standing {
             return;
         }
-        // A gang fails as a whole: its failures count on its first task, once for each run.
-        let counted = if job.stage_of(&run.task).gang {
-            job.instances[instance].first
-        } else {
-            position
-        };
+        // The members of a gang share the attempt number, so each of its runs counts once.
+        let counted = job.counted_position(instance, position);
         if job.tasks[counted].failed.contains(&run.attempt) {
             return;
         }
@@ -144,6 +140,8 @@
         let is_spent = job.tasks[counted].failed.len() >= job.record.terms.attempts as usize;
         self.commits.mark_progress(&run.task.job);
         if is_spent {
+            let failures = job.tasks[counted].failed.len();
+            job.cause = Some(format!("{failures} runs of task {} failed", run.task).into());
             self.end_job(&run.task.job, JobState::Failed, unix_ms);
         }
     }
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -1,6 +1,7 @@
 //! Gang placement: all tasks of a stage start together, in one rack where the stage prefers it.
 
 use base::prelude::*;
+use blame::Verdict;
 
 use super::Owner;
 use super::placement::{cost, is_eligible};
@@ -16,6 +17,10 @@
             // Some members of the previous run have not ended yet.
             return;
         }
+        let first = &job.tasks[instance.first];
+        if first.is_held(now) || !self.admits_trial(now, &job.record.terms.pool, first.verdict()) {
+            return;
+        }
         let racks = if job.stage(instance).same_rack {
             self.racks()
         } else {
@@ -59,11 +64,13 @@
         let job = self.jobs.get(id)?;
         let instance = &job.instances[at];
         let stage = job.stage(instance);
+        let is_suspect = job.tasks[instance.first].verdict() != Verdict::Clear;
         let demand = stage.charged();
         let mut candidates: Vec<(f64, &Name, Resources, u32)> = self
             .workers
             .iter()
             .filter(|(_, w)| rack.is_none_or(|r| w.rack() == Some(r)))
+            .filter(|(_, w)| !w.is_reserved(now) && (!is_suspect || !w.has_trial()))
             .filter(|(vm, w)| is_eligible(now, job, instance, stage, vm, w))
             .filter(|(vm, _)| self.is_allowed(now, job, instance, vm))
             .map(|(vm, w)| {
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -1,10 +1,12 @@
 //! Placement: chooses a worker for each task that may start.
 
 use base::prelude::*;
+use blame::Verdict;
 use slog::info;
 
 use super::Owner;
 use super::adopt::new_run;
+use super::crashes::trial_of;
 use super::worker::Worker;
 use crate::job::StageInstance;
 use crate::{Job, StageSpec, TaskRun};
@@ -47,6 +49,12 @@
 /// The cost of a worker outside the preferred rack, in units of load.
 const REMOTE_COST: f64 = 1.0;
 
+/// The cost of each run that a suspect of crashes would crash along, in units of load.
+const EXPOSURE_COST: f64 = 0.25;
+
+/// The gain of a worker that is reserved for suspects of crashes, in units of load.
+const RESERVED_GAIN: f64 = 5.0;
+
 /// The gain of placing latency-critical tasks together, in units of load.
 const PACKED_GAIN: f64 = 1.0;
 
@@ -105,18 +113,26 @@
         let Some(range) = self.jobs.get(id).map(|j| j.instances[at].range()) else {
             return;
         };
-        for position in range {
-            let Some(job) = self.jobs.get(id) else {
-                return;
-            };
-            if !job.tasks[position].is_waiting() {
-                continue;
+        // Tasks that no crash speaks against go first.
+        for is_suspect in [false, true] {
+            for position in range.clone() {
+                let Some(job) = self.jobs.get(id) else {
+                    return;
+                };
+                let task = &job.tasks[position];
+                let is_suspected = task.verdict() != Verdict::Clear;
+                if !task.is_waiting() || is_suspected != is_suspect || task.is_held(now) {
+                    continue;
+                }
+                let Some(vm) = self.choose_worker(now, job, &job.instances[at], position) else {
+                    break;
+                };
+                let attempt = self.next_attempt(&job.tasks[position]);
+                if is_suspect && !self.prepare_trial(now, &vm) {
+                    continue;
+                }
+                self.order_run(now, id, at, position, &vm, attempt);
             }
-            let Some(vm) = self.choose_worker(now, job, &job.instances[at], position) else {
-                return;
-            };
-            let attempt = self.next_attempt(&job.tasks[position]);
-            self.order_run(now, id, at, position, &vm, attempt);
         }
     }
 
@@ -148,6 +164,7 @@
         let task = job.task_id(&job.instances[at], position);
         let mut run = new_run(job.stage(&job.instances[at]), now);
         run.ticket = ticket;
+        run.trial = trial_of(job, at, position);
         job.update(at, position, |task| {
             task.active_runs.push((Arc::clone(vm), attempt));
             task.last_attempt = attempt;
@@ -155,7 +172,7 @@
         let run_id = TaskRun { task, attempt };
         info!(self.log, "owner: run ordered"; "run" => %run_id, "vm" => %vm,
             "load" => worker.load_with(0), "failures" => job.tasks[position].failed.len(),
-            "resumes" => job.tasks[position].checkpoint.is_some(),
+            "suspect" => run.trial.is_some(), "resumes" => job.tasks[position].checkpoint.is_some(),
             "waited_ms" => now.duration_since(job.since).as_millis());
         self.stats
             .times
@@ -172,6 +189,10 @@
         position: usize,
     ) -> Option<Name> {
         let stage = job.stage(instance);
+        let verdict = job.tasks[position].verdict();
+        if !self.admits_trial(now, &job.record.terms.pool, verdict) {
+            return None;
+        }
         let mut best: Option<(f64, &Name)> = None;
         for (vm, worker) in &self.workers {
             if !is_eligible(now, job, instance, stage, vm, worker)
@@ -189,6 +210,18 @@
                 };
                 cost += added_load;
             }
+            if verdict == Verdict::Clear && worker.is_reserved(now) {
+                continue;
+            }
+            if verdict != Verdict::Clear {
+                if worker.has_trial() {
+                    continue;
+                }
+                if worker.is_reserved(now) {
+                    cost -= RESERVED_GAIN;
+                }
+                cost += EXPOSURE_COST * worker.runs.len() as f64;
+            }
             if job.tasks[position].avoid.contains(vm) {
                 cost += AVOID_COST;
             }
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -73,12 +73,13 @@
             self.reply_unknown(&vm, token);
             return;
         };
-        if !self.update_incarnation(&vm, &report) {
+        if !self.update_incarnation(now, &vm, &report) {
             self.reply_unknown(&vm, token);
             return;
         }
         let is_unresponsive = report.is_unresponsive;
-        self.apply_crashes(&vm, &report.crashes);
+        self.apply_crashes(now, unix_ms, &vm, &report.crashes);
+        self.clear_doubts(&vm, report.incarnation);
         self.apply_report(now, unix_ms, &vm, report);
         let Some(worker) = self.workers.get_mut(&vm) else {
             return;
@@ -110,8 +111,8 @@
     }
 
     /// Records the incarnation of the worker; returns false if a later one is known.
-    fn update_incarnation(&mut self, vm: &Name, report: &WorkerReport) -> bool {
-        let Some(worker) = self.workers.get_mut(vm) else {
+    fn update_incarnation(&mut self, now: Instant, vm: &Name, report: &WorkerReport) -> bool {
+        let Some(worker) = self.workers.get(vm) else {
             return false;
         };
         let known = worker
@@ -126,6 +127,12 @@
         }
         let is_new = known
             .is_none_or(|(incarnation, id)| incarnation != report.incarnation || id != report.id);
+        if is_new {
+            self.suspect_unreported_runs(now, vm, report);
+        }
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return false;
+        };
         if is_new {
             info!(self.log, "owner: worker known";
                 "vm" => %vm, "worker" => %report.id, "born" => report.incarnation.0,
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -6,7 +6,7 @@
 
 use super::Owner;
 use super::worker::{Worker, lease_bound};
-use crate::progress::decode;
+use crate::progress::{decode, decode_progress};
 use crate::{Job, JobRecord, JobState, Progress, WorkerRecord};
 
 /// The key prefix of job records.
@@ -35,7 +35,7 @@
             }
         }
         for item in progress {
-            match decode::<Progress>(&item.key, &item.value) {
+            match decode_progress(&item.key, &item.value) {
                 Ok(progress) => self.load_progress(item, progress),
                 Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
             }
@@ -103,7 +103,7 @@
             .map(|(vm, _)| Arc::clone(vm))
             .collect();
         for vm in expired {
-            self.expire(&vm);
+            self.expire(now, &vm);
         }
         let has_unadopted_workers = self.has_unadopted_workers();
         if self.had_unadopted_workers && !has_unadopted_workers {
@@ -116,8 +116,9 @@
         self.had_unadopted_workers = has_unadopted_workers;
     }
 
-    fn expire(&mut self, vm: &Name) {
+    fn expire(&mut self, now: Instant, vm: &Name) {
         warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm);
+        self.suspect_lost_runs(now, vm);
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.lease_from = None;
             worker.inherited_until = None;
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -37,6 +37,9 @@
 /// How long a quarantined worker gets no task; after that it gets one probe at a time.
 const QUARANTINE: Duration = Duration::from_millis(2500);
 
+/// How long a worker takes no other task after a suspect of crashes has started there.
+const MAX_RESERVED: Duration = Duration::from_secs(1);
+
 /// A report that waits for its reply.
 #[derive(Debug)]
 pub(super) struct Parked {
@@ -88,6 +91,19 @@
     pub(super) speed_sent: Option<(u32, Instant)>,
     /// The advisor's ticket.
     pub(super) ticket: Option<Name>,
+    /// Set while it is suspected of crashing its workers.
+    pub(super) trial: Option<Trial>,
+}
+
+/// A run of a task that is suspected of crashing its workers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Trial {
+    /// How long it has to last.
+    pub(super) lasts: Duration,
+    /// When it was first listed, and the worker's clock in that status, in milliseconds.
+    pub(super) listed: Option<(Instant, u64)>,
+    /// Whether the task is a prime suspect.
+    pub(super) is_prime: bool,
 }
 
 /// A worker's recent failures and its quarantine.
@@ -175,9 +191,15 @@
     pub(super) recent_usage: RecentUsage,
     /// The services here that have a backlog of requests.
     pub(super) backlogged: Backlogged,
+    /// The crashes of earlier incarnations that this owner has recorded, with the jobs that have to be
+    /// stored before the companion may forget them.
+    pub(super) recorded_crashes: IndexMap<Incarnation, Vec<(JobId, u64)>>,
+    /// Until when it is kept free for a suspect of crashes.
+    pub(super) reserved_until: Option<Instant>,
     used: Resources,
     demand_milli: u64,
     latency_critical: u32,
+    trials: u32,
 }
 
 impl Worker {
@@ -210,9 +232,12 @@
             status_at: None,
             recent_usage: RecentUsage::default(),
             backlogged: Backlogged::default(),
+            recorded_crashes: IndexMap::new(),
+            reserved_until: None,
             used: Resources::ZERO,
             demand_milli: 0,
             latency_critical: 0,
+            trials: 0,
         }
     }
 
@@ -252,10 +277,12 @@
         self.used = Resources::ZERO;
         self.demand_milli = 0;
         self.latency_critical = 0;
+        self.trials = 0;
         for run in self.runs.values() {
             self.used += run.charged;
             self.demand_milli += run.demand_milli;
             self.latency_critical += u32::from(run.latency_target_ms.is_some());
+            self.trials += u32::from(run.trial.is_some());
         }
     }
 
@@ -300,6 +327,25 @@
         self.latency_critical
     }
 
+    /// Returns true if a run here is suspected of crashing its workers.
+    pub(super) fn has_trial(&self) -> bool {
+        self.trials > 0
+    }
+
+    /// Returns true if the worker takes no task but suspects of crashes: one is about to start here, or
+    /// has started recently.
+    pub(super) fn is_reserved(&self, now: Instant) -> bool {
+        if self.reserved_until.is_some_and(|until| now < until) {
+            return true;
+        }
+        let is_recent = |trial: &Trial| {
+            let listed = trial.listed;
+            listed.is_none_or(|(at, _)| now.saturating_duration_since(at) < MAX_RESERVED)
+        };
+        let mut trials = self.runs.values().filter_map(|r| r.trial.as_ref());
+        self.has_trial() && trials.any(is_recent)
+    }
+
     /// Returns the processor demand of best-effort tasks at full speed, divided by the capacity.
     pub(super) fn best_effort_load(&self) -> f64 {
         let best_effort_runs = self.runs.values().filter(|r| r.is_best_effort);
@@ -355,21 +401,25 @@
         !self.stored_record.in_flight && self.last_report.as_ref().is_some_and(is_this)
     }
 
-    /// Returns true if tasks may be placed here.
-    pub(super) fn takes_tasks(&self, now: Instant) -> bool {
-        let is_ready = self
-            .last_report
-            .as_ref()
-            .is_some_and(|l| l.draining_ms.is_none() && !l.is_gone && !l.is_unresponsive);
+    /// Returns true if the worker has reported recently and responds to its companion.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
         let is_recent = self.parked.is_some()
             || self
                 .lease_from
                 .is_some_and(|from| now.duration_since(from) < super::sync::UNRESPONSIVE_AFTER);
+        let last_report = self.last_report.as_ref();
+        is_recent && last_report.is_some_and(|l| !l.is_gone && !l.is_unresponsive)
+    }
+
+    /// Returns true if tasks may be placed here.
+    pub(super) fn takes_tasks(&self, now: Instant) -> bool {
+        let last_report = self.last_report.as_ref();
+        let is_draining = last_report.is_none_or(|l| l.draining_ms.is_some());
         self.is_adopted
             && !self.has_unknown_runs
             && self.is_recorded()
-            && is_ready
-            && is_recent
+            && !is_draining
+            && self.is_heard(now)
             && self.health.takes_tasks(now, self.runs.values())
     }
 
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -1,6 +1,7 @@
 //! The stored records of jobs and workers.
 
 use base::prelude::*;
+use blame::Evidence;
 use serde::{Deserialize, Serialize};
 
 use crate::{JobSpec, JobState, RouteTerms};
@@ -27,6 +28,18 @@
     pub tasks: Vec<(u32, TaskProgress)>,
     /// When it ended, in milliseconds since the Unix epoch.
     pub ended_unix_ms: Option<u64>,
+    /// What is missing in records of earlier versions.
+    pub faults: Faults,
+}
+
+/// The crashes of workers under a job's tasks, and why the job failed.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Faults {
+    /// The evidence against its tasks, by position.
+    pub evidence: Vec<(u32, Vec<Evidence>)>,
+    /// Why it failed.
+    pub cause: Option<Name>,
 }
 
 /// The progress of a task.
@@ -66,3 +79,23 @@
         Error::new(ErrorKind::Malformed, "decode record", "store", message)
     })
 }
+
+/// Decodes a job's progress; records of earlier versions end before [`Progress::faults`], and earlier
+/// versions ignore what follows.
+pub(crate) fn decode_progress(key: &str, bytes: &[u8]) -> Result<Progress> {
+    #[derive(Deserialize)]
+    struct WithoutFaults {
+        state: JobState,
+        tasks: Vec<(u32, TaskProgress)>,
+        ended_unix_ms: Option<u64>,
+    }
+    decode(key, bytes).or_else(|_| {
+        let record: WithoutFaults = decode(key, bytes)?;
+        Ok(Progress {
+            state: record.state,
+            tasks: record.tasks,
+            ended_unix_ms: record.ended_unix_ms,
+            faults: Faults::default(),
+        })
+    })
+}
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -52,6 +52,10 @@
     pub is_settled: bool,
     pub draining: bool,
     pub is_unresponsive: bool,
+    /// Whether the companion repeats its last status.
+    pub has_stale_status: bool,
+    /// The worker's clock in the last status.
+    status_clock_ms: u64,
     /// Whether it ignores the owner's replies.
     pub ignores_orders: bool,
     pub capacity: Resources,
@@ -139,6 +143,8 @@
             is_settled: true,
             draining: false,
             is_unresponsive: false,
+            has_stale_status: false,
+            status_clock_ms: 0,
             ignores_orders: false,
             capacity: Resources::new(cores, cores * 4096, 0),
             labels: Vec::new(),
@@ -255,6 +261,10 @@
         let token = self.next;
         let clock_ms = self.unix_ms;
         let vm = self.vm(name);
+        if !vm.has_stale_status {
+            vm.status_clock_ms = clock_ms;
+        }
+        let clock_ms = vm.status_clock_ms;
         vm.number += 1;
         for row in &mut vm.running {
             row.percent += 0.1;
@@ -315,6 +325,16 @@
         self.sync_all();
     }
 
+    /// Ends all runs of a gang, as workers do after one of them has ended.
+    pub fn break_gang(&mut self, job: &str) {
+        for vm in self.vms.values_mut() {
+            let runs: Vec<TaskRun> = vm.running.iter().map(|r| r.run.clone()).collect();
+            for run in runs.iter().filter(|r| r.task.job.as_str() == job) {
+                vm.end(run, EndKind::Broken);
+            }
+        }
+    }
+
     /// Returns all running runs with their VMs.
     pub fn running(&self) -> Vec<(Name, TaskRun)> {
         let rows = self.vms.iter().flat_map(|(name, vm)| {
