Capacity that changes under running tasks: starts in flight, gangs, growth

A worker that shrinks would be given starts that were placed by its larger capacity: orders that wait in the companion, replies made before the owner knew, and calls without a reply. Grown room stayed unused until another event. The change itself waited for the next report.

A companion now reports a change at once and rejects starts that are not sent yet; it stops those whose call had no reply. The owner withdraws starts in flight that no longer fit, the latest first, a gang as a whole; running tasks go on and count, also for the next owner.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -145,7 +145,7 @@
             return;
         };
         if worker.heartbeat.draining.is_some() {
-            self.syncs.has_changes |= worker.starts.reject_unsent(now);
+            self.syncs.has_changes |= worker.starts.reject_unsent(now, RejectKind::Draining);
         }
         let Some(deadline_ms) = worker.start_deadline_ms() else {
             return;
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -123,10 +123,10 @@
         }
     }
 
-    /// Rejects the starts that are to be sent, since a draining worker starts none.
+    /// Rejects the starts that are to be sent.
     ///
     /// One whose earlier call had no reply is stopped instead. Returns true if any was rejected.
-    pub(crate) fn reject_unsent(&mut self, now: Instant) -> bool {
+    pub(crate) fn reject_unsent(&mut self, now: Instant, why: RejectKind) -> bool {
         let is_unsent = |o: &OpenStart| matches!(o.progress, Progress::Due(_));
         let unsent = self
             .open
@@ -135,7 +135,7 @@
         let unsent: Vec<TaskRun> = unsent.map(|(run, _)| run.clone()).collect();
         let before = self.rejected.len();
         for run in unsent {
-            self.reject(now, &run, RejectKind::Draining);
+            self.reject(now, &run, why);
         }
         self.rejected.len() > before
     }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use jobs::TaskRun;
-use jobs::report::{SyncReport, WorkerReport};
+use jobs::report::{RejectKind, SyncReport, WorkerReport};
 use slog::{Logger, info, warn};
 
 use crate::crashes::Crashes;
@@ -139,6 +139,15 @@
             worker.is_gone = false;
             self.syncs.has_changes = true;
         }
+        if heartbeat.capacity != worker.heartbeat.capacity {
+            info!(self.log, "companion: capacity changed"; "worker" => %heartbeat.id,
+                "from" => %worker.heartbeat.capacity, "to" => %heartbeat.capacity);
+            self.syncs.has_changes = true;
+            if !worker.heartbeat.capacity.fits(&heartbeat.capacity) {
+                // The owner placed them by the larger capacity.
+                worker.starts.reject_unsent(now, RejectKind::Room);
+            }
+        }
         if let Some(clock_ms) = heartbeat.clock_ms {
             worker.clock = Some(WorkerClock::new(clock_ms, now));
         }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use jobs::owner::OwnerRecord;
-use jobs::report::{SharedStatus, SyncReply, SyncReport};
+use jobs::report::{RejectKind, SharedStatus, SyncReply, SyncReport};
 use slog::{info, warn};
 
 use crate::state::{Action, AgentState};
@@ -24,6 +24,8 @@
     /// A lower bound of the worker's clock when the report was sent, in milliseconds.
     clock_ms: Option<u64>,
     incarnation: Incarnation,
+    /// The worker's capacity in the report.
+    capacity: Resources,
     /// Whether the worker was heard again after an earlier report may have said that it is gone.
     is_heard_again: bool,
 }
@@ -125,6 +127,7 @@
                 .and_then(|w| w.clock)
                 .map(|c| c.at_least(now)),
             incarnation: worker.map(|w| w.heartbeat.incarnation).unwrap_or_default(),
+            capacity: worker.map_or(Resources::ZERO, |w| w.heartbeat.capacity),
             is_heard_again: worker.is_some_and(|w| w.gone_fence.is_some() && !w.is_gone),
         };
         self.syncs.in_flight.insert(number, sent);
@@ -219,6 +222,9 @@
             for order in reply.starts {
                 worker.starts.order(now, order);
             }
+            if !sent.capacity.fits(&worker.heartbeat.capacity) {
+                worker.starts.reject_unsent(now, RejectKind::Room);
+            }
             for run in reply.stops {
                 worker.starts.order_stop(now, run);
             }
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -14,6 +14,7 @@
 
 pub const STOP_TIME: Duration = Duration::from_millis(200);
 pub const LEASE_MS: u64 = 4000;
+pub const CAPACITY: Resources = Resources::new(16, 1000, 0);
 
 /// A companion and the time, with replies to its calls made by the test.
 pub struct Harness {
@@ -54,15 +55,27 @@
     }
 
     pub fn send_heartbeat(&mut self, incarnation: u64, number: u64) {
-        self.deliver_heartbeat(incarnation, number, None);
+        self.deliver_heartbeat(incarnation, number, CAPACITY, None);
+    }
+
+    /// Sends a heartbeat with another capacity.
+    pub fn send_capacity(&mut self, number: u64, capacity: Resources) {
+        self.deliver_heartbeat(1, number, capacity, None);
+        self.run();
     }
 
     pub fn send_draining(&mut self, number: u64) {
-        self.deliver_heartbeat(1, number, Some(Duration::from_secs(5)));
+        self.deliver_heartbeat(1, number, CAPACITY, Some(Duration::from_secs(5)));
         self.run();
     }
 
-    fn deliver_heartbeat(&mut self, incarnation: u64, number: u64, draining: Option<Duration>) {
+    fn deliver_heartbeat(
+        &mut self,
+        incarnation: u64,
+        number: u64,
+        capacity: Resources,
+        draining: Option<Duration>,
+    ) {
         let heartbeat = Heartbeat {
             id: "worker".into(),
             incarnation: Incarnation(incarnation),
@@ -70,7 +83,7 @@
             pool: "desk".into(),
             zone: "north".into(),
             labels: Vec::new(),
-            capacity: Resources::new(16, 1000, 0),
+            capacity,
             draining,
             clock_ms: Some(self.clock_ms),
         };
@@ -101,6 +114,11 @@
     }
 
     pub fn reply_to_report(&mut self, change: impl FnOnce(&mut SyncReply)) {
+        let (number, _) = self.last_sync();
+        self.reply_to(number, change);
+    }
+
+    fn reply_to(&mut self, number: u64, change: impl FnOnce(&mut SyncReply)) {
         let mut reply = SyncReply {
             epoch: Epoch(1),
             is_owner: true,
@@ -110,19 +128,23 @@
             ..SyncReply::default()
         };
         change(&mut reply);
-        let (number, _) = self.last_sync();
         self.state.synced(self.now, number, Ok(reply));
         self.run();
     }
 
     pub fn order(&mut self, run: &TaskRun) {
+        let (number, _) = self.last_sync();
+        self.order_in_reply_to(number, run);
+    }
+
+    pub fn order_in_reply_to(&mut self, number: u64, run: &TaskRun) {
         let order = StartOrder {
             run: run.clone(),
             payload: "payload".into(),
             checkpoint: None,
             ticket: None,
         };
-        self.reply_to_report(|reply| reply.starts = vec![order]);
+        self.reply_to(number, |reply| reply.starts = vec![order]);
     }
 
     pub fn starts(&self) -> Vec<StartCall> {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -7,6 +7,7 @@
 mod adopt;
 mod advice;
 mod callers;
+mod capacity;
 mod colocation;
 mod commit;
 mod crashes;
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -148,12 +148,20 @@
             .last_report
             .as_ref()
             .is_some_and(|l| l.draining_ms.is_some());
+        let capacity_before = worker
+            .last_report
+            .as_ref()
+            .map(|l| l.capacity)
+            .filter(|before| !is_new && *before != report.capacity);
         let is_leaving = report.draining_ms.is_some() && (is_new || !was_draining);
         let was_gone = !is_new && worker.last_report.as_ref().is_some_and(|l| l.is_gone);
         worker.last_report = Some(report.without_runs());
         if is_new {
             self.commits.mark_vm(vm);
         }
+        if let Some(before) = capacity_before {
+            self.change_capacity(vm, before, report.capacity);
+        }
         if is_leaving {
             info!(self.log, "owner: worker drains"; "vm" => %vm, "worker" => %report.id);
             self.evacuate(vm);
