A crash of several workers at once proves nothing against one task

A crash now counts as one with other causes, too, if another worker ended within 600 ms of it: the companion says how long the worker was away, and the owner knows which others crashed then or are not heard any more. Two crashes are then no proof, it takes three. The new test failed without this condition: the task was given up.

--- a/crates/agent/src/crashes.rs
+++ b/crates/agent/src/crashes.rs
@@ -25,6 +25,7 @@
         }
         let crash = Crash {
             incarnation: worker.heartbeat.incarnation,
+            away_ms: base::whole_ms(now.saturating_duration_since(ended_at(worker))),
             is_within_lease: worker.had_lease(worker.disconnected_at.unwrap_or(now)),
             runs: crashed_runs(worker),
         };
@@ -50,7 +51,7 @@
 
 /// Returns the runs that the worker may have had when it was last heard.
 fn crashed_runs(worker: &WorkerIncarnation) -> Vec<CrashedRun> {
-    let ended_at = worker.disconnected_at.unwrap_or(worker.answered_at);
+    let ended_at = ended_at(worker);
     let crashed_run = |run: &TaskRun, since: Option<Instant>| CrashedRun {
         run: run.clone(),
         ran_ms: since.map_or(0, |at| {
@@ -63,3 +64,8 @@
     let unlisted = unlisted.map(|(run, since)| crashed_run(run, since));
     listed.chain(unlisted).collect()
 }
+
+/// Returns when the worker was last connected.
+fn ended_at(worker: &WorkerIncarnation) -> Instant {
+    worker.disconnected_at.unwrap_or(worker.answered_at)
+}
--- a/crates/jobs/src/owner/crashes.rs
+++ b/crates/jobs/src/owner/crashes.rs
@@ -33,6 +33,10 @@
 /// How long after a crash without a primary suspect others may have the same cause.
 const UNEXPLAINED: Duration = Duration::from_secs(60);
 
+/// How far apart the ends of two workers may be that have a common cause: the last status of one that
+/// is not heard any more may be older than its end.
+const SAME_TIME: Duration = Duration::from_millis(600);
+
 /// How many recorded crashes of a VM are remembered.
 const MAX_RECORDED: usize = 16;
 
@@ -88,6 +92,7 @@
         };
         let jobs = jobs.into_iter().map(version).collect();
         if let Some(worker) = self.workers.get_mut(vm) {
+            worker.crashed_at = now.checked_sub(Duration::from_millis(crash.away_ms));
             worker.recorded_crashes.insert(crash.incarnation, jobs);
             let surplus = worker.recorded_crashes.len().saturating_sub(MAX_RECORDED);
             worker.recorded_crashes.drain(..surplus);
@@ -110,7 +115,9 @@
             self.unexplained_crash = Some(now);
         }
         let is_recent = |at: Instant| now.duration_since(at) < UNEXPLAINED;
-        let has_other_causes = self.unexplained_crash.is_some_and(is_recent);
+        let ended_at = now.checked_sub(Duration::from_millis(crash.away_ms));
+        let has_other_causes = self.unexplained_crash.is_some_and(is_recent)
+            || ended_at.is_some_and(|at| self.has_lost_another_worker(now, vm, at));
         let mut suspects = Vec::new();
         for ((task, ran_ms, _), strength) in runs.iter().zip(strengths) {
             info!(self.log, "owner: run on a lost worker";
@@ -134,6 +141,19 @@
         suspects
     }
 
+    /// Returns true if another worker ended at about the same time, so that the cause may be common.
+    fn has_lost_another_worker(&self, now: Instant, vm: &Name, at: Instant) -> bool {
+        let is_close = |other: Instant| {
+            let distance = at.max(other) - at.min(other);
+            distance < SAME_TIME
+        };
+        let mut others = self.workers.iter().filter(|(name, _)| *name != vm);
+        others.any(|(_, worker)| {
+            let last_status = worker.status_at.filter(|_| !worker.is_heard(now));
+            worker.crashed_at.is_some_and(is_close) || last_status.is_some_and(is_close)
+        })
+    }
+
     /// Returns the tasks that may be at fault for a crash, one for each gang, with how long they had
     /// run and the earlier evidence against them.
     fn candidates_of(&self, crash: &Crash) -> Vec<(TaskId, u64, Vec<Evidence>)> {
@@ -363,6 +383,7 @@
         });
         let doubt = Crash {
             incarnation,
+            away_ms: 0,
             is_within_lease: false,
             runs: runs.collect(),
         };
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -194,6 +194,8 @@
     /// The crashes of earlier incarnations that this owner has recorded, with the jobs that have to be
     /// stored before the companion may forget them.
     pub(super) recorded_crashes: IndexMap<Incarnation, Vec<(JobId, u64)>>,
+    /// When an incarnation last crashed.
+    pub(super) crashed_at: Option<Instant>,
     /// Until when it is kept free for a suspect of crashes.
     pub(super) reserved_until: Option<Instant>,
     used: Resources,
@@ -233,6 +235,7 @@
             recent_usage: RecentUsage::default(),
             backlogged: Backlogged::default(),
             recorded_crashes: IndexMap::new(),
+            crashed_at: None,
             reserved_until: None,
             used: Resources::ZERO,
             demand_milli: 0,
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -205,6 +205,8 @@
 pub struct Crash {
     /// The incarnation that crashed.
     pub incarnation: Incarnation,
+    /// How long before the next incarnation was heard it was last connected, in milliseconds.
+    pub away_ms: u64,
     /// Whether it ended while the lease of its runs lasted; else they may have ended before it.
     pub is_within_lease: bool,
     /// The runs that it may have had.
--- a/crates/jobs/tests/crashing_tasks.rs
+++ b/crates/jobs/tests/crashing_tasks.rs
@@ -161,6 +161,30 @@
     }
 }
 
+#[test]
+fn crash_of_several_workers_at_once_proves_nothing_against_one_task() {
+    let mut harness = harness_with_workers();
+    harness.submit("job", job(vec![stage(1, 1)]));
+    play(&mut harness, RESTART_STEPS + 2, |run| {
+        run.attempt == Attempt(1)
+    });
+    while harness.running().is_empty() {
+        play(&mut harness, 1, |_| false);
+    }
+    let (at, _) = harness.running().pop().expect("a run on trial");
+    let other = VMS.into_iter().find(|name| **name != *at);
+    let other = other.expect("another worker");
+
+    // Both end at the same time; the one with the suspect is back first.
+    harness.vm(&at).crash(|_| DEADLY_MS);
+    harness.pass(Duration::from_millis(1500), &[]);
+    harness.vm(&at).crashes[0].away_ms = 1500;
+    let heard: Vec<&str> = VMS.into_iter().filter(|name| *name != other).collect();
+    harness.pass(Duration::from_secs(2), &heard);
+
+    assert_eq!(cause_of_failure(&mut harness, "job"), None);
+}
+
 #[test]
 fn crashes_under_a_task_count_across_a_takeover() {
     let mut harness = harness_with_workers();
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -463,6 +463,7 @@
         });
         self.crashes.push(Crash {
             incarnation: Incarnation(self.incarnation),
+            away_ms: 0,
             is_within_lease: true,
             runs: runs.collect(),
         });
