A request that ends target after target is not sent to a third

Found while looking for the same cause elsewhere: an idempotent request whose target ended without a response went on to the next one, up to four of them. It may be what ends them. After two such losses its outcome is now told as unknown, as it is for other requests after one. The new test failed before (the request was sent to a third target).

Unsent and refused attempts move as before. Trials, doubts and quarantine of workers move to files of their own, without a change of logic.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -11,8 +11,10 @@
 mod colocation;
 mod commit;
 mod crashes;
+mod doubts;
 mod finished;
 mod gang;
+mod health;
 mod owner_record;
 mod placement;
 mod processes;
@@ -23,6 +25,7 @@
 mod sync;
 mod takeover;
 mod throttle;
+mod trials;
 mod worker;
 
 use std::cell::RefCell;
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -4,7 +4,7 @@
 use slog::{info, warn};
 
 use super::Owner;
-use super::crashes::trial_of;
+use super::trials::trial_of;
 use super::worker::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
 use crate::report::{RejectKind, Rejected, RunningRow, WorkerStatus};
 use crate::{JobState, StageSpec, Task, TaskRun};
--- a/crates/jobs/src/owner/crashes.rs
+++ b/crates/jobs/src/owner/crashes.rs
@@ -1,35 +1,16 @@
-//! Crashes of workers: the evidence against their runs, trials of suspects, and tasks given up.
+//! Crashes of workers: the evidence against their runs, and tasks that are given up.
 //!
-//! [`blame`] decides who is at fault. A suspect starts again on trial: on a worker without another
-//! trial, which takes no other task meanwhile. Once it has lasted longer than at its crashes, it is
-//! cleared.
+//! [`blame`] decides who is at fault.
 
 use base::prelude::*;
 use blame::{Candidate, Evidence, Strength, Verdict};
 use slog::{info, warn};
 
 use super::Owner;
-use super::worker::{Run, Trial, Worker};
-use crate::report::{Crash, CrashedRun, WorkerReport, WorkerStatus};
+use super::trials::trial_of;
+use crate::report::{Crash, CrashedRun};
 use crate::{Job, JobState, TaskId, TaskRun};
 
-/// The share of a pool's workers that may run suspects at a time.
-const MAX_TRIAL_SHARE: f64 = 0.5;
-
-/// How long a suspect is held for each worker in a row, after the first one, of which it is not known
-/// whether it crashed.
-const HOLD: Duration = Duration::from_secs(5);
-
-/// The longest time that a suspect is held.
-const MAX_HOLD: Duration = Duration::from_secs(20);
-
-/// How long a worker takes no other task before a suspect starts there, so that no other run has just
-/// started when the suspect does.
-const RESERVED: Duration = Duration::from_millis(350);
-
-/// How long a worker stays reserved for the next suspect after a trial.
-const KEPT: Duration = Duration::from_millis(50);
-
 /// How long after a crash without a primary suspect others may have the same cause.
 const UNEXPLAINED: Duration = Duration::from_secs(60);
 
@@ -101,7 +82,7 @@
 
     /// Adds a crash to the evidence against the tasks that the worker may have run, and returns
     /// those tasks.
-    fn accuse(&mut self, now: Instant, vm: &Name, crash: &Crash) -> Vec<TaskId> {
+    pub(super) fn accuse(&mut self, now: Instant, vm: &Name, crash: &Crash) -> Vec<TaskId> {
         let runs = self.candidates_of(crash);
         let candidates: Vec<Candidate<'_>> = runs
             .iter()
@@ -280,199 +261,6 @@
             self.is_round_due = true;
         }
     }
-
-    /// Clears the suspects that a status lists and that have lasted longer than at their crashes, by
-    /// the worker's clock: reports may repeat the last status of a worker that has crashed meanwhile.
-    pub(super) fn end_trials(&mut self, now: Instant, vm: &Name, status: &WorkerStatus) {
-        let Some(worker) = self.workers.get_mut(vm).filter(|w| w.has_trial()) else {
-            return;
-        };
-        let mut cleared = Vec::new();
-        for row in &status.running {
-            if let Some(run) = worker.runs.get_mut(&row.run)
-                && run.has_passed_trial(status.clock_ms)
-            {
-                run.trial = None;
-                cleared.push(row.run.task.clone());
-            }
-        }
-        if cleared.is_empty() {
-            return;
-        }
-        worker.recount();
-        // The next suspect goes before other tasks, while no run here has just started.
-        worker.reserved_until = Some(now + KEPT);
-        self.is_round_due = true;
-        for id in cleared {
-            info!(self.log, "owner: suspect cleared"; "task" => %id, "vm" => %vm);
-            self.stats.events.push(("task", "cleared"));
-            self.clear_evidence(&id);
-        }
-    }
-
-    fn clear_evidence(&mut self, id: &TaskId) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let Some((instance, position)) = job.find(id) else {
-            return;
-        };
-        let counted = job.counted_position(instance, position);
-        job.tasks[counted].evidence.clear();
-        job.mark_changed();
-        self.commits.mark_progress(&id.job);
-    }
-
-    /// Returns true if a task with this verdict may start in a pool, as far as trials are concerned.
-    pub(super) fn admits_trial(&self, now: Instant, pool: &PoolName, verdict: Verdict) -> bool {
-        if verdict == Verdict::Clear {
-            return true;
-        }
-        let is_of = |w: &&Worker| w.last_report.as_ref().is_some_and(|l| l.pool == *pool);
-        let workers = self.workers.values().filter(is_of);
-        if verdict == Verdict::PrimeSuspect {
-            let mut runs = workers.clone().flat_map(|w| w.runs.values());
-            if runs.any(|r| r.trial.is_some_and(|t| t.is_prime)) {
-                return false;
-            }
-        }
-        let with_trial = workers.clone().filter(|w| w.has_trial() && w.is_heard(now));
-        let max = (workers.count() as f64 * MAX_TRIAL_SHARE).max(1.0);
-        (with_trial.count() as f64) < max
-    }
-
-    /// Returns true if a suspect may start on a worker now; else reserves the worker until then.
-    pub(super) fn prepare_trial(&mut self, now: Instant, vm: &Name) -> bool {
-        let Some(worker) = self.workers.get_mut(vm) else {
-            return false;
-        };
-        let has_just_started =
-            |run: &Run| run.trial.is_none() && now.duration_since(run.since) < RESERVED;
-        if !worker.runs.values().any(has_just_started) {
-            return true;
-        }
-        if !worker.is_reserved(now) {
-            worker.reserved_until = Some(now + RESERVED + KEPT);
-        }
-        let retry = now + RESERVED / 4;
-        self.repeat_round = Some(self.repeat_round.map_or(retry, |at| at.min(retry)));
-        false
-    }
-
-    /// Records that a worker may have crashed under the suspects among its runs: its lease lapsed.
-    pub(super) fn suspect_lost_runs(&mut self, now: Instant, vm: &Name) {
-        let Some(worker) = self.workers.get(vm) else {
-            return;
-        };
-        let heard_at = worker.lease_from.unwrap_or(now);
-        let Some(incarnation) = worker.last_report.as_ref().map(|l| l.incarnation) else {
-            return;
-        };
-        let is_suspect = |run: &TaskRun| {
-            let job = self.jobs.get(&run.task.job);
-            let found = job.and_then(|j| Some((j, j.find(&run.task)?)));
-            found.is_some_and(|(job, (instance, position))| {
-                job.tasks[job.counted_position(instance, position)].verdict() != Verdict::Clear
-            })
-        };
-        let runs = worker.runs.iter();
-        let runs = runs.filter(|(id, run)| run.may_have_started() && is_suspect(id));
-        let runs = runs.map(|(id, run)| CrashedRun {
-            run: id.clone(),
-            ran_ms: base::whole_ms(heard_at.saturating_duration_since(run.since)),
-        });
-        let doubt = Crash {
-            incarnation,
-            away_ms: 0,
-            is_within_lease: false,
-            runs: runs.collect(),
-        };
-        let suspects = self.accuse(now, vm, &doubt);
-        for id in suspects {
-            self.hold(now, &id);
-        }
-    }
-
-    /// Records that a worker may have crashed under its runs although its companion, which has
-    /// restarted too, does not report it.
-    pub(super) fn suspect_unreported_runs(
-        &mut self,
-        now: Instant,
-        vm: &Name,
-        report: &WorkerReport,
-    ) {
-        let last_report = self.workers.get(vm).and_then(|w| w.last_report.as_ref());
-        let Some(last) = last_report.filter(|l| !l.is_gone && l.draining_ms.is_none()) else {
-            return;
-        };
-        let mut crashes = report.crashes.iter();
-        if !crashes.any(|crash| crash.incarnation == last.incarnation) {
-            self.suspect_lost_runs(now, vm);
-        }
-    }
-
-    /// Delays the next start of a task that loses worker after worker, until it is known whether they
-    /// crash.
-    fn hold(&mut self, now: Instant, id: &TaskId) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let Some((_, position)) = job.find(id) else {
-            return;
-        };
-        let task = &mut job.tasks[position];
-        let doubts = task.evidence.iter().filter(|e| !e.is_certain).count();
-        let surplus = u32::try_from(doubts.saturating_sub(1)).unwrap_or(u32::MAX);
-        if surplus > 0 {
-            let hold = HOLD.saturating_mul(surplus).min(MAX_HOLD);
-            task.held_until = Some(now + hold);
-            info!(self.log, "owner: suspect held"; "task" => %id, "hold_ms" => hold.as_millis());
-        }
-    }
-
-    /// Drops doubts about an incarnation that is heard again.
-    pub(super) fn clear_doubts(&mut self, vm: &Name, incarnation: Incarnation) {
-        let is_heard = |w: &&Worker| {
-            let last_report = w.last_report.as_ref();
-            w.lease_from.is_none() && last_report.is_some_and(|l| !l.is_unresponsive)
-        };
-        if !self.has_doubts || self.workers.get(vm).filter(is_heard).is_none() {
-            return;
-        }
-        self.has_doubts = false;
-        for id in &self.active {
-            let Some(job) = self.jobs.get_mut(id) else {
-                continue;
-            };
-            let is_doubt =
-                |e: &Evidence| !e.is_certain && e.vm == *vm && e.incarnation == incarnation;
-            let mut has_changed = false;
-            for task in &mut job.tasks {
-                if task.evidence.iter().any(is_doubt) {
-                    task.evidence.retain(|e| !is_doubt(e));
-                    task.held_until = None;
-                    has_changed = true;
-                }
-                self.has_doubts |= task.evidence.iter().any(|e| !e.is_certain);
-            }
-            if has_changed {
-                job.mark_changed();
-                self.commits.mark_progress(id);
-                self.is_round_due = true;
-            }
-        }
-    }
-}
-
-/// Returns the trial of a task's next run, if the task is a suspect.
-pub(super) fn trial_of(job: &Job, instance: usize, position: usize) -> Option<Trial> {
-    let task = &job.tasks[job.counted_position(instance, position)];
-    let verdict = task.verdict();
-    (verdict != Verdict::Clear).then(|| Trial {
-        lasts: blame::trial(&task.evidence),
-        listed: None,
-        is_prime: verdict == Verdict::PrimeSuspect,
-    })
 }
 
 /// Makes a task start from its beginning, since its checkpoint may be what crashes the worker.
@@ -486,17 +274,3 @@
         job.update(instance, position, |task| task.checkpoint = None);
     }
 }
-
-impl Run {
-    fn may_have_started(&self) -> bool {
-        use super::worker::Phase;
-        !matches!(self.phase, Phase::Ordered { sent: None, .. })
-    }
-
-    fn has_passed_trial(&self, clock_ms: u64) -> bool {
-        self.trial.is_some_and(|trial| {
-            let lasted = trial.listed.map(|(_, at)| clock_ms.saturating_sub(at));
-            lasted.is_some_and(|lasted| Duration::from_millis(lasted) >= trial.lasts)
-        })
-    }
-}
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -6,7 +6,7 @@
 
 use super::Owner;
 use super::adopt::new_run;
-use super::crashes::trial_of;
+use super::trials::trial_of;
 use super::worker::Worker;
 use crate::job::StageInstance;
 use crate::{Job, StageSpec, TaskRun};
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -7,9 +7,11 @@
 use ports::store::Revision;
 
 use super::Token;
+use super::health::Health;
 use super::processes::Processes;
 use super::recent_usage::RecentUsage;
 use super::service_load::Backlogged;
+use super::trials::Trial;
 use crate::report::{SharedStatus, WorkerReport};
 use crate::{TaskRun, WorkerRecord};
 
@@ -31,15 +33,6 @@
 /// How often a throttle order is resent, in case it was lost.
 const RESEND_THROTTLE_AFTER: Duration = Duration::from_secs(1);
 
-/// How many consecutive failures put a worker in quarantine.
-const QUARANTINE_FAILURES: u32 = 2;
-
-/// How long a quarantined worker gets no task; after that it gets one probe at a time.
-const QUARANTINE: Duration = Duration::from_millis(2500);
-
-/// How long a worker takes no other task after a suspect of crashes has started there.
-const MAX_RESERVED: Duration = Duration::from_secs(1);
-
 /// A report that waits for its reply.
 #[derive(Debug)]
 pub(super) struct Parked {
@@ -95,25 +88,6 @@
     pub(super) trial: Option<Trial>,
 }
 
-/// A run of a task that is suspected of crashing its workers.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Trial {
-    /// How long it has to last.
-    pub(super) lasts: Duration,
-    /// When it was first listed, and the worker's clock in that status, in milliseconds.
-    pub(super) listed: Option<(Instant, u64)>,
-    /// Whether the task is a prime suspect.
-    pub(super) is_prime: bool,
-}
-
-/// A worker's recent failures and its quarantine.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Health {
-    failures: u32,
-    /// Set until a task succeeds; tasks that start after this time are probes.
-    quarantined_until: Option<Instant>,
-}
-
 /// Which of a worker's finished runs are stored and acknowledged.
 #[derive(Debug, Default)]
 pub(super) struct FinishedRuns {
@@ -335,20 +309,6 @@
         self.trials > 0
     }
 
-    /// Returns true if the worker takes no task but suspects of crashes: one is about to start here, or
-    /// has started recently.
-    pub(super) fn is_reserved(&self, now: Instant) -> bool {
-        if self.reserved_until.is_some_and(|until| now < until) {
-            return true;
-        }
-        let is_recent = |trial: &Trial| {
-            let listed = trial.listed;
-            listed.is_none_or(|(at, _)| now.saturating_duration_since(at) < MAX_RESERVED)
-        };
-        let mut trials = self.runs.values().filter_map(|r| r.trial.as_ref());
-        self.has_trial() && trials.any(is_recent)
-    }
-
     /// Returns the processor demand of best-effort tasks at full speed, divided by the capacity.
     pub(super) fn best_effort_load(&self) -> f64 {
         let best_effort_runs = self.runs.values().filter(|r| r.is_best_effort);
@@ -450,34 +410,6 @@
     }
 }
 
-impl Health {
-    pub(super) fn record_success(&mut self) {
-        *self = Self::default();
-    }
-
-    /// Counts a failure; returns true if it starts a quarantine.
-    pub(super) fn record_failure(&mut self, now: Instant) -> bool {
-        self.failures += 1;
-        let was_free = self.quarantined_until.is_none_or(|until| until <= now);
-        if self.failures >= QUARANTINE_FAILURES {
-            self.quarantined_until = Some(now + QUARANTINE);
-            return was_free;
-        }
-        false
-    }
-
-    /// Returns true if the worker may get a task: after a quarantine one as a probe, and more once
-    /// the probe has run for as long as the quarantine. A probe need not end, since a standing task
-    /// never succeeds.
-    fn takes_tasks<'a>(&self, now: Instant, runs: impl Iterator<Item = &'a Run>) -> bool {
-        let Some(until) = self.quarantined_until else {
-            return true;
-        };
-        let probe = runs.map(|r| r.since).filter(|at| *at >= until).min();
-        now >= until && probe.is_none_or(|at| now.saturating_duration_since(at) >= QUARANTINE)
-    }
-}
-
 impl Run {
     /// Returns true if the speed has to be sent to the companion.
     pub(super) fn is_speed_due(&self, now: Instant) -> bool {
--- a/crates/route/src/active.rs
+++ b/crates/route/src/active.rs
@@ -19,6 +19,8 @@
     pub(crate) tried: Vec<TargetId>,
     pub(crate) attempt: u32,
     pub(crate) resends: u32,
+    /// How many targets ended or lost it without a response.
+    pub(crate) losses: u32,
     /// Whether a copy may have reached the current target, with no proof that it did not run there.
     pub(crate) may_have_arrived: bool,
     /// Whether it may have run at an earlier target, or as the run of another caller that it
@@ -42,6 +44,7 @@
             tried: Vec::new(),
             attempt: 1,
             resends: 0,
+            losses: 0,
             may_have_arrived: false,
             may_have_run: false,
             is_confirmed: false,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -15,6 +15,9 @@
 /// How many targets a request is sent to at most.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// How many targets may lose a request: it may be what ends them.
+const MAX_LOSSES: u32 = 2;
+
 /// How many times an attempt without a response is repeated at the same target.
 const MAX_RESENDS: u32 = 2;
 
@@ -215,7 +218,8 @@
     /// Handles a companion's report that the request may have run and that no response will come.
     fn handle_lost(&mut self, now: Instant, mut active: Active) -> NextAction {
         active.may_have_arrived = true;
-        if active.route.idempotent {
+        active.losses += 1;
+        if active.route.idempotent && active.losses < MAX_LOSSES {
             return self.retry_elsewhere(now, active, "lost", false);
         }
         unknown("lost")
--- a/crates/route/tests/outcomes.rs
+++ b/crates/route/tests/outcomes.rs
@@ -156,6 +156,20 @@
     assert_eq!(next, unknown("lost"));
 }
 
+#[test]
+fn idempotent_request_that_ends_target_after_target_is_not_sent_to_a_third() {
+    let (mut router, now) = router_with(4);
+    let lost = AttemptEnd::Lost {
+        reason: "no-answer".into(),
+    };
+    send(router.admit(now, meta("check", now)));
+    send(router.ended(now, &id(), &lost));
+
+    let next = router.ended(now, &id(), &lost);
+
+    assert_eq!(next, unknown("lost"));
+}
+
 #[test]
 fn request_past_its_deadline_is_not_sent() {
     let (mut router, now) = router_with(1);
