A job whose progress cannot be read does not run again

The owner now starts nothing of such a job; what workers list as running goes on. The new test failed before: a finished task ran again.

--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -37,7 +37,12 @@
         for item in progress {
             match decode_progress(&item.key, &item.value) {
                 Ok(progress) => self.load_progress(item, progress),
-                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
+                Err(e) => {
+                    // What has run is not known, so nothing of the job may start again.
+                    warn!(self.log, "owner: progress unreadable"; "error" => %e);
+                    let id = item.key.strip_prefix(PROGRESS_PREFIX).unwrap_or(&item.key);
+                    self.active.swap_remove(&JobId::from(id));
+                }
             }
         }
         let until = now + self.cfg.predecessor_grace + lease_bound(self.cfg.worker_lease);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use base::prelude::*;
-use jobs::owner::VM_PREFIX;
+use jobs::owner::{PROGRESS_PREFIX, VM_PREFIX};
 use jobs::report::EndKind;
 use jobs::{JobReply, JobState, RouteTerms};
 
@@ -377,3 +377,20 @@
     assert!(before.iter().all(|run| runs.contains(run)));
     assert_eq!(runs.len(), 28);
 }
+
+#[test]
+fn job_whose_progress_cannot_be_read_does_not_run_again() {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 16);
+    harness.submit("a", job(vec![stage(1, 1)]));
+    harness.sync_all();
+    harness.end_all(EndKind::Done);
+    overwrite(&mut harness, &format!("{PROGRESS_PREFIX}a"), b"");
+
+    harness.take_over();
+    harness.sync_all();
+    harness.pass(GRACE + WORKER_LEASE, &["vm"]);
+
+    assert_eq!(harness.running(), []);
+    assert_eq!(harness.stored(PROGRESS_PREFIX), 1, "the record is kept");
+}
