A step of the wall clock does not forget ended jobs

The owner now counts the time since it first ran by its monotonic clock. The new test failed before: the repeated submission ran again.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -130,6 +130,8 @@
     has_doubts: bool,
     /// When a worker last crashed without a primary suspect among its runs.
     unexplained_crash: Option<Instant>,
+    /// When this owner first ran, by both clocks: a later step of the wall clock does not age ended jobs.
+    first_run: Option<(Instant, u64)>,
     /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
     had_unadopted_workers: bool,
 }
@@ -158,6 +160,7 @@
             // A previous owner may have left some.
             has_doubts: true,
             unexplained_crash: None,
+            first_run: None,
             had_unadopted_workers: true,
         }
     }
@@ -180,7 +183,7 @@
         self.place_tasks(now, unix_ms);
         self.throttle_best_effort(now);
         self.reply_to_reports(now);
-        self.forget_ended(unix_ms);
+        self.forget_ended(now, unix_ms);
         self.commit(now);
         std::mem::take(&mut self.effects)
     }
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -182,7 +182,10 @@
     }
 
     /// Forgets jobs that ended longer ago than the retention time.
-    pub(super) fn forget_ended(&mut self, unix_ms: u64) {
+    pub(super) fn forget_ended(&mut self, now: Instant, unix_ms: u64) {
+        let (first_run, first_unix_ms) = *self.first_run.get_or_insert((now, unix_ms));
+        let elapsed = base::whole_ms(now.duration_since(first_run));
+        let unix_ms = unix_ms.min(first_unix_ms + elapsed);
         let retention = base::whole_ms(self.cfg.retention);
         // Jobs are ordered by arrival, so scanning the oldest ones suffices.
         let old = self.jobs.values().take(FORGET_SCAN).filter(|job| {
--- a/crates/jobs/tests/callers.rs
+++ b/crates/jobs/tests/callers.rs
@@ -254,3 +254,23 @@
     assert_eq!(harness.stored(JOB_PREFIX), 0);
     assert_eq!(harness.stored(PROGRESS_PREFIX), 0);
 }
+
+#[test]
+fn step_of_the_wall_clock_does_not_forget_an_ended_job() {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 16);
+    harness.submit("a", job(vec![stage(1, 1)]));
+    harness.sync_all();
+    harness.end_all(EndKind::Done);
+
+    harness.unix_ms += 600_000;
+    harness.settle();
+    harness.submit("a", job(vec![stage(1, 1)]));
+    harness.sync_all();
+
+    assert_eq!(harness.running(), []);
+    assert_eq!(
+        harness.status("a"),
+        Some(JobReply::Status(JobState::Completed))
+    );
+}
