--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use jobs::owner::{PROGRESS_PREFIX, VM_PREFIX};
 use jobs::report::EndKind;
-use jobs::{JobReply, JobState, RouteTerms};
+use jobs::{JobReply, JobState, RouteTerms, TaskProgress};
 
 use harness::{GRACE, Harness, StoreMode, WORKER_LEASE, job, overwrite, stage, terms};
 
@@ -394,3 +394,31 @@
     assert_eq!(harness.running(), []);
     assert_eq!(harness.stored(PROGRESS_PREFIX), 1, "the record is kept");
 }
+
+#[test]
+fn progress_that_an_earlier_version_stored_is_read() {
+    let mut harness = Harness::new();
+    harness.add_vm("vm", 16);
+    harness.submit("a", job(vec![stage(2, 1)]));
+    harness.sync_all();
+    let runs = harness.running();
+    harness.vm("vm").end(&runs[0].1, EndKind::Done);
+    harness.sync_all();
+    let done = TaskProgress {
+        is_done: true,
+        ..TaskProgress::default()
+    };
+    let record = (JobState::Running, vec![(0_u32, done)], None::<u64>);
+    let record = postcard::to_stdvec(&record).expect("encodable");
+    overwrite(&mut harness, &format!("{PROGRESS_PREFIX}a"), &record);
+
+    harness.take_over();
+    harness.sync_all();
+    harness.end_all(EndKind::Done);
+
+    assert_eq!(harness.vm("vm").finished.len(), 2, "one run of each task");
+    assert_eq!(
+        harness.status("a"),
+        Some(JobReply::Status(JobState::Completed))
+    );
+}
--- a/crates/ops/tests/it/explain.rs
+++ b/crates/ops/tests/it/explain.rs
@@ -88,3 +88,20 @@
         None
     );
 }
+
+#[test]
+fn crash_and_the_verdict_on_a_task_of_the_job_are_shown() {
+    let task = format!("\"task\":\"{ID}.0.0.0\"");
+    let crashed = line(4000, "owner: worker crashed", "\"vm\":\"vm-1\"");
+    let lost = format!("{task},\"vm\":\"vm-1\",\"ran_ms\":14,\"strength\":\"Alone\"");
+    let lost = line(4001, "owner: run on a lost worker", &lost);
+    let cause = format!("{task},\"cause\":\"task {ID}.0.0.0 crashed 2 workers (vm-1, vm-2)\"");
+    let given_up = line(4002, "owner: task given up", &cause);
+    let owner = log("entry-3", &[crashed, lost, given_up]);
+
+    let timeline = job_timeline(ID, &[first_owner(), owner], false).expect("the job is named");
+
+    for text in ["worker crashed", "strength=Alone", "crashed 2 workers"] {
+        assert!(timeline.contains(text), "{text} in\n{timeline}");
+    }
+}
