Cordoned availability zones: no task starts there

Ruled out: a watch by each companion (66 more waiting calls; a companion cut from the store would still act on what it knew), a watch by the owner (its history may be dropped; a list each 0.5 s is as prompt as the bound asks for), stopping what runs there (the key asks for no new starts; running work ends in place).

Change: crate `cordon` decides until when tasks may start in a zone: until a read of the keys that showed it open, plus the bound of the settings. The owner places nothing there and passes the rest of that time on with each reply; companions count it from when they sent the report and reject later starts, queued and retried ones included. So an owner that is cut off, suspended or deposed stops starts in time too. On only where the settings give the bound.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -27,6 +27,8 @@
     pub(crate) fence: u64,
     /// When the lease of the tasks expires, on the worker's clock in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
+    /// Until when the owner permits starts; `None` for as long as the lease lasts.
+    pub(crate) starts_until: Option<Instant>,
     /// Finished runs up to this number are stored by the owner.
     pub(crate) stored_ends: u64,
     pub(crate) status: Option<WorkerStatus>,
@@ -67,6 +69,7 @@
             clock: None,
             fence: 0,
             deadline_ms: None,
+            starts_until: None,
             stored_ends: 0,
             status: None,
             status_clock_ms: 0,
@@ -105,6 +108,11 @@
         self.deadline_ms.filter(|_| takes_starts)
     }
 
+    /// Returns true if the owner's permission to start tasks has run out.
+    pub(crate) fn is_past_starts(&self, now: Instant) -> bool {
+        self.starts_until.is_some_and(|until| until <= now)
+    }
+
     /// Returns when the next start is to be sent.
     pub(crate) fn next_start_due(&self) -> Option<Instant> {
         self.start_deadline_ms()?;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -147,6 +147,11 @@
         if worker.heartbeat.draining.is_some() {
             self.syncs.has_changes |= worker.starts.reject_unsent(now, RejectKind::Draining);
         }
+        if worker.is_past_starts(now) && worker.starts.reject_unsent(now, RejectKind::Late) {
+            info!(self.log, "companion: starts rejected"; "worker" => %worker.heartbeat.id,
+                "reason" => "the owner's permission has run out, or the zone is cordoned");
+            self.syncs.has_changes = true;
+        }
         let Some(deadline_ms) = worker.start_deadline_ms() else {
             return;
         };
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -21,6 +21,7 @@
 /// A report in flight.
 #[derive(Clone, Copy, Debug)]
 struct SentReport {
+    sent_at: Instant,
     /// A lower bound of the worker's clock when the report was sent, in milliseconds.
     clock_ms: Option<u64>,
     incarnation: Incarnation,
@@ -120,6 +121,7 @@
         let number = self.syncs.last_number;
         let worker = self.worker.as_ref();
         let sent = SentReport {
+            sent_at: now,
             // The lease of an unresponsive worker is not renewed, so that its tasks can be moved
             // if it is gone.
             clock_ms: worker
@@ -217,6 +219,8 @@
                 let deadline = clock_ms + lease_ms;
                 worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
             }
+            let start_lease = reply.start_lease_ms.map(Duration::from_millis);
+            worker.starts_until = start_lease.map(|lease| sent.sent_at + lease);
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
             self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -212,6 +212,7 @@
         },
         worker_lease: cfg.worker_lease,
         retention: cfg.retention,
+        cordon: cfg.cordon.clone(),
     }
 }
 
--- a/crates/controller/src/cfg.rs
+++ b/crates/controller/src/cfg.rs
@@ -35,6 +35,17 @@
 /// The claim delay of an entry with few resources: several times an election.
 const CLAIM_DELAY: Duration = Duration::from_millis(400);
 
+/// How operators cordon availability zones.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CordonCfg {
+    /// The prefix of the store keys that each name a cordoned zone.
+    pub prefix: Name,
+    /// How long after such a key is stored tasks may still start in the zone.
+    pub bound: Duration,
+    /// The zones that exist.
+    pub zones: IndexSet<ZoneName>,
+}
+
 /// The settings of an entry.
 #[derive(Clone, Debug)]
 pub struct ControllerCfg {
@@ -60,6 +71,8 @@
     pub worker_lease: Duration,
     /// How long the states of ended jobs can be queried.
     pub retention: Duration,
+    /// How operators cordon availability zones; `None` if they can't.
+    pub cordon: Option<CordonCfg>,
 }
 
 impl ControllerCfg {
@@ -83,9 +96,17 @@
             claim_delay: Duration::ZERO,
             worker_lease: WORKER_LEASE,
             retention,
+            cordon: None,
         }
     }
 
+    /// Lets operators cordon availability zones.
+    #[must_use]
+    pub fn with_cordon(mut self, cordon: Option<CordonCfg>) -> Self {
+        self.cordon = cordon;
+        self
+    }
+
     /// Adjusts the leases to what the store and the workers grant.
     #[must_use]
     pub fn within(mut self, min_store_lease: Duration, max_worker_lease: Duration) -> Self {
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -17,6 +17,8 @@
     Commit(Epoch, u64),
     /// A call of the initial load of the owner at the epoch.
     Load(Epoch),
+    /// A read of the cordoned availability zones.
+    Cordons,
     /// A lookup of a job that is not loaded.
     Lookup(u64),
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 mod app;
 mod cfg;
 mod codec;
+mod cordons;
 mod elector;
 mod event;
 mod forward;
@@ -20,8 +21,9 @@
 
 pub use advice::Advisor;
 pub use app::{App, run};
-pub use cfg::ControllerCfg;
+pub use cfg::{ControllerCfg, CordonCfg};
 pub use codec::{CallerCodec, CallerRequest, CallerResponse, Verb};
+pub use cordons::CordonReader;
 pub use elector::{Call, Change, Clocks, Elector, ElectorCfg};
 pub use event::{Event, StoreToken};
 pub use front::response_timeout;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,5 +1,6 @@
 //! The actor of an entry: takes part in the election and owns the jobs while elected.
 
+mod cordoning;
 mod ownership;
 
 use base::prelude::*;
@@ -18,6 +19,8 @@
 use stakker::{CX, FixedTimerKey, call};
 use wire::Responder;
 
+use crate::cfg::CordonCfg;
+use crate::cordons::CordonReader;
 use crate::elector::{Clocks, Elector, ElectorCfg};
 use crate::load::Load;
 use crate::{Event, StoreToken};
@@ -40,6 +43,8 @@
     pub worker_lease: Duration,
     /// How long the states of ended jobs can be queried.
     pub retention: Duration,
+    /// How operators cordon availability zones; `None` if they can't.
+    pub cordon: Option<CordonCfg>,
 }
 
 /// The calls that an entry's actor makes; each returns at once.
@@ -69,6 +74,8 @@
     election_sent: Option<Clocks>,
     load: Option<Load>,
     owner: Option<Owner>,
+    /// Reads the cordoned zones while this entry owns the jobs, or is about to.
+    cordons: Option<CordonReader>,
     callers: IndexMap<Token, Responder<JobReply>>,
     companions: IndexMap<Token, Responder<SyncReply>>,
     /// The latest report of each VM that arrived while the jobs were being loaded.
@@ -93,6 +100,7 @@
         call!([cx], run());
         Some(Self {
             elector: Elector::new(cfg.elector.clone()),
+            cordons: cfg.cordon.clone().map(CordonReader::new),
             cfg,
             clock,
             ports,
@@ -127,6 +135,7 @@
                 self.election_call(now, call);
             }
         }
+        self.read_cordons(now);
         let may_lead = self.elector.may_lead(now, self.clock.boot_time());
         // A resumption takes two calls of the store; its owner need not send the reports back.
         let is_waiting = self.elector.is_resuming();
@@ -142,6 +151,7 @@
         let due = [
             self.elector.next_due(),
             self.owner.as_ref().map(|o| o.next_due(now)),
+            self.cordons.as_ref().and_then(CordonReader::next_due),
         ];
         let due = due.into_iter().flatten().min();
         cx.timer_del(self.timer);
@@ -168,6 +178,8 @@
         self.operation_metrics.set_level("active_jobs", jobs);
         self.operation_metrics.set_level("runs", runs);
         self.operation_metrics.set_level("workers", workers);
+        let cordoned = owner.cordoned_zones();
+        self.operation_metrics.set_level("cordoned_zones", cordoned);
     }
 
     fn election_call(&mut self, now: Instant, call: StoreCall) {
@@ -289,6 +301,7 @@
                 }
             }
             StoreToken::Load(epoch) => self.loaded(cx, epoch, reply),
+            StoreToken::Cordons => self.cordons_read(now, reply),
             StoreToken::Lookup(id) => self.lookup_done(id, reply),
         }
     }
--- a/crates/controller/src/node/ownership.rs
+++ b/crates/controller/src/node/ownership.rs
@@ -10,6 +10,7 @@
 
 use super::{Controller, LOAD_RETRY};
 use crate::StoreToken;
+use crate::cordons::CordonReader;
 use crate::elector::Change;
 use crate::load::{Load, LoadStep};
 
@@ -97,10 +98,14 @@
             worker_lease: self.cfg.worker_lease,
             predecessor_grace: elector.lease + elector.outage_grace,
             retention: self.cfg.retention,
+            cordon_bound: self.cfg.cordon.as_ref().map(|cordon| cordon.bound),
         };
         let mut owner = Owner::new(cfg, self.log.clone());
         let [jobs, progress, vms] = load.into_parts();
         owner.load(cx.now(), &jobs, &progress, &vms);
+        if let Some(latest) = self.cordons.as_ref().and_then(CordonReader::latest) {
+            owner.observe_cordons(cx.now(), latest);
+        }
         self.owner = Some(owner);
         let reports = std::mem::take(&mut self.early_reports);
         for (report, responder) in reports.into_values() {
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -72,7 +72,8 @@
     let rpc = SocketAddr::new(settings.ip, settings.rpc_port);
     let cfg = ControllerCfg::new(settings.vm, front, ready, rpc, settings.retention)
         .within(settings.min_store_lease, settings.max_worker_lease)
-        .on_vm(settings.cpu_share, settings.link_mbps);
+        .on_vm(settings.cpu_share, settings.link_mbps)
+        .with_cordon(settings.cordon);
     let store = Arc::new(KvStore::new(settings.store_addr));
     let advisor = settings.advisor_addr.map(HttpAdvisor::new);
     let advisor = advisor.map(|a| Arc::new(a) as Arc<dyn Advisor>);
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod colocation;
 mod commit;
+mod cordons;
 mod crashes;
 mod doubts;
 mod finished;
@@ -31,6 +32,7 @@
 use std::cell::RefCell;
 
 use base::prelude::*;
+use cordon::Cordons;
 use ports::store::{Revision, StoreCall};
 use slog::{Logger, info, warn};
 
@@ -67,6 +69,9 @@
     pub predecessor_grace: Duration,
     /// How long the states of ended jobs can be queried.
     pub retention: Duration,
+    /// How long after operators cordon an availability zone tasks may still start there; `None` if
+    /// they can't cordon zones.
+    pub cordon_bound: Option<Duration>,
 }
 
 /// An action that the owner requests from its caller.
@@ -132,6 +137,8 @@
     unexplained_crash: Option<Instant>,
     /// When this owner first ran, by both clocks: a later step of the wall clock does not age ended jobs.
     first_run: Option<(Instant, u64)>,
+    /// The cordoned availability zones; `None` if operators can't cordon any.
+    cordons: Option<Cordons>,
     /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
     had_unadopted_workers: bool,
 }
@@ -140,6 +147,7 @@
     /// Creates an owner without jobs; see [`Owner::load`].
     pub fn new(cfg: OwnerCfg, log: Logger) -> Self {
         Self {
+            cordons: cfg.cordon_bound.map(Cordons::new),
             cfg,
             log,
             jobs: IndexMap::new(),
--- a/crates/jobs/src/owner/capacity.rs
+++ b/crates/jobs/src/owner/capacity.rs
@@ -49,7 +49,7 @@
     }
 
     /// Stops a start in flight; the members of a gang do not work without it, so they are stopped too.
-    fn withdraw(&mut self, vm: &Name, run: &TaskRun) {
+    pub(super) fn withdraw(&mut self, vm: &Name, run: &TaskRun) {
         let mut runs = vec![(Arc::clone(vm), run.clone())];
         if let Some(job) = self.jobs.get(&run.task.job)
             && let Some((instance, _)) = job.find(&run.task)
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -58,7 +58,7 @@
             // Reports may come more often than the long poll times out, and each has to renew the
             // lease. This lease counts from when the older report was sent, so it expires before
             // the one recorded below.
-            let renewal = renewal(&self.cfg, worker);
+            let renewal = renewal(&self.cfg, worker, now);
             self.effects
                 .push(Effect::Sync(parked.token, Box::new(renewal)));
         }
@@ -158,6 +158,7 @@
         worker.last_report = Some(report.without_runs());
         if is_new {
             self.commits.mark_vm(vm);
+            self.update_start_window(now, vm);
         }
         if let Some(before) = capacity_before {
             self.change_capacity(vm, before, report.capacity);
@@ -254,8 +255,10 @@
             Orders::default()
         };
         worker.may_have_orders = !orders.is_empty();
-        let has_news =
-            !orders.is_empty() || worker.needs_status || !worker.noted_rejects.is_empty();
+        let has_news = !orders.is_empty()
+            || worker.needs_status
+            || worker.needs_renewal
+            || !worker.noted_rejects.is_empty();
         let is_first = !worker.is_adopted;
         let Some(parked) = worker.parked.as_ref() else {
             return;
@@ -266,6 +269,7 @@
         let token = parked.token;
         orders.mark_sent(worker, now);
         worker.parked = None;
+        worker.needs_renewal = false;
         let reply = SyncReply {
             needs_status: std::mem::take(&mut worker.needs_status),
             noted_rejects: std::mem::take(&mut worker.noted_rejects),
@@ -273,7 +277,7 @@
             starts: orders.starts,
             stops: orders.stops,
             throttles: orders.throttles,
-            ..renewal(&self.cfg, worker)
+            ..renewal(&self.cfg, worker, now)
         };
         if !reply.stops.is_empty() {
             let stops = reply.stops.len();
@@ -289,7 +293,7 @@
 }
 
 /// Returns a reply that renews a worker's lease without orders.
-fn renewal(cfg: &OwnerCfg, worker: &Worker) -> SyncReply {
+fn renewal(cfg: &OwnerCfg, worker: &Worker, now: Instant) -> SyncReply {
     SyncReply {
         epoch: cfg.epoch,
         is_owner: true,
@@ -301,6 +305,7 @@
             .map(|l| l.incarnation)
             .unwrap_or_default(),
         lease_ms: worker.lease_from.map(|_| base::whole_ms(cfg.worker_lease)),
+        start_lease_ms: worker.starts.lease(now).map(base::whole_ms),
         stored_ends: worker.finished.stored,
         ..SyncReply::default()
     }
@@ -327,7 +332,7 @@
                 Phase::Ordered {
                     sent,
                     is_acknowledged,
-                } if !is_acknowledged && is_due(sent) => {
+                } if !is_acknowledged && is_due(sent) && worker.starts.is_open(now) => {
                     orders.starts.extend(start_order(id, run, jobs));
                 }
                 Phase::Stopping { sent } if is_due(sent) => orders.stops.push(id.clone()),
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -7,6 +7,7 @@
 use ports::store::Revision;
 
 use super::Token;
+use super::cordons::StartWindow;
 use super::health::Health;
 use super::processes::Processes;
 use super::recent_usage::RecentUsage;
@@ -135,6 +136,8 @@
     /// Until when tasks may run that a previous owner started.
     pub(super) inherited_until: Option<Instant>,
     pub(super) runs: IndexMap<TaskRun, Run>,
+    /// Whether the companion has to be told at once for how long it may start tasks.
+    pub(super) needs_renewal: bool,
     /// Whether an order may be due: set by each report and by each change of the runs, cleared
     /// when no order was due.
     pub(super) may_have_orders: bool,
@@ -170,6 +173,8 @@
     pub(super) recorded_crashes: IndexMap<Incarnation, Vec<(JobId, u64)>>,
     /// When an incarnation last crashed.
     pub(super) crashed_at: Option<Instant>,
+    /// Until when tasks may start in its availability zone.
+    pub(super) starts: StartWindow,
     /// Until when it is kept free for a suspect of crashes.
     pub(super) reserved_until: Option<Instant>,
     used: Resources,
@@ -190,6 +195,7 @@
             lease_from: None,
             inherited_until: None,
             runs: IndexMap::new(),
+            needs_renewal: false,
             may_have_orders: false,
             unknown_runs: Vec::new(),
             has_unknown_runs: false,
@@ -210,6 +216,7 @@
             backlogged: Backlogged::default(),
             recorded_crashes: IndexMap::new(),
             crashed_at: None,
+            starts: StartWindow::default(),
             reserved_until: None,
             used: Resources::ZERO,
             demand_milli: 0,
@@ -228,6 +235,7 @@
     pub(super) fn may_reply(&self, now: Instant) -> bool {
         let has_news = self.may_have_orders
             || self.needs_status
+            || self.needs_renewal
             || !self.is_adopted
             || !self.noted_rejects.is_empty();
         let is_over = |p: &Parked| now.duration_since(p.since) >= super::sync::LONG_POLL_TIMEOUT;
@@ -382,6 +390,7 @@
             && !self.has_unknown_runs
             && self.is_recorded()
             && !is_draining
+            && self.starts.is_open(now)
             && self.is_heard(now)
             && self.health.takes_tasks(now, self.runs.values())
     }
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -244,6 +244,9 @@
     pub needs_status: bool,
     /// How long tasks may run, from when the report was sent; `None` for no change.
     pub lease_ms: Option<u64>,
+    /// How long tasks may start, from when the report was sent; `None` for as long as they may run.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start_lease_ms: Option<u64>,
     /// Finished runs up to this number are stored.
     pub stored_ends: u64,
     /// Rejected starts that the owner has processed.
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -60,6 +60,7 @@
     pub ignores_orders: bool,
     pub capacity: Resources,
     pub labels: Vec<Name>,
+    pub zone: ZoneName,
     pub running: Vec<RunningRow>,
     pub finished: Vec<FinishedRun>,
     pub rejected: Vec<Rejected>,
@@ -95,15 +96,23 @@
     pub is_key_missing: bool,
     pub vms: IndexMap<Name, Vm>,
     pub transactions: usize,
+    /// Whether operators can cordon zones.
+    cordon_bound: Option<Duration>,
     next: u64,
 }
 
 impl Harness {
     pub fn new() -> Self {
+        Self::with_cordons(None)
+    }
+
+    /// Creates a harness whose operators can cordon zones, with a bound on later starts there.
+    pub fn with_cordons(cordon_bound: Option<Duration>) -> Self {
         let now = Instant::now();
         let mut store = MemStore::new();
-        let (owner, revision) = elect(&mut store, now, 1);
+        let (owner, revision) = elect(&mut store, now, 1, cordon_bound);
         Self {
+            cordon_bound,
             now,
             unix_ms: 1_000_000,
             store,
@@ -126,7 +135,7 @@
     pub fn take_over(&mut self) {
         let epoch = self.owner.epoch().0 + 1;
         self.reporting.clear();
-        (self.owner, self.revision) = elect(&mut self.store, self.now, epoch);
+        (self.owner, self.revision) = elect(&mut self.store, self.now, epoch, self.cordon_bound);
         for vm in self.vms.values_mut() {
             vm.shared_status.clear();
         }
@@ -148,6 +157,7 @@
             ignores_orders: false,
             capacity: Resources::new(cores, cores * 4096, 0),
             labels: Vec::new(),
+            zone: "north".into(),
             running: Vec::new(),
             finished: Vec::new(),
             rejected: Vec::new(),
@@ -390,7 +400,7 @@
                 id: WorkerId::new(Arc::clone(&self.name)),
                 incarnation: Incarnation(self.incarnation),
                 pool: POOL.into(),
-                zone: "north".into(),
+                zone: self.zone.clone(),
                 labels: self.labels.clone(),
                 capacity: self.capacity,
                 draining_ms: self.draining.then_some(1000),
@@ -482,7 +492,12 @@
     }
 }
 
-fn elect(store: &mut MemStore, now: Instant, epoch: u64) -> (Owner, Revision) {
+fn elect(
+    store: &mut MemStore,
+    now: Instant,
+    epoch: u64,
+    cordon_bound: Option<Duration>,
+) -> (Owner, Revision) {
     let write = StoreCall::Txn {
         expected: Vec::new(),
         writes: vec![KeyWrite {
@@ -502,6 +517,7 @@
         worker_lease: WORKER_LEASE,
         predecessor_grace: GRACE,
         retention: Duration::from_secs(120),
+        cordon_bound,
     };
     let mut owner = Owner::new(cfg, Logger::root(slog::Discard, o!()));
     let mut list = |prefix: &str| {
