--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -165,7 +165,7 @@
         }
         if is_leaving {
             info!(self.log, "owner: worker drains"; "vm" => %vm, "worker" => %report.id);
-            self.evacuate(vm);
+            self.stop_standing(vm);
         }
         if report.is_gone && !was_gone {
             info!(self.log, "owner: worker left"; "vm" => %vm, "worker" => %report.id);
@@ -180,7 +180,7 @@
     }
 
     /// Stops the standing tasks on a draining worker, so that they restart elsewhere early.
-    fn evacuate(&mut self, vm: &Name) {
+    fn stop_standing(&mut self, vm: &Name) {
         if let Some(worker) = self.workers.get_mut(vm) {
             let standing: Vec<TaskRun> = worker
                 .runs
