--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -21,6 +21,7 @@
 mod processes;
 mod ranking;
 mod recent_usage;
+mod run_times;
 mod service_load;
 mod stall;
 mod sync;
@@ -34,6 +35,7 @@
 use base::prelude::*;
 use cordon::Cordons;
 use ports::store::{Revision, StoreCall};
+use runtimes::RunTimes;
 use slog::{Logger, info, warn};
 
 use self::advice::Advice;
@@ -116,6 +118,7 @@
     /// In a cell, because predictions assign ids to classes seen for the first time.
     colocation: RefCell<ColocationModel>,
     throughput: Throughput,
+    run_times: RunTimes,
     advice: Advice,
     /// Callers waiting until the record of a new job is stored.
     pending_accepts: IndexMap<JobId, Vec<Token>>,
@@ -156,6 +159,7 @@
             commits: Commits::default(),
             colocation: RefCell::new(ColocationModel::new()),
             throughput: Throughput::default(),
+            run_times: RunTimes::default(),
             advice: Advice::default(),
             pending_accepts: IndexMap::new(),
             pending_cancels: IndexMap::new(),
