Owner: refuse sooner and truly while the store is silent, on a pause and on stepping down

Cause: the failure of the store counted from when a call timed out (0.7 s), not from when it was sent, so that submissions were held for 1.1 s before they were refused; callers were told to come back in 2 s, which leaves one more attempt in the 3 s that they have. An owner that was suspended or replaced left submissions without a reply, or answered "unsure", though their record was in no transaction.

Change: the store fails since the failed call was sent, or since its latest response if that was later; Retry-After 1 s; what is in no transaction is withdrawn and refused when ownership is suspended or ends. What is in a transaction stays unsure.

Ruled out: counting an unanswered call before it times out. A slow store would be refused that still answers within the caller's time.

Measured: jobs/tests/callers.rs 19 passed, takeover.rs 21 passed; each of the 4 new tests was seen to fail with its decision taken out.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -35,6 +35,7 @@
 use slog::{Logger, info, warn};
 
 use self::advice::Advice;
+use self::callers::OWNERSHIP_ENDED;
 use self::colocation::ColocationModel;
 use self::commit::Commits;
 use self::ranking::Throughput;
@@ -188,9 +189,11 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Suspends ownership: replies to parked reports without orders or lease renewals.
+    /// Suspends ownership: replies to parked reports without orders or lease renewals, and refuses the
+    /// jobs that were not sent to the store.
     pub fn pause(&mut self) -> Vec<Effect> {
         self.release_parked_reports();
+        self.refuse_unsent(STORE_UNAVAILABLE);
         std::mem::take(&mut self.effects)
     }
 
@@ -217,6 +220,7 @@
 
     /// Replies to all pending callers and reports, as the owner steps down.
     pub fn step_down(mut self) -> Vec<Effect> {
+        self.refuse_unsent(OWNERSHIP_ENDED);
         let waiting = self
             .pending_accepts
             .drain(..)
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -9,8 +9,12 @@
 /// The reason for refusing jobs while the store does not respond to the owner.
 pub const STORE_UNAVAILABLE: &str = "the store is out of reach";
 
-/// The retry delay for callers while the store is unavailable: about as long as such outages last.
-pub(super) const STORE_UNAVAILABLE_RETRY: Duration = Duration::from_secs(2);
+/// The retry delay for callers while the store is unavailable: the shortest that can be sent, since its
+/// return is not known and a caller who asks too early still has attempts left.
+pub(super) const STORE_UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// The reason for refusing jobs that were not sent to the store when ownership ended.
+pub(super) const OWNERSHIP_ENDED: &str = "the owner has been replaced";
 
 /// The retry delay for callers of a job whose record is being written.
 const STORING_RETRY: Duration = Duration::from_secs(1);
--- a/crates/jobs/src/owner/commit.rs
+++ b/crates/jobs/src/owner/commit.rs
@@ -73,6 +73,8 @@
 #[derive(Clone, Debug)]
 struct Batch {
     changes: Vec<Change>,
+    /// When the latest attempt was sent.
+    sent: Instant,
     /// When to retry the transaction; `None` while a call is in flight.
     retry_at: Option<Instant>,
     /// Whether an attempt may have taken effect although its outcome is not known.
@@ -86,6 +88,8 @@
     batches: IndexMap<u64, Batch>,
     next: u64,
     failing_since: Option<Instant>,
+    /// When the store last responded to a call of this process.
+    last_response: Option<Instant>,
     /// No new transaction is sent before this time.
     retry_after: Option<Instant>,
 }
@@ -119,6 +123,18 @@
             .is_some_and(|since| now.duration_since(since) >= UNAVAILABLE_AFTER)
     }
 
+    fn responded(&mut self, now: Instant) {
+        self.failing_since = None;
+        self.last_response = Some(now);
+    }
+
+    /// Records a failure of a call sent at `sent`: the store has failed since then, or since its latest
+    /// response.
+    fn failed(&mut self, sent: Instant) {
+        let since = self.last_response.map_or(sent, |at| at.max(sent));
+        self.failing_since.get_or_insert(since);
+    }
+
     /// Removes a record that no transaction contains yet; returns true if it was pending.
     fn withdraw_record(&mut self, id: &JobId) -> bool {
         self.dirty.swap_remove(&Dirty::Record(id.clone()))
@@ -129,14 +145,14 @@
     /// Records whether the store responds to other calls of this process.
     pub fn store_reached(&mut self, now: Instant, is_reached: bool) {
         if is_reached {
-            self.commits.failing_since = None;
+            self.commits.responded(now);
         } else {
             self.commits.failing_since.get_or_insert(now);
         }
     }
 
     /// Refuses the jobs whose record was never sent to the store.
-    pub(super) fn refuse_unsent(&mut self) {
+    pub(super) fn refuse_unsent(&mut self, reason: &'static str) {
         let ids: Vec<JobId> = self.pending_accepts.keys().cloned().collect();
         for id in ids {
             if !self.commits.withdraw_record(&id) {
@@ -145,7 +161,7 @@
             self.jobs.swap_remove(&id);
             self.active.swap_remove(&id);
             for token in self.pending_accepts.swap_remove(&id).unwrap_or_default() {
-                self.refuse(token, &id, STORE_UNAVAILABLE, STORE_UNAVAILABLE_RETRY);
+                self.refuse(token, &id, reason, STORE_UNAVAILABLE_RETRY);
             }
         }
     }
@@ -153,7 +169,7 @@
     /// Writes pending changes in transactions.
     pub(super) fn commit(&mut self, now: Instant) {
         if self.commits.is_store_unavailable(now) {
-            self.refuse_unsent();
+            self.refuse_unsent(STORE_UNAVAILABLE);
         }
         self.retry(now);
         if self.commits.retry_after.is_some_and(|at| at > now) {
@@ -172,6 +188,7 @@
                 id,
                 Batch {
                     changes,
+                    sent: now,
                     retry_at: None,
                     is_outcome_unknown: false,
                 },
@@ -188,6 +205,7 @@
                 continue;
             };
             batch.retry_at = None;
+            batch.sent = now;
             let changes = batch.changes.clone();
             let call = self.transaction(&changes);
             self.effects.push(Effect::Store(id, call));
--- a/crates/jobs/src/owner/commit/replies.rs
+++ b/crates/jobs/src/owner/commit/replies.rs
@@ -13,7 +13,7 @@
     pub fn store_reply(&mut self, now: Instant, id: u64, reply: Result<StoreReply>) {
         match reply {
             Ok(StoreReply::Done { revision }) => {
-                self.commits.failing_since = None;
+                self.commits.responded(now);
                 let batch = self.commits.batches.swap_remove(&id);
                 for change in batch.into_iter().flat_map(|b| b.changes) {
                     self.on_committed(&change, revision);
@@ -21,7 +21,7 @@
                 self.advance_ends();
             }
             Ok(StoreReply::Conflicts { current }) => {
-                self.commits.failing_since = None;
+                self.commits.responded(now);
                 self.resolve(now, id, &current);
                 self.advance_ends();
             }
@@ -31,7 +31,8 @@
             }
             Err(e) => {
                 warn!(self.log, "owner: commit failed"; "error" => %e);
-                self.commits.failing_since.get_or_insert(now);
+                let sent = self.commits.batches.get(&id).map_or(now, |b| b.sent);
+                self.commits.failed(sent);
                 if e.kind() == ErrorKind::Overloaded {
                     self.on_rejected(now, id);
                 } else {
--- a/crates/jobs/tests/callers.rs
+++ b/crates/jobs/tests/callers.rs
@@ -274,3 +274,77 @@
         Some(JobReply::Status(JobState::Completed))
     );
 }
+
+fn is_refused(harness: &Harness, token: u64) -> bool {
+    let reply = harness.replies.get(&token);
+    matches!(reply, Some(JobReply::Refused { retry_after_ms, .. }) if *retry_after_ms <= 1000)
+}
+
+/// Submits until all transactions that may be in flight at once are, and one more job.
+fn submit_to_silent_store(harness: &mut Harness) -> (u64, u64) {
+    harness.mode = StoreMode::Silent;
+    let sent = harness.submit("sent", job(vec![stage(1, 1)]));
+    for id in ["sent-2", "sent-3"] {
+        harness.submit(id, job(vec![stage(1, 1)]));
+    }
+    (sent, harness.submit("unsent", job(vec![stage(1, 1)])))
+}
+
+/// The load: a store that holds all calls until they time out, while callers go on submitting.
+#[test]
+fn jobs_are_refused_as_soon_as_a_call_of_a_silent_store_times_out() {
+    let mut harness = Harness::new();
+    let (sent, unsent) = submit_to_silent_store(&mut harness);
+    harness.advance(Duration::from_millis(700));
+
+    harness.time_out();
+    let new = harness.submit("new", job(vec![stage(1, 1)]));
+
+    assert!(is_refused(&harness, unsent));
+    assert!(is_refused(&harness, new));
+    assert_eq!(harness.replies.get(&sent), None, "it may be stored");
+    harness.mode = StoreMode::Up;
+    harness.pass(Duration::from_secs(1), &[]);
+    assert_eq!(harness.replies.get(&sent), Some(&JobReply::Accepted));
+    assert_eq!(harness.stored(JOB_PREFIX), 3);
+}
+
+#[test]
+fn lost_response_of_a_store_that_answers_other_calls_refuses_nothing() {
+    let mut harness = Harness::new();
+    submit_to_silent_store(&mut harness);
+    harness.advance(Duration::from_millis(600));
+    harness.owner.store_reached(harness.now, true);
+    harness.advance(Duration::from_millis(100));
+
+    harness.time_out();
+    let new = harness.submit("new", job(vec![stage(1, 1)]));
+
+    assert_eq!(harness.replies.get(&new), None);
+}
+
+#[test]
+fn owner_that_steps_down_refuses_what_it_did_not_send_and_is_unsure_of_the_rest() {
+    let mut harness = Harness::new();
+    let (sent, unsent) = submit_to_silent_store(&mut harness);
+
+    harness.step_down();
+
+    assert!(is_refused(&harness, unsent));
+    assert_eq!(harness.replies.get(&sent), Some(&JobReply::Unsure));
+}
+
+#[test]
+fn owner_that_is_suspended_refuses_what_it_did_not_send() {
+    let mut harness = Harness::new();
+    let (sent, unsent) = submit_to_silent_store(&mut harness);
+
+    harness.pause();
+
+    assert!(is_refused(&harness, unsent));
+    assert_eq!(harness.replies.get(&sent), None);
+    harness.mode = StoreMode::Up;
+    harness.time_out();
+    harness.pass(Duration::from_secs(1), &[]);
+    assert_eq!(harness.stored(JOB_PREFIX), 3);
+}
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -36,6 +36,8 @@
     Unavailable,
     /// Rejects each call: nothing was done.
     Rejects,
+    /// Executes no call; the calls wait in [`Harness::unanswered`].
+    Silent,
     /// Executes each call and loses the response.
     LosesResponses,
 }
@@ -95,6 +97,8 @@
     pub is_key_missing: bool,
     pub vms: IndexMap<Name, Vm>,
     pub transactions: usize,
+    /// The calls that a silent store has not answered.
+    pub unanswered: Vec<u64>,
     next: u64,
 }
 
@@ -118,6 +122,7 @@
             is_key_missing: false,
             vms: IndexMap::new(),
             transactions: 0,
+            unanswered: Vec::new(),
             next: 0,
         }
     }
@@ -224,6 +229,9 @@
                             self.vm(&name).apply_reply(*reply);
                         }
                     }
+                    Effect::Store(id, _) if self.mode == StoreMode::Silent => {
+                        self.unanswered.push(id);
+                    }
                     Effect::Store(id, call) => store_replies.push_back((id, self.execute(&call))),
                     Effect::Lookup(_, job) => self.lookups.push(job),
                     Effect::Advise(request) => self.advice_requests.push(request),
@@ -238,12 +246,44 @@
         }
     }
 
+    /// Lets the calls that a silent store has not answered time out.
+    pub fn time_out(&mut self) {
+        for id in std::mem::take(&mut self.unanswered) {
+            let lost = Error::new(ErrorKind::Timeout, "txn", "store", "no answer");
+            self.owner.store_reply(self.now, id, Err(lost));
+        }
+        self.settle();
+    }
+
+    /// Ends the ownership; delivers the replies to callers.
+    pub fn step_down(&mut self) {
+        let epoch = self.owner.epoch().0 + 1;
+        let (next, revision) = elect(&mut self.store, self.now, epoch);
+        self.revision = revision;
+        let owner = std::mem::replace(&mut self.owner, next);
+        self.deliver_replies(owner.step_down());
+    }
+
+    /// Suspends the ownership; delivers the replies to callers.
+    pub fn pause(&mut self) {
+        let effects = self.owner.pause();
+        self.deliver_replies(effects);
+    }
+
+    fn deliver_replies(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            if let Effect::Reply(token, reply) = effect {
+                self.replies.insert(token.0, reply);
+            }
+        }
+    }
+
     fn execute(&mut self, call: &StoreCall) -> Result<StoreReply> {
         self.transactions += 1;
         let lost = || Error::new(ErrorKind::Timeout, "txn", "store", "no answer");
         match self.mode {
             StoreMode::Up => self.store.call(self.now, call),
-            StoreMode::Unavailable => Err(lost()),
+            StoreMode::Unavailable | StoreMode::Silent => Err(lost()),
             StoreMode::Rejects => {
                 let message = "status 503";
                 Err(Error::new(ErrorKind::Overloaded, "txn", "store", message))
