Entry: requests wait for an election under way; a silent owner gets no more requests

Cause: between two owners every request was refused with Retry-After 1 s, also when the next owner was a few store calls away. Behind an owner that is frozen or cut off, each request was held for 1.3 s and all 16 threads were taken, so that queued requests ended with 504 without having been sent to anybody. A submission that the owner had stored before it was killed was answered 504.

Change: a request waits up to 0.4 s while the owner's key is free, or this entry reads its jobs or takes its key again, and the store responds; not if the election has lasted 1 s, nor if less than 0.8 s of the caller's time is left. As soon as no owner is expected any more, it is refused. `OwnerHealth` refuses at once what would go to an owner that has answered nothing for 0.6 s, but for a probe each 0.25 s. A submission whose reply was lost is looked up in the store: stored is accepted, absent stays unsure, since a write may be on its way.

Ruled out: waiting while the key of a dead owner is still there: its lease may take 2 s.

--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -207,6 +207,17 @@
         matches!(&self.phase, Phase::Leading(leading) if leading.resume.is_some())
     }
 
+    /// Returns true if the latest call of the store failed.
+    pub fn is_store_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
+    /// Returns true if the owner's key is known to be free, so that an entry takes it within a few
+    /// calls of the store, which responds.
+    pub fn is_key_free(&self) -> bool {
+        self.is_key_known && self.seen.is_none() && !self.is_store_failing()
+    }
+
     /// Records the owner's key as read from the store; `jitter` delays a claim.
     pub fn key_seen(
         &mut self,
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -24,10 +24,12 @@
 /// An event from outside the actor.
 #[derive(Debug)]
 pub enum Event {
-    /// A request from a caller of this entry.
-    Caller(Box<JobRequest>, Responder<JobReply>),
+    /// A request from a caller of this entry, who waits until the given time.
+    Caller(Box<JobRequest>, Instant, Responder<JobReply>),
     /// A request from a caller of another entry, which forwarded it.
     Forwarded(Box<JobRequest>, Responder<JobReply>),
+    /// A submission that the owner may have stored, though its reply was lost.
+    Unanswered(JobId, Responder<JobReply>),
     /// A companion's report.
     Sync(Box<SyncReport>, Responder<SyncReply>),
     /// The owner's key as read from the store.
--- a/crates/controller/src/forward.rs
+++ b/crates/controller/src/forward.rs
@@ -7,11 +7,13 @@
 use host::spawn_workers;
 use jobs::owner::{Replacement, STORE_UNAVAILABLE};
 use jobs::{JobReply, JobRequest};
+use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use wire::{OwnerClient, Responder};
 
 use crate::Event;
 use crate::node::Events;
+use crate::owner_health::{CallEnd, OwnerHealth};
 
 /// The timeout of a call to the owner: several times a commit to a slow store, and less than half
 /// of the three seconds that callers usually wait, so that they can retry.
@@ -20,6 +22,9 @@
 /// The number of concurrent calls to the owner.
 const THREADS: usize = 16;
 
+/// How long a request may wait for a thread before it is sent to an owner that answers nothing.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(100);
+
 /// When callers retry after the owner did not respond: about how long an election takes.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -27,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Forwarder {
     queue: Sender<ForwardedRequest>,
+    health: Arc<Mutex<OwnerHealth>>,
 }
 
 /// A request to forward, with the owner's epoch as known here.
@@ -34,6 +40,7 @@
 struct ForwardedRequest {
     to: SocketAddr,
     epoch: Epoch,
+    queued_at: Instant,
     request: JobRequest,
     responder: Responder<JobReply>,
 }
@@ -42,19 +49,36 @@
     pub(crate) fn start(events: &Events, log: &Logger) -> Self {
         let client = OwnerClient::new(TIMEOUT);
         let (events, log) = (events.clone(), log.clone());
+        let health = Arc::new(Mutex::new(OwnerHealth::default()));
+        let known = Arc::clone(&health);
         let queue = spawn_workers(THREADS, move |forwarded: ForwardedRequest| {
-            let reply = client
-                .send_request(forwarded.to, &forwarded.request)
-                .unwrap_or_else(|e| {
-                    warn!(log, "entry: owner did not respond"; "error" => %e);
-                    failure_reply(&e, &forwarded.request)
-                });
+            let began = Instant::now();
+            let is_delayed = began.duration_since(forwarded.queued_at) > MAX_QUEUE_TIME;
+            if is_delayed && known.lock().is_silent(began) {
+                forwarded.responder.send(owner_silent());
+                return;
+            }
+            let outcome = client.send_request(forwarded.to, &forwarded.request);
+            let end = call_end(&outcome);
+            known
+                .lock()
+                .ended(Instant::now(), forwarded.epoch, began, end);
+            let reply = outcome.unwrap_or_else(|e| {
+                warn!(log, "entry: owner did not respond"; "error" => %e);
+                failure_reply(&e, &forwarded.request)
+            });
             if is_without_store(&reply) {
                 drop(events.send(Event::OwnerWithoutStore(forwarded.epoch)));
             }
-            forwarded.responder.send(reply);
+            match (forwarded.request, reply) {
+                (JobRequest::Submit { job, .. }, JobReply::Unsure) => {
+                    // An error means that the actor has ended, and with it the process.
+                    drop(events.send(Event::Unanswered(job, forwarded.responder)));
+                }
+                (_, reply) => forwarded.responder.send(reply),
+            }
         });
-        Self { queue }
+        Self { queue, health }
     }
 
     pub(crate) fn forward(
@@ -64,9 +88,15 @@
         request: JobRequest,
         responder: Responder<JobReply>,
     ) {
+        let now = Instant::now();
+        if !self.health.lock().admit(now, epoch) {
+            responder.send(owner_silent());
+            return;
+        }
         let forwarded = ForwardedRequest {
             to,
             epoch,
+            queued_at: now,
             request,
             responder,
         };
@@ -104,3 +134,20 @@
         JobReply::refused("the owner did not answer", RETRY_AFTER)
     }
 }
+
+/// Returns the reply to a request that is not sent, since the owner answers nothing.
+fn owner_silent() -> JobReply {
+    JobReply::refused("the owner does not answer", RETRY_AFTER)
+}
+
+fn call_end(outcome: &Result<JobReply>) -> CallEnd {
+    match outcome {
+        Ok(_) => CallEnd::Answered,
+        Err(e) => match e.kind() {
+            ErrorKind::Timeout | ErrorKind::Unreachable | ErrorKind::NotListening => {
+                CallEnd::Silent
+            }
+            _ => CallEnd::Broken,
+        },
+    }
+}
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -185,7 +185,7 @@
             request,
             JobRequest::Submit { .. } | JobRequest::Cancel { .. }
         );
-        let event = Event::Caller(Box::new(request), responder);
+        let event = Event::Caller(Box::new(request), Instant::now() + timeout, responder);
         if self.events.send(event).is_err() {
             return JobReply::refused("the process is stopping", Duration::from_secs(1));
         }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,12 +1,14 @@
 //! The actor of an entry: takes part in the election and owns the jobs while elected.
 
+mod lookups;
 mod ownership;
+mod waiting;
 
 use base::prelude::*;
 use base::unix_ms;
 use crossbeam_channel::Sender;
 use host::KeyUpdate;
-use jobs::owner::{AdviceRequest, JOB_PREFIX, OwnerRecord, Replacement};
+use jobs::owner::{AdviceRequest, OwnerRecord, Replacement};
 use jobs::report::{SyncReply, SyncReport};
 use jobs::{Effect, JobReply, JobRequest, Owner, Token};
 use ports::store::{KeyValue, StoreCall, StoreReply};
@@ -18,6 +20,7 @@
 use stakker::{CX, FixedTimerKey, call};
 use wire::Responder;
 
+use self::waiting::Waiting;
 use crate::elector::{Clocks, Elector, ElectorCfg};
 use crate::load::Load;
 use crate::{Event, StoreToken};
@@ -70,14 +73,20 @@
     load: Option<Load>,
     owner: Option<Owner>,
     callers: IndexMap<Token, Responder<JobReply>>,
+    /// Requests that wait for an election that is under way.
+    waiting: Vec<Waiting>,
     companions: IndexMap<Token, Responder<SyncReply>>,
     /// The latest report of each VM that arrived while the jobs were being loaded.
     early_reports: IndexMap<Name, (SyncReport, Responder<SyncReply>)>,
     lookups: IndexMap<u64, Token>,
+    /// The callers whose submission is looked up because the owner's reply was lost.
+    unanswered: IndexSet<Token>,
     next: u64,
     timer: FixedTimerKey,
     /// Whether [`Controller::run`] is queued behind events that were delivered together.
     is_run_queued: bool,
+    /// Since when an owner is expected, while there is none.
+    expected_since: Option<Instant>,
 }
 
 impl Controller {
@@ -103,12 +112,15 @@
             load: None,
             owner: None,
             callers: IndexMap::new(),
+            waiting: Vec::new(),
             companions: IndexMap::new(),
             early_reports: IndexMap::new(),
             lookups: IndexMap::new(),
+            unanswered: IndexSet::new(),
             next: 0,
             timer: FixedTimerKey::default(),
             is_run_queued: true,
+            expected_since: None,
         })
     }
 
@@ -127,6 +139,7 @@
                 self.election_call(now, call);
             }
         }
+        self.serve_waiting(now);
         let may_lead = self.elector.may_lead(now, self.clock.boot_time());
         // A resumption takes two calls of the store; its owner need not send the reports back.
         let is_waiting = self.elector.is_resuming();
@@ -142,6 +155,7 @@
         let due = [
             self.elector.next_due(),
             self.owner.as_ref().map(|o| o.next_due(now)),
+            self.waiting_due(),
         ];
         let due = due.into_iter().flatten().min();
         cx.timer_del(self.timer);
@@ -178,8 +192,13 @@
     pub(crate) fn event(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
-            Event::Caller(request, responder) => self.caller(now, *request, responder),
-            Event::Forwarded(request, responder) => self.serve_owned(now, *request, responder),
+            Event::Caller(request, deadline, responder) => {
+                self.caller(now, deadline, *request, responder);
+            }
+            Event::Forwarded(request, responder) => {
+                self.serve_owned(now, None, *request, responder);
+            }
+            Event::Unanswered(job, responder) => self.look_up_unanswered(&job, responder),
             Event::Sync(report, responder) => self.sync(now, *report, responder),
             Event::OwnerKey(KeyUpdate::Current(kv)) => self.key_seen(cx, kv.as_ref()),
             Event::OwnerKey(KeyUpdate::Unreachable(e)) => {
@@ -208,19 +227,25 @@
     }
 
     /// Serves a caller's request here if this entry is the owner, or forwards it to the owner.
-    fn caller(&mut self, now: Instant, request: JobRequest, responder: Responder<JobReply>) {
-        if self.owner.is_some() {
-            self.serve_owned(now, request, responder);
-            return;
-        }
-        match self.elector.owner() {
-            Some(owner) if owner.name != self.cfg.elector.me.name => {
-                self.ports.forward(owner, request, responder);
-            }
-            _ => responder.send(no_owner()),
+    fn caller(
+        &mut self,
+        now: Instant,
+        deadline: Instant,
+        request: JobRequest,
+        responder: Responder<JobReply>,
+    ) {
+        match self.other_owner().filter(|_| self.owner.is_none()) {
+            Some(owner) => self.ports.forward(owner, request, responder),
+            None => self.serve_owned(now, Some(deadline), request, responder),
         }
     }
 
+    /// Returns the owner if it is another entry.
+    fn other_owner(&self) -> Option<&OwnerRecord> {
+        let owner = self.elector.owner();
+        owner.filter(|owner| owner.name != self.cfg.elector.me.name)
+    }
+
     /// Returns this entry's owner with the wall time and a new token, if it may act now.
     fn active_owner(&mut self, now: Instant) -> Option<(&mut Owner, u64, Token)> {
         if !self.elector.may_lead(now, self.clock.boot_time()) {
@@ -230,13 +255,20 @@
         Some((self.owner.as_mut()?, unix_ms(self.clock.wall()), token))
     }
 
-    /// Passes a request to this entry's owner, or refuses it if this entry owns no jobs.
-    fn serve_owned(&mut self, now: Instant, request: JobRequest, responder: Responder<JobReply>) {
+    /// Passes a request to this entry's owner; if there is none, the request of a caller who waits until
+    /// `deadline`, or of another entry, waits for an election that is under way.
+    fn serve_owned(
+        &mut self,
+        now: Instant,
+        deadline: Option<Instant>,
+        request: JobRequest,
+        responder: Responder<JobReply>,
+    ) {
         if let Some((owner, unix_ms, token)) = self.active_owner(now) {
             owner.handle_request(now, unix_ms, token, request);
             self.callers.insert(token, responder);
         } else {
-            responder.send(no_owner());
+            self.wait_for_owner(now, deadline, request, responder);
         }
     }
 
@@ -313,22 +345,6 @@
         self.changed(cx, change);
     }
 
-    /// Replies to the caller whose request named a job that the owner had not loaded.
-    fn lookup_done(&mut self, id: u64, reply: Result<StoreReply>) {
-        let Some(token) = self.lookups.swap_remove(&id) else {
-            return;
-        };
-        let reply = match reply {
-            Ok(StoreReply::Got(None)) => JobReply::Gone,
-            Ok(_) => JobReply::refused("the job is not loaded", ELECTION_RETRY),
-            Err(e) => {
-                warn!(self.log, "entry: job lookup failed"; "error" => %e);
-                JobReply::refused("the store is out of reach", ELECTION_RETRY)
-            }
-        };
-        self.reply_to_caller(token, reply);
-    }
-
     fn reply_to_caller(&mut self, token: Token, reply: JobReply) {
         if let Some(responder) = self.callers.swap_remove(&token) {
             responder.send(reply);
@@ -351,14 +367,7 @@
                             .store(StoreToken::Commit(owner.epoch(), id), call);
                     }
                 }
-                Effect::Lookup(token, job) => {
-                    self.next += 1;
-                    let id = self.next;
-                    self.lookups.insert(id, token);
-                    let key = format!("{JOB_PREFIX}{job}").into();
-                    self.ports
-                        .store(StoreToken::Lookup(id), StoreCall::Get { key });
-                }
+                Effect::Lookup(token, job) => self.look_up(token, &job),
                 Effect::Advise(request) => self.ports.advise(request),
                 Effect::KeyMissing => self.elector.key_missing(cx.now()),
                 Effect::StepDown(why) => {
--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -211,8 +211,9 @@
             }),
         };
         let responder = Responder::new(move |reply| replies.lock().push(reply));
+        let deadline = self.clock.now() + Duration::from_secs(3);
         self.node
-            .deliver(Event::Caller(Box::new(request), responder));
+            .deliver(Event::Caller(Box::new(request), deadline, responder));
     }
 }
 
