--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use slog::info;
 
+use super::ranking::objective_ms;
 use super::{Effect, Owner, Token};
 use crate::{Job, JobRecord, JobReply, JobRequest, JobSpec, JobState, RouteTerms};
 
@@ -82,7 +83,11 @@
             self.stats.events.push(("job", "accepted"));
             info!(self.log, "owner: job accepted";
                 "job" => %id, "route" => %job.record.terms.route, "tasks" => job.tasks.len(),
-                "priority" => job.record.terms.priority);
+                "priority" => job.record.terms.priority,
+                "standing" => job.record.spec.stages.iter().any(|stage| stage.standing),
+                "path_ms" => job.critical_path_ms(), "objective_ms" => objective_ms(job),
+                "core_ms" => job.remaining_work(),
+                "scheduled" => job.record.spec.schedule.is_some());
         }
         for token in self.pending_accepts.swap_remove(id).unwrap_or_default() {
             self.reply(token, JobReply::Accepted);
--- a/crates/jobs/src/owner/ranking.rs
+++ b/crates/jobs/src/owner/ranking.rs
@@ -170,7 +170,8 @@
     job.released_unix_ms(instance) + objective_ms(job)
 }
 
-fn objective_ms(job: &Job) -> u64 {
+/// Returns the time that an occurrence has to be on time, in milliseconds.
+pub(super) fn objective_ms(job: &Job) -> u64 {
     let terms = &job.record.terms;
     (job.critical_path_ms() as f64 * terms.stretch) as u64 + terms.slack_ms
 }
