--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -21,6 +21,7 @@
     Entry(EntryFlags),
     Site,
     Explain(ops::ExplainFlags),
+    Account(ops::AccountFlags),
     Operator(ops::Command),
 }
 
@@ -41,20 +42,25 @@
                 Exit::Fault.into()
             }
         },
-        Ok(Command::Explain(flags)) => match ops::explain(&flags) {
-            Ok(text) => {
-                print!("{text}");
-                Exit::Done.into()
-            }
-            Err(e) => {
-                eprintln!("monsoontrestle: {e}");
-                e.exit().into()
-            }
-        },
+        Ok(Command::Explain(flags)) => print_result(ops::explain(&flags)),
+        Ok(Command::Account(flags)) => print_result(ops::account(&flags)),
         Err(failure) => print_usage(failure),
     }
 }
 
+fn print_result(result: Result<String, ops::Failure>) -> ExitCode {
+    match result {
+        Ok(text) => {
+            print!("{text}");
+            Exit::Done.into()
+        }
+        Err(e) => {
+            eprintln!("monsoontrestle: {e}");
+            e.exit().into()
+        }
+    }
+}
+
 fn serve(flags: EntryFlags) -> eyre::Result<()> {
     let log = report::logger(flags.log_format, Arc::new(SystemClock));
     let token = flags.token.resolve()?;
@@ -97,8 +103,15 @@
         .to_options()
         .descr("Tells the life of a job from the logs of the processes that run on the platform")
         .command("explain");
+    let account = ops::account_flags()
+        .map(Command::Account)
+        .to_options()
+        .descr(
+            "Accounts for the late jobs of a day from the logs of its entries, by route and cause",
+        )
+        .command("account");
     let operator = ops::command().map(Command::Operator);
-    construct!([entry, site, explain, operator])
+    construct!([entry, site, explain, account, operator])
         .to_options()
         .descr(SUMMARY)
         .footer(footer.as_str())
--- a/crates/ops/src/explain.rs
+++ b/crates/ops/src/explain.rs
@@ -5,13 +5,12 @@
 //! last: the log of a process is missing, or a line was dropped under load.
 
 use std::fmt::Write as _;
-use std::io::Read;
 use std::path::PathBuf;
 
 use base::prelude::*;
 use bpaf::{Parser, construct, long, positional};
-use serde_json::{Map, Value};
 
+use crate::log_lines::{Line, LogText, parse, read_logs};
 use crate::{Exit, Failure};
 
 /// Events of a worker that affect the runs on it.
@@ -51,25 +50,6 @@
     pub files: Vec<PathBuf>,
 }
 
-/// The log of one process, or of several if each line begins with the name of its process.
-#[derive(Clone, Debug)]
-pub struct LogText {
-    /// The name of the process, for lines that do not begin with one.
-    pub source: String,
-    /// The lines.
-    pub text: String,
-}
-
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct Line {
-    at: String,
-    unix_ms: i128,
-    source: String,
-    msg: String,
-    fields: Map<String, Value>,
-}
-
 /// Returns the parser of the flags.
 pub fn explain_flags() -> impl Parser<ExplainFlags> {
     let only_job = long("only-job")
@@ -99,30 +79,6 @@
     })
 }
 
-fn read_logs(files: &[PathBuf]) -> Result<Vec<LogText>, Failure> {
-    let failed = |name: &str, e: std::io::Error| Failure::new(Exit::Usage, format!("{name}: {e}"));
-    if files.is_empty() {
-        let mut bytes = Vec::new();
-        std::io::stdin()
-            .read_to_end(&mut bytes)
-            .map_err(|e| failed("standard input", e))?;
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let source = "-".to_owned();
-        return Ok(vec![LogText { source, text }]);
-    }
-    let read = |file: &PathBuf| {
-        let name = file.display().to_string();
-        let bytes = std::fs::read(file).map_err(|e| failed(&name, e))?;
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let source = file.file_stem().unwrap_or_default().to_string_lossy();
-        Ok(LogText {
-            source: source.into_owned(),
-            text,
-        })
-    };
-    files.iter().map(read).collect()
-}
-
 /// Returns the timeline of a job, or `None` if no line names the job.
 pub fn job_timeline(id: &str, logs: &[LogText], only_job: bool) -> Option<String> {
     let mut lines: Vec<Line> = logs.iter().flat_map(parse).collect();
@@ -146,35 +102,7 @@
     Some(out)
 }
 
-fn parse(log: &LogText) -> impl Iterator<Item = Line> {
-    log.text.lines().filter_map(|text| {
-        let (head, json) = text.split_at(text.find('{')?);
-        let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
-        let at = fields.remove("ts")?.as_str()?.to_owned();
-        let msg = fields.remove("msg")?.as_str()?.to_owned();
-        fields.remove("level");
-        let source = head.split_whitespace().next_back().unwrap_or(&log.source);
-        Some(Line {
-            unix_ms: unix_ms(&at)?,
-            source: source.to_owned(),
-            at,
-            msg,
-            fields,
-        })
-    })
-}
-
-fn unix_ms(at: &str) -> Option<i128> {
-    let time = humantime::parse_rfc3339(at).ok()?;
-    let since = time.duration_since(std::time::UNIX_EPOCH).ok()?;
-    i128::try_from(since.as_millis()).ok()
-}
-
 impl Line {
-    fn text(&self, field: &str) -> Option<&str> {
-        self.fields.get(field)?.as_str()
-    }
-
     fn names(&self, id: &str) -> bool {
         self.fields
             .values()
--- a/crates/ops/tests/it/main.rs
+++ b/crates/ops/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operator commands.
 
+mod account;
 mod apply;
 mod commands;
 mod common;
