--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -29,6 +29,8 @@
     pub(crate) deadline_ms: Option<u64>,
     /// Until when the owner permits starts; `None` for as long as the lease lasts.
     pub(crate) starts_until: Option<Instant>,
+    /// The number of the report whose reply set `starts_until`; replies may arrive in any order.
+    pub(crate) starts_until_from: u64,
     /// Finished runs up to this number are stored by the owner.
     pub(crate) stored_ends: u64,
     pub(crate) status: Option<WorkerStatus>,
@@ -70,6 +72,7 @@
             fence: 0,
             deadline_ms: None,
             starts_until: None,
+            starts_until_from: 0,
             stored_ends: 0,
             status: None,
             status_clock_ms: 0,
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -187,12 +187,12 @@
         if self.worker.is_none() {
             self.syncs.not_before = Some(now + RETRY_AFTER);
         }
-        self.apply_reply(now, sent, reply);
+        self.apply_reply(now, number, sent, reply);
     }
 
     /// Applies the owner's lease and orders, unless they are for another incarnation of the worker
     /// or made under a lower fencing token.
-    fn apply_reply(&mut self, now: Instant, sent: SentReport, reply: SyncReply) {
+    fn apply_reply(&mut self, now: Instant, number: u64, sent: SentReport, reply: SyncReply) {
         let throttles = {
             let Some(worker) = self.worker.as_mut() else {
                 return;
@@ -219,8 +219,11 @@
                 let deadline = clock_ms + lease_ms;
                 worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
             }
-            let start_lease = reply.start_lease_ms.map(Duration::from_millis);
-            worker.starts_until = start_lease.map(|lease| sent.sent_at + lease);
+            if number >= worker.starts_until_from {
+                let start_lease = reply.start_lease_ms.map(Duration::from_millis);
+                worker.starts_until = start_lease.map(|lease| sent.sent_at + lease);
+                worker.starts_until_from = number;
+            }
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
             self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
--- a/crates/agent/tests/cordons.rs
+++ b/crates/agent/tests/cordons.rs
@@ -126,3 +126,21 @@
 
     assert_eq!(harness.starts().len(), 1);
 }
+
+#[test]
+fn reply_to_an_earlier_report_does_not_reopen_the_zone() {
+    let mut harness = Harness::fenced();
+    let (earlier, _) = harness.last_sync();
+    // News makes the companion send a second report while the first one waits.
+    harness.complete_long_poll(&[], &[]);
+    let (later, _) = harness.last_sync();
+    assert!(later > earlier);
+
+    harness.reply_to(later, |reply| reply.start_lease_ms = Some(0));
+    harness.reply_to(earlier, |reply| {
+        reply.start_lease_ms = Some(START_LEASE_MS);
+        reply.starts = vec![order(0)];
+    });
+
+    assert!(harness.starts().is_empty());
+}
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -118,7 +118,7 @@
         self.reply_to(number, change);
     }
 
-    fn reply_to(&mut self, number: u64, change: impl FnOnce(&mut SyncReply)) {
+    pub fn reply_to(&mut self, number: u64, change: impl FnOnce(&mut SyncReply)) {
         let mut reply = SyncReply {
             epoch: Epoch(1),
             is_owner: true,
--- a/crates/controller/src/cordons.rs
+++ b/crates/controller/src/cordons.rs
@@ -8,8 +8,11 @@
 use crate::CordonCfg;
 use crate::elector::Clocks;
 
-/// The interval between two reads.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// The longest interval between two reads.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How many reads there are at least in the time of the bound.
+const READS_PER_BOUND: u32 = 10;
 
 /// The interval after a read that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -31,7 +34,7 @@
     sent: Option<Clocks>,
     next: Option<Instant>,
     latest: Option<(Observation, Clocks)>,
-    /// Zones without workers that were warned of.
+    /// Zones that the settings do not name and that were warned of.
     unknown: IndexSet<ZoneName>,
 }
 
@@ -93,7 +96,8 @@
                 return None;
             }
         };
-        self.next = Some(now + READ_INTERVAL);
+        let interval = (self.cfg.bound / READS_PER_BOUND).min(MAX_READ_INTERVAL);
+        self.next = Some(now + interval);
         let observation = Observation {
             zones: self.zones(&items, log),
             sent_at: sent.0,
@@ -129,7 +133,8 @@
         is_outdated
     }
 
-    /// Returns the zones that the keys name. A key alone cordons its zone, whatever its value.
+    /// Returns the zones that the keys name. A key alone cordons its zone, whatever its value, and also
+    /// a zone that was added after the settings were written.
     fn zones(&mut self, items: &[KeyValue], log: &Logger) -> IndexSet<ZoneName> {
         let names = items
             .iter()
@@ -137,10 +142,10 @@
         let zones: IndexSet<ZoneName> = names.map(ZoneName::from).collect();
         for zone in zones.difference(&self.cfg.zones) {
             if self.unknown.insert(zone.clone()) {
-                warn!(log, "entry: cordon of an unknown availability zone ignored"; "zone" => %zone);
+                warn!(log, "entry: cordon of an unknown availability zone"; "zone" => %zone);
             }
         }
         self.unknown.retain(|zone| zones.contains(zone));
-        zones.intersection(&self.cfg.zones).cloned().collect()
+        zones
     }
 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -285,6 +285,8 @@
     }
 
     fn sync(&mut self, now: Instant, report: SyncReport, responder: Responder<SyncReply>) {
+        // Before anything is replied from what was known before a suspension.
+        self.forget_outdated_cordons(now);
         if let Some((owner, unix_ms, token)) = self.active_owner(now) {
             owner.sync(now, unix_ms, token, report);
             self.companions.insert(token, responder);
--- a/crates/controller/tests/between_owners.rs
+++ b/crates/controller/tests/between_owners.rs
@@ -62,6 +62,7 @@
             },
             worker_lease: Duration::from_secs(4),
             retention: Duration::from_secs(120),
+            cordon: None,
         };
         let node = Node::new(
             cfg,
--- a/crates/controller/tests/cordons.rs
+++ b/crates/controller/tests/cordons.rs
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn an_unknown_zone_is_ignored() {
+fn a_zone_that_the_settings_do_not_name_is_cordoned_too() {
     let now = Instant::now();
     let mut reader = reader();
     reader.run((now, BOOT));
@@ -82,7 +82,8 @@
     let shown = reader.handle_reply(now, listed(&["west", "north"]), &log());
 
     let shown = shown.expect("the read was answered");
-    assert_eq!(shown.zones, IndexSet::from([ZoneName::from("north")]));
+    assert!(shown.zones.contains(&ZoneName::from("west")));
+    assert_eq!(shown.zones.len(), 2);
 }
 
 #[test]
--- a/crates/cordon/src/lib.rs
+++ b/crates/cordon/src/lib.rs
@@ -8,8 +8,8 @@
 
 use base::prelude::*;
 
-/// The part of the bound that is kept for a start on its way to the worker.
-const TRANSIT: Duration = Duration::from_millis(500);
+/// The part of the bound that is kept for a start on its way to the worker: one in this many.
+const TRANSIT_SHARE: u32 = 10;
 
 /// What a read of the operators' keys showed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +33,9 @@
 #[derive(Clone, Debug)]
 pub struct Cordons {
     bound: Duration,
-    latest: Option<Observation>,
+    zones: IndexSet<ZoneName>,
+    /// When the read that showed `zones` was sent; `None` if their state is not known.
+    sent_at: Option<Instant>,
 }
 
 impl Cordons {
@@ -41,39 +43,39 @@
     /// cordon is stored tasks may still start in its zone.
     pub fn new(bound: Duration) -> Self {
         Self {
-            bound: bound.saturating_sub(TRANSIT),
-            latest: None,
+            bound: bound - bound / TRANSIT_SHARE,
+            zones: IndexSet::new(),
+            sent_at: None,
         }
     }
 
     /// Applies an observation, unless a later one is known.
     pub fn observe(&mut self, new: Observation) -> Change {
-        let known = self.latest.as_ref();
-        if known.is_some_and(|known| known.sent_at > new.sent_at) {
+        if self.sent_at.is_some_and(|known| known > new.sent_at) {
             return Change::default();
         }
-        let before = known.map(|known| known.zones.clone()).unwrap_or_default();
         let change = Change {
-            closed: new.zones.difference(&before).cloned().collect(),
-            opened: before.difference(&new.zones).cloned().collect(),
+            closed: new.zones.difference(&self.zones).cloned().collect(),
+            opened: self.zones.difference(&new.zones).cloned().collect(),
         };
-        self.latest = Some(new);
+        self.zones = new.zones;
+        self.sent_at = Some(new.sent_at);
         change
     }
 
-    /// Drops what is known, because the time since then can't be told.
+    /// Permits no starts until the next observation, because the age of the latest can't be told.
     pub fn forget(&mut self) {
-        self.latest = None;
+        self.sent_at = None;
     }
 
     /// Returns until when tasks may start in a zone; `None` if they may not.
     pub fn starts_until(&self, zone: &ZoneName) -> Option<Instant> {
-        let latest = self.latest.as_ref()?;
-        (!latest.zones.contains(zone)).then(|| latest.sent_at + self.bound)
+        let sent_at = self.sent_at?;
+        (!self.zones.contains(zone)).then(|| sent_at + self.bound)
     }
 
     /// Returns the number of cordoned zones.
     pub fn count(&self) -> usize {
-        self.latest.as_ref().map_or(0, |latest| latest.zones.len())
+        self.zones.len()
     }
 }
--- a/crates/cordon/tests/bound.rs
+++ b/crates/cordon/tests/bound.rs
@@ -68,3 +68,26 @@
 
     assert_eq!(cordons.starts_until(&"north".into()), None);
 }
+
+#[test]
+fn a_cordon_that_outlasts_dropped_knowledge_is_not_reported_again() {
+    let now = Instant::now();
+    let mut cordons = Cordons::new(BOUND);
+    cordons.observe(observation(now, &["south"]));
+    cordons.forget();
+
+    let change = cordons.observe(observation(now + Duration::from_millis(1), &["south"]));
+
+    assert_eq!(change, Change::default());
+}
+
+#[test]
+fn a_short_bound_leaves_time_to_start() {
+    let now = Instant::now();
+    let mut cordons = Cordons::new(Duration::from_millis(400));
+
+    cordons.observe(observation(now, &[]));
+
+    let until = cordons.starts_until(&"north".into()).expect("it is open");
+    assert!(until > now + Duration::from_millis(300));
+}
--- a/crates/jobs/src/owner/cordons.rs
+++ b/crates/jobs/src/owner/cordons.rs
@@ -7,7 +7,7 @@
 use slog::warn;
 
 use super::Owner;
-use super::worker::Phase;
+use super::worker::{Phase, Run};
 use crate::TaskRun;
 
 /// Until when tasks may start on a worker, as far as its availability zone permits it.
@@ -97,16 +97,24 @@
     }
 
     /// Withdraws the starts in flight to a zone; returns their number.
+    ///
+    /// Those that the companion has acknowledged are left to it: it rejects what it has not sent, and
+    /// what has started goes on. A gang's are withdrawn together.
     fn withdraw_starts(&mut self, zone: &ZoneName) -> usize {
         let workers = self.workers.iter().filter(|(_, w)| {
             let last_report = w.last_report.as_ref();
             last_report.is_some_and(|l| l.zone == *zone)
         });
+        let is_withdrawn = |id: &TaskRun, run: &Run| match run.phase {
+            Phase::Ordered {
+                is_acknowledged, ..
+            } => !is_acknowledged || self.is_of_gang(id),
+            _ => false,
+        };
         let starts: Vec<(Name, TaskRun)> = workers
             .flat_map(|(vm, worker)| {
-                let ordered = worker.runs.iter();
-                let ordered = ordered.filter(|(_, r)| matches!(r.phase, Phase::Ordered { .. }));
-                ordered.map(|(run, _)| (Arc::clone(vm), run.clone()))
+                let ordered = worker.runs.iter().filter(|(id, run)| is_withdrawn(id, run));
+                ordered.map(|(id, _)| (Arc::clone(vm), id.clone()))
             })
             .collect();
         for (vm, run) in &starts {
@@ -114,4 +122,9 @@
         }
         starts.len()
     }
+
+    fn is_of_gang(&self, id: &TaskRun) -> bool {
+        let job = self.jobs.get(&id.task.job);
+        job.is_some_and(|job| job.find(&id.task).is_some() && job.stage_of(&id.task).gang)
+    }
 }
