A takeover waits for draining workers only where they hold a task

Cause: one unheard worker on record held back every inherited task for up to 9.74 s, although most such workers drain and hold little or nothing. And each worker's first status took the time of a stop to settle, also on a worker that no owner had given an order.

Ruled out: assignments stored before the start and marks "no run ordered yet" (a list that grows is wrong after a start in an outage of the store); a leave that stays on record (its report deletes the record already).

Change: once a worker takes no starts and all its runs are known, its record lists them; it is deleted when none is left. A list only shrinks, so no start waits for the store. A record with a list names no incarnation, so versions before write their own before they start anything there. A worker under another id than the one on record has had no order and is adopted by its first empty list.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -31,6 +31,7 @@
 use std::cell::RefCell;
 
 use base::prelude::*;
+use inherit::Inherited;
 use ports::store::{Revision, StoreCall};
 use slog::{Logger, info, warn};
 
@@ -40,7 +41,7 @@
 use self::ranking::Throughput;
 use self::worker::Worker;
 use crate::report::SyncReply;
-use crate::{Job, JobReply, JobState};
+use crate::{Job, JobReply, JobState, TaskId};
 
 pub use self::advice::{AdviceRequest, StageId, Ticket};
 pub use self::callers::STORE_UNAVAILABLE;
@@ -132,8 +133,8 @@
     unexplained_crash: Option<Instant>,
     /// When this owner first ran, by both clocks: a later step of the wall clock does not age ended jobs.
     first_run: Option<(Instant, u64)>,
-    /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
-    had_unadopted_workers: bool,
+    /// What inherited tasks wait for.
+    inherited: Inherited<TaskId>,
 }
 
 impl Owner {
@@ -161,7 +162,7 @@
             has_doubts: true,
             unexplained_crash: None,
             first_run: None,
-            had_unadopted_workers: true,
+            inherited: Inherited::default(),
         }
     }
 
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -181,6 +181,7 @@
             return;
         };
         worker.is_adopted = true;
+        worker.is_unused = false;
         worker.processes.record_adoption();
         worker.inherited_until = None;
         let is_reported = |id: &TaskRun| status.running.iter().any(|r| r.run == *id);
@@ -200,6 +201,7 @@
             }
             self.release(vm, &id);
         }
+        self.settle_inherited(vm);
         self.commits.mark_vm(vm);
         self.is_round_due = true;
     }
--- a/crates/jobs/src/owner/commit/changes.rs
+++ b/crates/jobs/src/owner/commit/changes.rs
@@ -1,6 +1,7 @@
 //! The changes that are written for jobs and workers.
 
 use base::prelude::*;
+use inherit::Holding;
 use ports::store::Expect;
 
 use super::{Change, Dirty, expect_revision};
@@ -62,7 +63,7 @@
     }
 
     /// Returns the record that a VM should have in the store: the incarnation of the worker that
-    /// may run tasks there.
+    /// may run tasks there, or the tasks that may still run there.
     fn vm_record(&self, vm: &Name) -> Option<WorkerRecord> {
         let worker = self.workers.get(vm)?;
         if worker.inherited_until.is_some() && !worker.is_adopted {
@@ -70,9 +71,15 @@
         }
         let last_report = worker.last_report.as_ref().filter(|l| !l.is_gone)?;
         worker.lease_from?;
+        let holding = self.holding(worker)?;
+        let incarnation = match holding {
+            Holding::Any => last_report.incarnation,
+            Holding::Only(_) => Incarnation::default(),
+        };
         Some(WorkerRecord {
             id: last_report.id.clone(),
-            incarnation: last_report.incarnation,
+            incarnation,
+            holding,
         })
     }
 
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -21,6 +21,12 @@
         if first.is_held(now) || !self.admits_trial(now, &job.record.terms.pool, first.verdict()) {
             return;
         }
+        if instance
+            .range()
+            .any(|position| self.is_awaited(job, instance, position))
+        {
+            return;
+        }
         let racks = if job.stage(instance).same_rack {
             self.racks()
         } else {
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -121,7 +121,11 @@
                 };
                 let task = &job.tasks[position];
                 let is_suspected = task.verdict() != Verdict::Clear;
-                if !task.is_waiting() || is_suspected != is_suspect || task.is_held(now) {
+                if !task.is_waiting()
+                    || is_suspected != is_suspect
+                    || task.is_held(now)
+                    || self.is_awaited(job, &job.instances[at], position)
+                {
                     continue;
                 }
                 let Some(vm) = self.choose_worker(now, job, &job.instances[at], position) else {
--- a/crates/jobs/src/owner/ranking.rs
+++ b/crates/jobs/src/owner/ranking.rs
@@ -83,7 +83,7 @@
     }
 
     fn may_start(&self, job: &Job) -> bool {
-        job.stored.record.is_some() && !(job.is_inherited && self.had_unadopted_workers)
+        job.stored.record.is_some() && !(job.is_inherited && self.inherited.holds_all())
     }
 
     /// Updates the throughput of each work class.
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -81,6 +81,7 @@
         self.apply_crashes(now, unix_ms, &vm, &report.crashes);
         self.clear_doubts(&vm, report.incarnation);
         self.apply_report(now, unix_ms, &vm, report);
+        self.update_holding(&vm);
         let Some(worker) = self.workers.get_mut(&vm) else {
             return;
         };
@@ -139,6 +140,7 @@
                 "pool" => %report.pool, "capacity" => %report.capacity);
             // Orders to an earlier incarnation with the same id must not reach this one.
             worker.raise_fence();
+            worker.is_unused = worker.is_recorded_as_earlier(report);
             worker.finished = Default::default();
             worker.health = Default::default();
             worker.unknown_runs.clear();
@@ -172,6 +174,7 @@
                 worker.inherited_until = None;
                 worker.raise_fence();
             }
+            self.settle_inherited(vm);
             self.release_all(vm, "worker left");
             self.commits.mark_vm(vm);
         }
@@ -204,6 +207,8 @@
         }
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.noted_rejects = report.rejected.into_iter().map(|r| r.run).collect();
+            let is_unknown = |run: &TaskRun| !worker.runs.contains_key(run);
+            worker.has_unknown_starts = report.open.iter().any(is_unknown);
         }
         let Some(status) = report.status.filter(|l| l.fence == fence) else {
             return;
@@ -219,7 +224,10 @@
         if !is_first && status.is_settled {
             self.drop_vanished(vm, &status.running, &report.open);
         }
-        if is_first && status.is_settled {
+        // Runs in neither list are those being stopped, of which an unused worker has none.
+        let is_empty = status.running.is_empty() && report.open.is_empty();
+        let is_unused = self.workers.get(vm).is_some_and(|w| w.is_unused) && is_empty;
+        if is_first && (status.is_settled || is_unused) {
             self.complete_adoption(vm, &status, &report.open);
         }
     }
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -1,13 +1,15 @@
 //! Takeover: loads the stored state and expires the leases of inherited workers.
 
 use base::prelude::*;
+use inherit::{Holding, Knowledge, record_of};
 use ports::store::KeyValue;
 use slog::{info, warn};
 
 use super::Owner;
 use super::worker::{Worker, lease_bound};
-use crate::progress::{decode, decode_progress};
-use crate::{Job, JobRecord, JobState, Progress, WorkerRecord};
+use crate::job::StageInstance;
+use crate::progress::{decode, decode_progress, decode_worker};
+use crate::{Job, JobRecord, JobState, Progress, TaskId, WorkerRecord};
 
 /// The key prefix of job records.
 pub const JOB_PREFIX: &str = "mt/job/";
@@ -48,7 +50,7 @@
         let until = now + self.cfg.predecessor_grace + lease_bound(self.cfg.worker_lease);
         for item in vms {
             // The key alone says that tasks may run there, whatever the record contains.
-            let record = decode::<WorkerRecord>(&item.key, &item.value)
+            let record = decode_worker(&item.key, &item.value)
                 .inspect_err(|e| warn!(self.log, "owner: record unreadable"; "error" => %e));
             self.load_vm(until, item, record.ok());
         }
@@ -82,6 +84,9 @@
 
     fn load_vm(&mut self, until: Instant, item: &KeyValue, record: Option<WorkerRecord>) {
         let vm: Name = item.key.strip_prefix(VM_PREFIX).unwrap_or(&item.key).into();
+        let holding = record.as_ref().map(|r| r.holding.clone());
+        self.inherited
+            .add(Arc::clone(&vm), holding.unwrap_or_default());
         let mut worker = Worker::new();
         worker.inherited_until = Some(until);
         worker.stored_record.record = record;
@@ -89,11 +94,57 @@
         self.workers.insert(vm, worker);
     }
 
-    /// Returns true if a worker may run tasks that this owner does not know.
-    pub(super) fn has_unadopted_workers(&self) -> bool {
-        self.workers
-            .values()
-            .any(|w| w.inherited_until.is_some() && !w.is_adopted)
+    /// Records that the runs of a worker are known, or have certainly ended.
+    pub(super) fn settle_inherited(&mut self, vm: &Name) {
+        let held_all = self.inherited.holds_all();
+        if self.inherited.settle(vm) {
+            self.is_round_due = true;
+        }
+        if held_all && !self.inherited.holds_all() {
+            info!(
+                self.log,
+                "owner: all workers of the predecessor are heard or lapsed"
+            );
+        }
+    }
+
+    /// Returns true if a task must not start yet, since a worker that has not been heard may run it.
+    pub(super) fn is_awaited(&self, job: &Job, instance: &StageInstance, position: usize) -> bool {
+        job.is_inherited
+            && self.inherited.holds_some()
+            && self.inherited.holds(&job.task_id(instance, position))
+    }
+
+    /// Returns the tasks that the record of a heard worker must name; `None` if none can run there.
+    pub(super) fn holding(&self, worker: &Worker) -> Option<Holding<TaskId>> {
+        let knowledge = Knowledge {
+            takes_starts: !worker.is_draining(),
+            is_complete: worker.is_adopted
+                && !worker.has_unknown_runs
+                && !worker.has_unknown_starts
+                && worker.unknown_runs.is_empty(),
+        };
+        record_of(knowledge, worker.runs.keys().map(|run| run.task.clone()))
+    }
+
+    /// Marks the record of a draining worker if it holds back more than it must, or if it says too
+    /// little of a worker that takes starts again.
+    pub(super) fn update_holding(&mut self, vm: &Name) {
+        let Some(worker) = self.workers.get(vm).filter(|w| w.is_adopted) else {
+            return;
+        };
+        let stored = worker.stored_record.record.as_ref().map(|r| &r.holding);
+        let is_open = matches!(stored, Some(Holding::Any)) && !worker.is_draining();
+        if is_open || worker.stored_record.in_flight {
+            return;
+        }
+        let is_dear = |task: &TaskId| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|j| j.stage_of(task).standing)
+        };
+        if inherit::is_outdated(stored, self.holding(worker).as_ref(), is_dear) {
+            self.commits.mark_vm(vm);
+        }
     }
 
     /// Removes the runs of workers whose leases have expired.
@@ -110,15 +161,6 @@
         for vm in expired {
             self.expire(now, &vm);
         }
-        let has_unadopted_workers = self.has_unadopted_workers();
-        if self.had_unadopted_workers && !has_unadopted_workers {
-            info!(
-                self.log,
-                "owner: all workers of the predecessor are heard or lapsed"
-            );
-            self.is_round_due = true;
-        }
-        self.had_unadopted_workers = has_unadopted_workers;
     }
 
     fn expire(&mut self, now: Instant, vm: &Name) {
@@ -131,6 +173,7 @@
             worker.unknown_runs.clear();
             self.commits.mark_vm(vm);
         }
+        self.settle_inherited(vm);
         self.release_all(vm, "lease lapsed");
     }
 }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
+use inherit::Holding;
 use ports::store::Revision;
 
 use super::Token;
@@ -128,6 +129,8 @@
     pub(super) needs_status: bool,
     /// Increases whenever orders sent before must not take effect any more.
     pub(super) fence_step: u64,
+    /// Whether no owner can have given it orders: the store names another worker of its VM.
+    pub(super) is_unused: bool,
     /// Whether it has reported its runs under its current fencing token.
     pub(super) is_adopted: bool,
     /// When the last report arrived whose reply renews or may still renew the lease.
@@ -142,6 +145,8 @@
     pub(super) unknown_runs: Vec<TaskRun>,
     /// Whether runs of unknown jobs were reported, and no settled status without any followed.
     pub(super) has_unknown_runs: bool,
+    /// Whether its companion has starts of unknown outcome that this owner does not know.
+    pub(super) has_unknown_starts: bool,
     pub(super) finished: FinishedRuns,
     pub(super) noted_rejects: Vec<TaskRun>,
     /// Earlier incarnations whose crashes the next reply acknowledges.
@@ -186,6 +191,7 @@
             shared_status: SharedStatus::default(),
             needs_status: false,
             fence_step: 1,
+            is_unused: false,
             is_adopted: false,
             lease_from: None,
             inherited_until: None,
@@ -193,6 +199,7 @@
             may_have_orders: false,
             unknown_runs: Vec::new(),
             has_unknown_runs: false,
+            has_unknown_starts: false,
             finished: FinishedRuns::default(),
             noted_rejects: Vec::new(),
             noted_crashes: Vec::new(),
@@ -358,12 +365,24 @@
         let recorded = self.stored_record.record.as_ref();
         let is_this = |last_report: &WorkerReport| {
             recorded.is_some_and(|recorded| {
-                recorded.id == last_report.id && recorded.incarnation == last_report.incarnation
+                recorded.id == last_report.id
+                    && recorded.incarnation == last_report.incarnation
+                    && recorded.holding == Holding::Any
             })
         };
         !self.stored_record.in_flight && self.last_report.as_ref().is_some_and(is_this)
     }
 
+    /// Returns true if the store names an earlier worker of the VM, so that no owner has given orders
+    /// to the one with this report: the store names a worker before its first order.
+    ///
+    /// A worker under the same id may have received the orders to its earlier incarnation.
+    pub(super) fn is_recorded_as_earlier(&self, report: &WorkerReport) -> bool {
+        let recorded = self.stored_record.record.as_ref();
+        !self.stored_record.in_flight
+            && recorded.is_some_and(|r| r.id != report.id && r.incarnation < report.incarnation)
+    }
+
     /// Returns true if the worker has reported recently and responds to its companion.
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         let is_recent = self.parked.is_some()
@@ -374,14 +393,18 @@
         is_recent && last_report.is_some_and(|l| !l.is_gone && !l.is_unresponsive)
     }
 
+    /// Returns true if nothing may be started here any more, as far as is known.
+    pub(super) fn is_draining(&self) -> bool {
+        let last_report = self.last_report.as_ref();
+        last_report.is_none_or(|l| l.draining_ms.is_some())
+    }
+
     /// Returns true if tasks may be placed here.
     pub(super) fn takes_tasks(&self, now: Instant) -> bool {
-        let last_report = self.last_report.as_ref();
-        let is_draining = last_report.is_none_or(|l| l.draining_ms.is_some());
         self.is_adopted
             && !self.has_unknown_runs
             && self.is_recorded()
-            && !is_draining
+            && !self.is_draining()
             && self.is_heard(now)
             && self.health.takes_tasks(now, self.runs.values())
     }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,9 +2,10 @@
 
 use base::prelude::*;
 use blame::Evidence;
+use inherit::Holding;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, JobState, RouteTerms};
+use crate::{JobSpec, JobState, RouteTerms, TaskId};
 
 /// An accepted job; immutable.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,9 +61,12 @@
 pub struct WorkerRecord {
     /// The worker's id.
     pub id: WorkerId,
-    /// When the incarnation started, in milliseconds since the Unix epoch.
+    /// When the incarnation started, in milliseconds since the Unix epoch; 0 if `holding` lists
+    /// tasks, so that an earlier version writes a record of its own before it starts others.
     #[serde(rename = "born")]
     pub incarnation: Incarnation,
+    /// The tasks that may run there; missing in records of earlier versions.
+    pub holding: Holding<TaskId>,
 }
 
 /// Encodes a record for the store.
@@ -99,3 +103,21 @@
         })
     })
 }
+
+/// Decodes a worker's record; records of earlier versions end before [`WorkerRecord::holding`], and
+/// earlier versions ignore what follows.
+pub(crate) fn decode_worker(key: &str, bytes: &[u8]) -> Result<WorkerRecord> {
+    #[derive(Deserialize)]
+    struct WithoutHolding {
+        id: WorkerId,
+        incarnation: Incarnation,
+    }
+    decode(key, bytes).or_else(|_| {
+        let record: WithoutHolding = decode(key, bytes)?;
+        Ok(WorkerRecord {
+            id: record.id,
+            incarnation: record.incarnation,
+            holding: Holding::Any,
+        })
+    })
+}
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub struct Vm {
     pub name: Name,
+    /// The id of its worker.
+    pub worker: WorkerId,
     pub boot: u64,
     pub incarnation: u64,
     pub number: u64,
@@ -51,6 +53,7 @@
     pub fence: u64,
     pub is_settled: bool,
     pub draining: bool,
+    pub is_gone: bool,
     pub is_unresponsive: bool,
     /// Whether the companion repeats its last status.
     pub has_stale_status: bool,
@@ -135,6 +138,7 @@
     pub fn add_vm(&mut self, name: &str, cores: u64) {
         let vm = Vm {
             name: name.into(),
+            worker: WorkerId::from(name),
             boot: 1,
             incarnation: 1,
             number: 0,
@@ -142,6 +146,7 @@
             fence: 0,
             is_settled: true,
             draining: false,
+            is_gone: false,
             is_unresponsive: false,
             has_stale_status: false,
             status_clock_ms: 0,
@@ -387,14 +392,14 @@
             number: self.number,
             epoch: self.epoch,
             worker: Some(WorkerReport {
-                id: WorkerId::new(Arc::clone(&self.name)),
+                id: self.worker.clone(),
                 incarnation: Incarnation(self.incarnation),
                 pool: POOL.into(),
                 zone: "north".into(),
                 labels: self.labels.clone(),
                 capacity: self.capacity,
                 draining_ms: self.draining.then_some(1000),
-                is_gone: false,
+                is_gone: self.is_gone,
                 is_unresponsive: self.is_unresponsive,
                 status,
                 changes: None,
