--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -34,6 +34,7 @@
 
 use base::prelude::*;
 use cordon::Cordons;
+use inherit::Inherited;
 use ports::store::{Revision, StoreCall};
 use runtimes::RunTimes;
 use slog::{Logger, info, warn};
@@ -45,7 +46,7 @@
 use self::ranking::Throughput;
 use self::worker::Worker;
 use crate::report::SyncReply;
-use crate::{Job, JobReply, JobState};
+use crate::{Job, JobReply, JobState, TaskId};
 
 pub use self::advice::{AdviceRequest, StageId, Ticket};
 pub use self::callers::STORE_UNAVAILABLE;
@@ -143,8 +144,8 @@
     first_run: Option<(Instant, u64)>,
     /// The cordoned availability zones; `None` if operators can't cordon any.
     cordons: Option<Cordons>,
-    /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
-    had_unadopted_workers: bool,
+    /// What inherited tasks wait for.
+    inherited: Inherited<TaskId>,
 }
 
 impl Owner {
@@ -174,7 +175,7 @@
             has_doubts: true,
             unexplained_crash: None,
             first_run: None,
-            had_unadopted_workers: true,
+            inherited: Inherited::default(),
         }
     }
 
