--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod colocation;
 mod commit;
+mod cordons;
 mod crashes;
 mod doubts;
 mod finished;
@@ -20,6 +21,7 @@
 mod processes;
 mod ranking;
 mod recent_usage;
+mod run_times;
 mod service_load;
 mod stall;
 mod sync;
@@ -31,7 +33,9 @@
 use std::cell::RefCell;
 
 use base::prelude::*;
+use cordon::Cordons;
 use ports::store::{Revision, StoreCall};
+use runtimes::RunTimes;
 use slog::{Logger, info, warn};
 
 use self::advice::Advice;
@@ -67,6 +71,9 @@
     pub predecessor_grace: Duration,
     /// How long the states of ended jobs can be queried.
     pub retention: Duration,
+    /// How long after operators cordon an availability zone tasks may still start there; `None` if
+    /// they can't cordon zones.
+    pub cordon_bound: Option<Duration>,
 }
 
 /// An action that the owner requests from its caller.
@@ -111,6 +118,7 @@
     /// In a cell, because predictions assign ids to classes seen for the first time.
     colocation: RefCell<ColocationModel>,
     throughput: Throughput,
+    run_times: RunTimes,
     advice: Advice,
     /// Callers waiting until the record of a new job is stored.
     pending_accepts: IndexMap<JobId, Vec<Token>>,
@@ -132,6 +140,8 @@
     unexplained_crash: Option<Instant>,
     /// When this owner first ran, by both clocks: a later step of the wall clock does not age ended jobs.
     first_run: Option<(Instant, u64)>,
+    /// The cordoned availability zones; `None` if operators can't cordon any.
+    cordons: Option<Cordons>,
     /// Whether inherited jobs wait for workers that may run tasks of a previous owner.
     had_unadopted_workers: bool,
 }
@@ -140,6 +150,7 @@
     /// Creates an owner without jobs; see [`Owner::load`].
     pub fn new(cfg: OwnerCfg, log: Logger) -> Self {
         Self {
+            cordons: cfg.cordon_bound.map(Cordons::new),
             cfg,
             log,
             jobs: IndexMap::new(),
@@ -148,6 +159,7 @@
             commits: Commits::default(),
             colocation: RefCell::new(ColocationModel::new()),
             throughput: Throughput::default(),
+            run_times: RunTimes::default(),
             advice: Advice::default(),
             pending_accepts: IndexMap::new(),
             pending_cancels: IndexMap::new(),
