Jobs: a power loss while workers are replaced, played without a network

Seven workers, three of which drain as all lose power; the other four come back under new ids with statuses that have not settled. All six standing tasks are at work without time passing.

--- a/crates/jobs/tests/inherited.rs
+++ b/crates/jobs/tests/inherited.rs
@@ -415,3 +415,43 @@
 
     assert!(harness.vm("one").running.is_empty());
 }
+
+#[test]
+fn power_loss_while_workers_are_replaced_delays_no_standing_task() {
+    let mut harness = Harness::new();
+    let kept = ["a", "b", "c", "d"];
+    let replaced = ["e", "f", "g"];
+    let all = kept.iter().chain(&replaced);
+    all.for_each(|vm| harness.add_vm(vm, 4));
+    harness.sync_all();
+    harness.submit("quick", job(vec![stage(10, 1)]));
+    harness.submit("standing", job(vec![standing(6)]));
+    harness.sync_all();
+    for vm in replaced {
+        drain(&mut harness, vm);
+    }
+    end_runs(&mut harness, "e", EndKind::Done);
+    harness.sync_all();
+
+    let is_held = |vm: &&str| !tasks_on(&mut harness, vm).is_empty();
+    assert!(replaced.iter().any(is_held), "one still has a run");
+
+    // All lose power; those that were being replaced don't come back.
+    for vm in kept {
+        let worker = harness.vm(vm);
+        worker.restart();
+        worker.boot += 1;
+        worker.worker = format!("{vm}, second life").as_str().into();
+        worker.is_settled = false;
+    }
+    harness.take_over();
+    for _ in 0..4 {
+        kept.iter().for_each(|vm| harness.sync(vm));
+    }
+
+    let running = harness.running();
+    let standing = running
+        .iter()
+        .filter(|(vm, run)| kept.contains(&&**vm) && run.task.job.as_str() == "standing");
+    assert_eq!(standing.count(), 6, "at once");
+}
