Reserve room for large tasks where it will be free first

Operators: small jobs leave gaps that large ones can't use, and large ones wait long. A standing task of three cores waited while quick tasks of half a core, later in the order, took each gap.

New crate `lookahead`, pure: the earliest worker and time by progress reports, learned run times and stops; at most one worker in ten, two tasks a stage, 1.5 s each; others fill in where they likely (90%) end before or leave enough. Called for by a charged task that fits nowhere and is twice the mean size of what ends in its pool, with at least half of the pool in use. More urgent tasks and jobs without a run for 1.5 s are not held back.

Tests of jobs, lookahead and runtimes pass; each decision of the crate, the time check, the half-empty pool and the bound on holding back were taken out and a test seen to fail. The size condition has no test of its own.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -15,6 +15,7 @@
 mod finished;
 mod gang;
 mod health;
+mod look_ahead;
 mod owner_record;
 mod placement;
 mod processes;
@@ -39,6 +40,7 @@
 use self::advice::Advice;
 use self::colocation::ColocationModel;
 use self::commit::Commits;
+use self::look_ahead::LookAhead;
 use self::ranking::Throughput;
 use self::worker::Worker;
 use crate::report::SyncReply;
@@ -114,6 +116,7 @@
     colocation: RefCell<ColocationModel>,
     throughput: Throughput,
     run_times: RunTimes,
+    look_ahead: LookAhead,
     advice: Advice,
     /// Callers waiting until the record of a new job is stored.
     pending_accepts: IndexMap<JobId, Vec<Token>>,
@@ -152,6 +155,7 @@
             colocation: RefCell::new(ColocationModel::new()),
             throughput: Throughput::default(),
             run_times: RunTimes::default(),
+            look_ahead: LookAhead::default(),
             advice: Advice::default(),
             pending_accepts: IndexMap::new(),
             pending_cancels: IndexMap::new(),
--- /dev/null
+++ b/crates/jobs/src/owner/look_ahead.rs
@@ -0,0 +1,178 @@
+//! Look-ahead placement: room for large tasks among streams of small ones.
+//!
+//! A charged task that fits nowhere, and is larger than what usually ends, gets a reservation where
+//! room will be free first. Tasks that come after it use that room only as [`lookahead`] admits.
+
+use base::prelude::*;
+use lookahead::{Release, Reservations, Room};
+
+use super::Owner;
+use super::placement::takes;
+use super::ranking::Urgency;
+use super::run_times::stage_key;
+use super::worker::{Phase, Run, Worker};
+use crate::{Job, TaskId, TaskRun};
+
+/// How long a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(300);
+
+/// The progress from which a run's end is predicted from it, in percent.
+const MIN_PERCENT: f64 = 20.0;
+
+/// How many tasks of one stage instance get a reservation.
+const MAX_PER_STAGE: usize = 2;
+
+/// How many times the mean size of the tasks that end a task has to have for a reservation: room for
+/// smaller ones becomes free by itself.
+const LARGE: u64 = 2;
+
+/// How long a job may have no run before no reservation holds it back.
+const MAX_HELD_BACK: Duration = Duration::from_millis(1500);
+
+/// The state of look-ahead placement.
+#[derive(Debug, Default)]
+pub(super) struct LookAhead {
+    reservations: Reservations<TaskId, Urgency>,
+    /// The urgency of the stage instance that is being placed.
+    pub(super) placing: Option<Urgency>,
+}
+
+impl Owner {
+    /// Prepares a round: gives up reservations that are not wanted any more.
+    pub(super) fn look_ahead(&mut self, now: Instant) {
+        let mut look_ahead = std::mem::take(&mut self.look_ahead);
+        look_ahead.reservations.retain(now, |vm, reservation| {
+            self.workers.get(vm).is_some_and(|w| w.takes_tasks(now))
+                && self.waits(&reservation.task)
+                && self
+                    .jobs
+                    .get(&reservation.task.job)
+                    .is_some_and(|j| !self.has_room_to_spare(now, &j.record.terms.pool))
+        });
+        self.look_ahead = look_ahead;
+    }
+
+    fn waits(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job).filter(|j| !j.state.has_ended());
+        let found = job.and_then(|j| j.find(task).map(|(_, position)| &j.tasks[position]));
+        found.is_some_and(crate::Task::is_waiting)
+    }
+
+    /// Returns true if under half of a pool's capacity is in use.
+    fn has_room_to_spare(&self, now: Instant, pool: &PoolName) -> bool {
+        let workers = self.workers.values().filter(|w| w.takes_tasks(now));
+        let (mut free, mut all) = (Resources::ZERO, Resources::ZERO);
+        for worker in workers.filter(|w| w.is_in(pool)) {
+            free += worker.free_capacity();
+            all += worker.capacity();
+        }
+        2 * free.cpu_milli > all.cpu_milli && 2 * free.memory_mib > all.memory_mib
+    }
+
+    /// Returns true if a task is large beside those of its pool that end.
+    fn is_large(&self, pool: &PoolName, need: &Resources) -> bool {
+        let workers = self.workers.values().filter(|w| w.is_in(pool));
+        let runs = workers.flat_map(|w| w.runs.values());
+        let (mut total, mut count) = (0, 0);
+        for run in runs.filter(|r| !r.is_standing && r.charged.cpu_milli > 0) {
+            total += run.charged.cpu_milli;
+            count += 1;
+        }
+        need.cpu_milli * count >= LARGE * total && count > 0
+    }
+
+    /// Returns true if a task of a stage may start on a worker beside a reservation there.
+    pub(super) fn is_unreserved(&self, now: Instant, job: &Job, stage: u32, vm: &Name) -> bool {
+        let look_ahead = &self.look_ahead;
+        let (Some(reservation), Some(urgency)) =
+            (look_ahead.reservations.on(vm), &look_ahead.placing)
+        else {
+            return true;
+        };
+        let is_long = |since: Instant| now.duration_since(since) >= MAX_HELD_BACK;
+        if reservation.task.job == job.id || job.idle_since.is_some_and(is_long) {
+            return true;
+        }
+        let Some(worker) = self.workers.get(vm) else {
+            return true;
+        };
+        let spec = &job.record.spec.stages[stage as usize];
+        let declared = Duration::from_millis(spec.estimate_ms);
+        let prediction = self.run_times.predict(&stage_key(job, stage), declared);
+        let room = self.room(now, worker);
+        reservation.admits(urgency, spec.charged(), now + prediction.likely_max, &room)
+    }
+
+    /// Reserves room for the first tasks of a stage instance that fits nowhere.
+    pub(super) fn reserve(&mut self, now: Instant, id: &JobId, at: usize) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let instance = &job.instances[at];
+        let stage = job.stage(instance);
+        let need = stage.charged();
+        let Some(urgency) = self.look_ahead.placing else {
+            return;
+        };
+        if stage.best_effort || !self.is_large(&job.record.terms.pool, &need) {
+            return;
+        }
+        if self.has_room_to_spare(now, &job.record.terms.pool) {
+            return;
+        }
+        let mut starts = Vec::new();
+        for (vm, worker) in &self.workers {
+            if takes(now, job, instance, stage, vm, worker)
+                && need.fits(&worker.capacity())
+                && let Some(at) = self.room(now, worker).earliest(now, &need)
+            {
+                starts.push((Arc::clone(vm), at));
+            }
+        }
+        let waiting = instance.range().filter(|p| job.tasks[*p].is_waiting());
+        let tasks: Vec<TaskId> = waiting
+            .map(|position| job.task_id(instance, position))
+            .take(MAX_PER_STAGE)
+            .collect();
+        for task in tasks {
+            let wanted = (task, urgency, need);
+            let reservations = &mut self.look_ahead.reservations;
+            reservations.reserve(now, wanted, &starts, self.workers.len());
+        }
+    }
+
+    /// Returns what a worker has free now and soon.
+    fn room(&self, now: Instant, worker: &Worker) -> Room {
+        let releases = worker
+            .runs
+            .iter()
+            .filter(|(_, r)| r.charged != Resources::ZERO);
+        Room {
+            free: worker.free_capacity(),
+            releases: releases
+                .filter_map(|(id, run)| self.release_of(now, id, run))
+                .collect(),
+        }
+    }
+
+    /// Returns when a run is expected to end, or `None` for standing tasks.
+    fn release_of(&self, now: Instant, id: &TaskRun, run: &Run) -> Option<Release> {
+        let resources = run.charged;
+        if matches!(run.phase, Phase::Stopping { .. }) {
+            let at = now + STOP_TIME;
+            return Some(Release { at, resources });
+        }
+        let job = self.jobs.get(&id.task.job).filter(|_| !run.is_standing)?;
+        let passed = now.duration_since(run.since);
+        let left = if run.percent >= MIN_PERCENT {
+            passed.mul_f64((100.0 - run.percent).max(0.0) / run.percent)
+        } else {
+            let declared = Duration::from_millis(job.stage_of(&id.task).estimate_ms);
+            let key = stage_key(job, id.task.stage);
+            let prediction = self.run_times.predict(&key, declared);
+            prediction.typical.saturating_sub(passed)
+        };
+        let at = now + left;
+        Some(Release { at, resources })
+    }
+}
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -79,11 +79,13 @@
         self.is_round_due = false;
         self.repeat_round = None;
         let candidates = self.candidates(now, unix_ms);
+        self.look_ahead(now);
         let candidate_count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         self.next_round = Some(
             now + (ROUND_GAP * candidate_count.saturating_sub(UNDELAYED_STAGES)).min(MAX_ROUND_GAP),
         );
-        for (_, id, instance) in candidates {
+        for (urgency, id, instance) in candidates {
+            self.look_ahead.placing = Some(urgency);
             let is_gang = self
                 .jobs
                 .get(&id)
@@ -98,6 +100,7 @@
                 self.repeat_round = Some(now + REPEAT_AFTER);
             }
         }
+        self.look_ahead.placing = None;
     }
 
     fn has_schedules(&self) -> bool {
@@ -125,6 +128,7 @@
                     continue;
                 }
                 let Some(vm) = self.choose_worker(now, job, &job.instances[at], position) else {
+                    self.reserve(now, id, at);
                     break;
                 };
                 let attempt = self.next_attempt(&job.tasks[position]);
@@ -198,6 +202,7 @@
         for (vm, worker) in &self.workers {
             if !is_eligible(now, job, instance, stage, vm, worker)
                 || !self.is_allowed(now, job, instance, vm)
+                || !self.is_unreserved(now, job, instance.stage, vm)
             {
                 continue;
             }
@@ -251,6 +256,18 @@
     stage: &StageSpec,
     vm: &Name,
     worker: &Worker,
+) -> bool {
+    takes(now, job, instance, stage, vm, worker) && stage.charged().fits(&worker.free_capacity())
+}
+
+/// Returns true if a worker takes tasks of a stage, whether or not it has room for one.
+pub(super) fn takes(
+    now: Instant,
+    job: &Job,
+    instance: &StageInstance,
+    stage: &StageSpec,
+    vm: &Name,
+    worker: &Worker,
 ) -> bool {
     let Some(last_report) = &worker.last_report else {
         return false;
@@ -277,7 +294,7 @@
             return false;
         }
     }
-    stage.charged().fits(&worker.free_capacity())
+    true
 }
 
 /// Returns the cost of placing a task of a stage on a worker, in units of load.
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -278,13 +278,21 @@
         run
     }
 
+    /// Returns true if it belongs to a pool.
+    pub(super) fn is_in(&self, pool: &PoolName) -> bool {
+        let last_report = self.last_report.as_ref();
+        last_report.is_some_and(|l| l.pool == *pool)
+    }
+
+    /// Returns the last reported capacity.
+    pub(super) fn capacity(&self) -> Resources {
+        let last_report = self.last_report.as_ref();
+        last_report.map_or(Resources::ZERO, |l| l.capacity)
+    }
+
     /// Returns the resources that are free.
     pub(super) fn free_capacity(&self) -> Resources {
-        let capacity = self
-            .last_report
-            .as_ref()
-            .map_or(Resources::ZERO, |l| l.capacity);
-        capacity.saturating_sub(self.used)
+        self.capacity().saturating_sub(self.used)
     }
 
     /// Returns the expected load if `demand_milli` were added: the processor demand of all tasks,
--- a/crates/jobs/tests/cluster/main.rs
+++ b/crates/jobs/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../harness/mod.rs"]
 mod harness;
+mod look_ahead;
 mod simulation;
 mod workload;
 
@@ -27,6 +28,12 @@
         println!("{seed}: {outcome:.3?}");
         mean.best_effort += outcome.best_effort / count;
         mean.services += outcome.services / count;
+        mean.quick += outcome.quick / count;
+        for kind in 0..3 {
+            mean.waits[kind].0 += outcome.waits[kind].0 / count;
+            mean.waits[kind].1 += outcome.waits[kind].1 / count;
+            mean.unstarted[kind] += outcome.unstarted[kind] / count;
+        }
         mean.longest_over = mean.longest_over.max(outcome.longest_over);
     }
     println!("mean: {mean:.3?}");
--- a/crates/jobs/tests/cluster/simulation.rs
+++ b/crates/jobs/tests/cluster/simulation.rs
@@ -10,11 +10,11 @@
 
 use base::prelude::*;
 use jobs::report::EndKind;
-use jobs::{JobReply, JobSpec, JobState, StageSpec, TaskRun};
+use jobs::{JobReply, JobRequest, JobSpec, JobState, StageSpec, TaskId, TaskRun};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::harness::Harness;
+use crate::harness::{Harness, ROUTE};
 use crate::workload::BestEffortJob;
 
 const STEP: Duration = Duration::from_millis(50);
@@ -48,6 +48,12 @@
 /// How long best-effort jobs are submitted, in seconds.
 const TRAFFIC: f64 = 30.0;
 
+/// The route of quick jobs.
+pub(crate) const QUICK_ROUTE: &str = "quick";
+
+/// The swing of the rate of quick jobs, and its period in seconds.
+const WAVE: (f64, f64) = (0.55, 17.0);
+
 /// How long before the traffic latency-critical jobs are submitted, in seconds.
 const WARM_UP: f64 = 5.0;
 
@@ -62,6 +68,8 @@
     pub mean_tasks: (f64, f64),
     /// The number of best-effort jobs submitted per second.
     pub rate: f64,
+    /// Other shapes, and tasks that are charged beside the latency-critical ones.
+    pub mix: Option<Mix>,
 }
 
 /// A cluster of eleven workers with its normal rate of best-effort jobs.
@@ -72,6 +80,7 @@
     best_effort_classes: 9,
     mean_tasks: (6.0, 8.0),
     rate: 1.1,
+    mix: None,
 };
 
 /// The same cluster grown to 53 workers.
@@ -82,8 +91,29 @@
     best_effort_classes: 18,
     mean_tasks: (14.0, 20.0),
     rate: 2.4,
+    mix: None,
 };
 
+/// Shapes of workers and tasks where small and large tasks want the same room.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// The size of two thirds of the workers; the others are half as large again.
+    pub worker: Resources,
+    /// The mean size of the tasks of latency-critical, heavy and quick jobs.
+    pub standing: Resources,
+    pub heavy: Resources,
+    pub quick: Resources,
+    /// The number of quick and of further latency-critical jobs submitted per second.
+    pub quick_rate: f64,
+    pub standing_rate: f64,
+    /// Whether heavy tasks are best-effort or charged.
+    pub is_heavy_best_effort: bool,
+    /// The share of tasks that take seven times as long.
+    pub tail: f64,
+    /// By how much the declared run times of quick and heavy tasks are off at most.
+    pub declared_off: (f64, f64),
+}
+
 /// The results for the callers of jobs and the users of services.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
@@ -94,6 +124,13 @@
     pub services: f64,
     /// The longest time a task was over its target next to running best-effort tasks, in seconds.
     pub longest_over: f64,
+    /// The value of completed quick jobs, as for best-effort ones.
+    pub quick: f64,
+    /// The times from a submission to the start of each task of its first stage: median and 99%
+    /// quantile, in seconds, of latency-critical, heavy and quick jobs.
+    pub waits: [(f64, f64); 3],
+    /// The share of tasks that did not start within the simulation, in the same order.
+    pub unstarted: [f64; 3],
 }
 
 pub struct Simulation {
@@ -115,6 +152,14 @@
     pub(crate) now: f64,
     outcome: Outcome,
     served: (f64, f64),
+    /// The latency-critical jobs: when each was submitted.
+    pub(crate) standing_since: Vec<f64>,
+    /// How many of them were cancelled.
+    pub(crate) cancelled: usize,
+    /// When each task of a first stage was submitted, until it starts.
+    pub(crate) unstarted: IndexMap<TaskId, f64>,
+    /// The waits of the tasks that have started, by kind.
+    waits: IndexMap<String, Vec<f64>>,
 }
 
 impl Simulation {
@@ -122,10 +167,20 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut harness = Harness::new();
         for i in 0..size.workers {
-            let cores = if rng.random_bool(0.33) { 96 } else { 64 };
+            let is_large = rng.random_bool(0.33);
+            let cores = if is_large { 96 } else { 64 };
             harness.add_vm(&format!("vm-{i}"), cores);
             let vm = harness.vm(&format!("vm-{i}"));
             vm.capacity = Resources::new(cores, 250 * 1024, 0);
+            if let Some(mix) = size.mix {
+                let half = if is_large { 1 } else { 0 };
+                let more = Resources {
+                    cpu_milli: half * mix.worker.cpu_milli / 2,
+                    memory_mib: half * mix.worker.memory_mib / 2,
+                    accelerators: 0,
+                };
+                vm.capacity = mix.worker + more;
+            }
             vm.labels = vec!["a".into(), format!("r-{}", i / 3).into()];
         }
         harness.sync_all();
@@ -158,6 +213,10 @@
             now: -WARM_UP,
             outcome: Outcome::default(),
             served: (0.0, 0.0),
+            standing_since: Vec::new(),
+            cancelled: 0,
+            unstarted: IndexMap::new(),
+            waits: IndexMap::new(),
             rng,
         }
     }
@@ -166,7 +225,7 @@
     pub fn run_to_end(mut self) -> Outcome {
         let mut next = 0.0;
         let mut reported = vec![-WARM_UP; self.size.workers];
-        while self.now < TRAFFIC + 8.0 {
+        while self.now < TRAFFIC + if self.size.mix.is_some() { 25.0 } else { 8.0 } {
             if self.phases.len() < self.size.latency_critical_jobs {
                 self.submit_latency_critical_job();
             }
@@ -174,6 +233,7 @@
                 self.submit_best_effort_job();
                 next += -self.rng.random::<f64>().ln() / self.size.rate;
             }
+            self.submit_mix();
             self.harness.advance(STEP);
             self.now += STEP.as_secs_f64();
             for (i, last) in reported.iter_mut().enumerate() {
@@ -202,10 +262,16 @@
         let cores = vm.capacity.cpu_milli as f64 / 1000.0;
         let mut latency_critical = Vec::new();
         let mut best_effort = Vec::new();
+        let mut charged = Vec::new();
         for row in &vm.running {
             let (kind, at) = split(&row.run);
+            if let Some(since) = self.unstarted.swap_remove(&row.run.task) {
+                let waits = self.waits.entry(kind.to_string()).or_default();
+                waits.push(self.now - since);
+            }
             match kind {
                 "serving" => latency_critical.push((row.run.clone(), at)),
+                _ if !self.spec(&row.run).best_effort => charged.push((row.run.clone(), at)),
                 _ => best_effort.push((row.run.clone(), at)),
             }
         }
@@ -219,7 +285,11 @@
         let taken: f64 = latency_critical
             .iter()
             .map(|(run, at)| self.cores_of(run) * self.baseline_load(*at))
-            .sum();
+            .sum::<f64>()
+            + charged
+                .iter()
+                .map(|(run, _)| self.cores_of(run))
+                .sum::<f64>();
         let total: f64 = wanted.iter().sum();
         let share = if total > 0.0 {
             ((cores - taken) / total).clamp(0.0, 1.0)
@@ -250,6 +320,24 @@
                 ended.push(run.clone());
             }
         }
+        for (run, at) in &charged {
+            let task = TaskRun {
+                attempt: Attempt(0),
+                ..run.clone()
+            };
+            let done = self.progress.entry(task).or_default();
+            *done += seconds;
+            let work =
+                self.best_effort_jobs[*at].work[run.task.stage as usize][run.task.index as usize];
+            let is_done = *done >= work;
+            let percent = (*done / work * 100.0).min(99.0);
+            if let Some(row) = self.row(&name, run) {
+                row.percent = percent;
+            }
+            if is_done {
+                ended.push(run.clone());
+            }
+        }
         for (run, at) in &latency_critical {
             let interference: f64 = used
                 .iter()
@@ -327,7 +415,16 @@
                 continue;
             }
             let id = job.id.clone();
-            let state = self.harness.status(&id);
+            let route = if id.starts_with("quick") {
+                QUICK_ROUTE
+            } else {
+                ROUTE
+            };
+            let token = self.harness.request(JobRequest::Status {
+                job: id.as_str().into(),
+                route: route.into(),
+            });
+            let state = self.harness.replies.swap_remove(&token);
             if matches!(state, Some(JobReply::Status(JobState::Completed))) {
                 self.best_effort_jobs[at].done = Some(self.now);
             }
@@ -340,9 +437,32 @@
             Some(at) if at - f.submitted_at <= 3.0 * f.due => 0.15 * f.value,
             _ => 0.0,
         };
-        let submitted: f64 = self.best_effort_jobs.iter().map(|f| f.value).sum();
-        self.outcome.best_effort =
-            self.best_effort_jobs.iter().map(earned).sum::<f64>() / submitted;
+        let share = |kind: &str| {
+            let jobs = self.best_effort_jobs.iter();
+            let jobs: Vec<_> = jobs.filter(|j| j.id.starts_with(kind)).collect();
+            let submitted: f64 = jobs.iter().map(|f| f.value).sum();
+            jobs.into_iter().map(earned).sum::<f64>() / submitted.max(f64::MIN_POSITIVE)
+        };
+        self.outcome.best_effort = share("fill");
+        self.outcome.quick = share("quick");
+        for (at, kind) in ["serving", "fill", "quick"].into_iter().enumerate() {
+            let mut waits = self.waits.swap_remove(kind).unwrap_or_default();
+            let left = self.unstarted.iter();
+            let left = left.filter(|(task, _)| task.job.as_str().starts_with(kind));
+            let left: Vec<f64> = left.map(|(_, since)| self.now - since).collect();
+            self.outcome.unstarted[at] =
+                left.len() as f64 / (left.len() + waits.len()).max(1) as f64;
+            waits.extend(left);
+            waits.sort_by(f64::total_cmp);
+            let quantile = |share: f64| {
+                let at = (waits.len() as f64 * share) as usize;
+                waits
+                    .get(at.min(waits.len().saturating_sub(1)))
+                    .copied()
+                    .unwrap_or(0.0)
+            };
+            self.outcome.waits[at] = (quantile(0.5), quantile(0.99));
+        }
         self.outcome.services = self.served.0 / self.served.1;
         self.outcome
     }
@@ -357,6 +477,22 @@
         &spec.expect("the job was submitted").stages[run.task.stage as usize]
     }
 
+    /// Submits the quick and the further latency-critical jobs that are due.
+    fn submit_mix(&mut self) {
+        let Some(mix) = self.size.mix.filter(|_| (0.0..TRAFFIC).contains(&self.now)) else {
+            return;
+        };
+        let seconds = STEP.as_secs_f64();
+        let wave = 1.0 + WAVE.0 * (self.now / WAVE.1 * TAU).sin();
+        if self.rng.random_bool(mix.quick_rate * wave * seconds) {
+            self.submit_quick_job(mix);
+        }
+        if self.rng.random_bool(mix.standing_rate * seconds) {
+            self.submit_latency_critical_job();
+        }
+        self.cancel_standing_jobs(mix);
+    }
+
     fn cores_of(&self, run: &TaskRun) -> f64 {
         self.spec(run).resources.cpu_milli as f64 / 1000.0
     }
