--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -16,6 +16,7 @@
 mod finished;
 mod gang;
 mod health;
+mod look_ahead;
 mod owner_record;
 mod placement;
 mod processes;
@@ -43,6 +44,7 @@
 use self::callers::OWNERSHIP_ENDED;
 use self::colocation::ColocationModel;
 use self::commit::Commits;
+use self::look_ahead::LookAhead;
 use self::ranking::Throughput;
 use self::worker::Worker;
 use crate::report::SyncReply;
@@ -121,6 +123,7 @@
     colocation: RefCell<ColocationModel>,
     throughput: Throughput,
     run_times: RunTimes,
+    look_ahead: LookAhead,
     advice: Advice,
     /// Callers waiting until the record of a new job is stored.
     pending_accepts: IndexMap<JobId, Vec<Token>>,
@@ -162,6 +165,7 @@
             colocation: RefCell::new(ColocationModel::new()),
             throughput: Throughput::default(),
             run_times: RunTimes::default(),
+            look_ahead: LookAhead::default(),
             advice: Advice::default(),
             pending_accepts: IndexMap::new(),
             pending_cancels: IndexMap::new(),
