--- a/crates/controller/src/cordons.rs
+++ b/crates/controller/src/cordons.rs
@@ -11,6 +11,9 @@
 /// The longest interval between two reads.
 const MAX_READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The shortest interval between two reads.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How many reads there are at least in the time of the bound.
 const READS_PER_BOUND: u32 = 10;
 
@@ -96,7 +99,8 @@
                 return None;
             }
         };
-        let interval = (self.cfg.bound / READS_PER_BOUND).min(MAX_READ_INTERVAL);
+        let interval = self.cfg.bound / READS_PER_BOUND;
+        let interval = interval.clamp(MIN_READ_INTERVAL, MAX_READ_INTERVAL);
         self.next = Some(now + interval);
         let observation = Observation {
             zones: self.zones(&items, log),
--- a/crates/controller/tests/cordons.rs
+++ b/crates/controller/tests/cordons.rs
@@ -113,3 +113,19 @@
     let shown = shown.expect("the read was answered");
     assert_eq!(shown.sent_at, now - Duration::from_secs(3));
 }
+
+#[test]
+fn a_bound_of_zero_does_not_make_reads_spin() {
+    let now = Instant::now();
+    let mut reader = CordonReader::new(CordonCfg {
+        prefix: "cordons/".into(),
+        bound: Duration::ZERO,
+        zones: IndexSet::new(),
+    });
+    reader.run((now, BOOT));
+
+    reader.handle_reply(now, listed(&[]), &log());
+
+    let due = reader.next_due().expect("another read is due");
+    assert!(due >= now + Duration::from_millis(50));
+}
--- a/crates/jobs/tests/cordons.rs
+++ b/crates/jobs/tests/cordons.rs
@@ -196,3 +196,24 @@
 
     assert!(harness.running().is_empty());
 }
+
+#[test]
+fn order_whose_reply_was_lost_is_not_sent_again_after_the_permission_has_run_out() {
+    let mut harness = harness();
+    cordon(&mut harness, &["south"]);
+    harness.sync_all();
+    harness.vm("one").ignores_orders = true;
+    harness.submit("a", job(vec![stage(2, 1)]));
+    assert_eq!(harness.vm("one").last_reply.starts.len(), 2);
+
+    let mut sent_again = 0;
+    harness.advance(BOUND);
+    for _ in 0..4 {
+        harness.sync("one");
+        harness.advance(Duration::from_millis(700));
+        harness.settle();
+        sent_again += harness.vm("one").last_reply.starts.len();
+    }
+
+    assert_eq!(sent_again, 0);
+}
