Reservations: work out the use of a pool once a round

Cause: each blocked stage scanned all runs of its pool, in each of up to 30 rounds a second: on a pool of 240 workers with a backlog that is the owner's processor. Ruled out: fewer rounds.

--- a/crates/jobs/src/owner/look_ahead.rs
+++ b/crates/jobs/src/owner/look_ahead.rs
@@ -35,12 +35,32 @@
     reservations: Reservations<TaskId, Urgency>,
     /// The urgency of the stage instance that is being placed.
     pub(super) placing: Option<Urgency>,
+    /// How the pools are used, worked out at most once a round.
+    uses: IndexMap<PoolName, PoolUse>,
+}
+
+/// How a pool is used.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolUse {
+    /// Whether under half of its capacity is in use.
+    has_room_to_spare: bool,
+    /// The processors of the charged runs that end, in thousandths of a core, and their number.
+    ending_milli: u64,
+    ending: u64,
+}
+
+impl PoolUse {
+    /// Returns true if a task is large beside those of the pool that end.
+    fn makes_large(&self, need: &Resources) -> bool {
+        need.cpu_milli * self.ending >= LARGE * self.ending_milli && self.ending > 0
+    }
 }
 
 impl Owner {
     /// Prepares a round: gives up reservations that are not wanted any more.
     pub(super) fn look_ahead(&mut self, now: Instant) {
         let mut look_ahead = std::mem::take(&mut self.look_ahead);
+        look_ahead.uses.clear();
         look_ahead.reservations.retain(now, |vm, reservation| {
             self.workers.get(vm).is_some_and(|w| w.takes_tasks(now))
                 && self.waits(&reservation.task)
@@ -69,16 +89,23 @@
         2 * free.cpu_milli > all.cpu_milli && 2 * free.memory_mib > all.memory_mib
     }
 
-    /// Returns true if a task is large beside those of its pool that end.
-    fn is_large(&self, pool: &PoolName, need: &Resources) -> bool {
+    /// Returns how a pool is used, as of the first call in this round.
+    fn pool_use(&mut self, now: Instant, pool: &PoolName) -> PoolUse {
+        if let Some(known) = self.look_ahead.uses.get(pool) {
+            return *known;
+        }
+        let mut pool_use = PoolUse {
+            has_room_to_spare: self.has_room_to_spare(now, pool),
+            ..PoolUse::default()
+        };
         let workers = self.workers.values().filter(|w| w.is_in(pool));
         let runs = workers.flat_map(|w| w.runs.values());
-        let (mut total, mut count) = (0, 0);
         for run in runs.filter(|r| !r.is_standing && r.charged.cpu_milli > 0) {
-            total += run.charged.cpu_milli;
-            count += 1;
+            pool_use.ending_milli += run.charged.cpu_milli;
+            pool_use.ending += 1;
         }
-        need.cpu_milli * count >= LARGE * total && count > 0
+        self.look_ahead.uses.insert(pool.clone(), pool_use);
+        pool_use
     }
 
     /// Returns true if a task of a stage may start on a worker beside a reservation there.
@@ -105,21 +132,26 @@
 
     /// Reserves room for the first tasks of a stage instance that fits nowhere.
     pub(super) fn reserve(&mut self, now: Instant, id: &JobId, at: usize) {
-        let Some(job) = self.jobs.get(id) else {
+        let Some(urgency) = self.look_ahead.placing else {
             return;
         };
-        let instance = &job.instances[at];
-        let stage = job.stage(instance);
-        let need = stage.charged();
-        let Some(urgency) = self.look_ahead.placing else {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
-        if stage.best_effort || !self.is_large(&job.record.terms.pool, &need) {
+        let stage = job.stage(&job.instances[at]);
+        if stage.best_effort {
             return;
         }
-        if self.has_room_to_spare(now, &job.record.terms.pool) {
+        let (need, pool) = (stage.charged(), job.record.terms.pool.clone());
+        let pool_use = self.pool_use(now, &pool);
+        if pool_use.has_room_to_spare || !pool_use.makes_large(&need) {
             return;
         }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let instance = &job.instances[at];
+        let stage = job.stage(instance);
         let mut starts = Vec::new();
         for (vm, worker) in &self.workers {
             if takes(now, job, instance, stage, vm, worker)
