--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -22,6 +22,7 @@
 mod processes;
 mod ranking;
 mod recent_usage;
+mod run;
 mod run_times;
 mod service_load;
 mod stall;
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -12,8 +12,8 @@
 use super::health::Health;
 use super::processes::Processes;
 use super::recent_usage::RecentUsage;
+pub(super) use super::run::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
 use super::service_load::Backlogged;
-use super::trials::Trial;
 use crate::report::{SharedStatus, WorkerReport};
 use crate::{TaskRun, WorkerRecord};
 
@@ -26,15 +26,6 @@
 /// How long an order may be missing from reports before it is resent.
 pub(super) const RESEND_AFTER: Duration = Duration::from_millis(250);
 
-/// The speed of a task that is not throttled, in percent.
-pub(super) const FULL_SPEED: u32 = 100;
-
-/// A speed that differs from every valid one, so that the next order is sent in any case.
-pub(super) const SPEED_UNKNOWN: u32 = u32::MAX;
-
-/// How often a throttle order is resent, in case it was lost.
-const RESEND_THROTTLE_AFTER: Duration = Duration::from_secs(1);
-
 /// A report that waits for its reply.
 #[derive(Debug)]
 pub(super) struct Parked {
@@ -42,58 +33,6 @@
     pub(super) since: Instant,
 }
 
-/// The phase of a run, from the owner's point of view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// Ordered; `sent` is when the order was last sent, `is_acknowledged` whether the companion's
-    /// report contained it.
-    Ordered {
-        sent: Option<Instant>,
-        is_acknowledged: bool,
-    },
-    /// Reported as running.
-    Running,
-    /// To be stopped; may still run.
-    Stopping { sent: Option<Instant> },
-}
-
-/// A run on a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Run {
-    pub(super) phase: Phase,
-    /// Whether a status has contained it, so that it has started.
-    pub(super) was_listed: bool,
-    /// The resources charged to the worker.
-    pub(super) charged: Resources,
-    /// The expected processor use, also of best-effort tasks, in thousandths of a core.
-    pub(super) demand_milli: u64,
-    pub(super) is_best_effort: bool,
-    /// The class of the task.
-    pub(super) class: Option<Name>,
-    /// Since when it has run at a low speed.
-    pub(super) throttled_since: Option<Instant>,
-    pub(super) is_standing: bool,
-    pub(super) latency_target_ms: Option<u64>,
-    /// When it was ordered or adopted.
-    pub(super) since: Instant,
-    /// Whether it started from a checkpoint.
-    pub(super) resumes: bool,
-    /// When it was first listed, if it has run from its beginning and at full speed since.
-    pub(super) measured_since: Option<Instant>,
-    pub(super) percent: f64,
-    /// When `percent` last rose.
-    pub(super) last_progress: Instant,
-    pub(super) gauge: f64,
-    /// The speed at which it should run, in percent.
-    pub(super) speed_percent: u32,
-    /// The speed that was last sent to the companion, and when.
-    pub(super) speed_sent: Option<(u32, Instant)>,
-    /// The advisor's ticket.
-    pub(super) ticket: Option<Name>,
-    /// Set while it is suspected of crashing its workers.
-    pub(super) trial: Option<Trial>,
-}
-
 /// Which of a worker's finished runs are stored and acknowledged.
 #[derive(Debug, Default)]
 pub(super) struct FinishedRuns {
@@ -362,14 +301,14 @@
     pub(super) fn stop_job(&mut self, job: &JobId) {
         self.may_have_orders = true;
         for (_, run) in self.runs.iter_mut().filter(|(id, _)| id.task.job == *job) {
-            stop(run);
+            run.stop();
         }
     }
 
     pub(super) fn stop_run(&mut self, id: &TaskRun) {
         self.may_have_orders = true;
         if let Some(run) = self.runs.get_mut(id) {
-            stop(run);
+            run.stop();
         }
     }
 
@@ -447,23 +386,3 @@
 pub(super) fn lease_bound(lease: Duration) -> Duration {
     lease.mul_f64(1.0 + CLOCK_DRIFT) + LEASE_MARGIN
 }
-
-fn stop(run: &mut Run) {
-    if !matches!(run.phase, Phase::Stopping { .. }) {
-        run.phase = Phase::Stopping { sent: None };
-    }
-}
-
-impl Run {
-    /// Returns true if the speed has to be sent to the companion.
-    pub(super) fn is_speed_due(&self, now: Instant) -> bool {
-        match self.speed_sent {
-            None => self.speed_percent != FULL_SPEED,
-            Some((speed_percent, at)) => {
-                speed_percent != self.speed_percent
-                    || (speed_percent != FULL_SPEED
-                        && now.duration_since(at) >= RESEND_THROTTLE_AFTER)
-            }
-        }
-    }
-}
