An entry takes the owner's key that its own earlier process left behind

Change: a process that finds the key under its own name and address before it has made a claim claims it at once; it listens at that address, so the other has ended. The store's revision, the epoch and the workers' fences guard it like every takeover. Ruled out: refused connections as a proof for other entries' processes, which they are not. Another address and a late read after stepping down have tests of their own; each test fails without its check.

--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -122,6 +122,8 @@
     /// The owner from which to take the key: it is alive, but cannot reach the store.
     claim_from: Option<(OwnerRecord, Revision)>,
     nonce: Nonce,
+    /// Whether this process has made a claim.
+    has_claimed: bool,
     /// Since when the store has not responded to this entry.
     failing_since: Option<Instant>,
     /// When the last outage of the store ended.
@@ -140,6 +142,7 @@
             claim_at: None,
             claim_from: None,
             nonce: Nonce(0),
+            has_claimed: false,
             failing_since: None,
             back_at: None,
         }
@@ -242,6 +245,7 @@
             self.claim_at = None;
         }
         self.seen = record;
+        self.claim_left_behind(now);
         let Phase::Leading(leading) = &mut self.phase else {
             return None;
         };
@@ -344,6 +348,7 @@
                     return None;
                 }
                 self.nonce = nonce;
+                self.has_claimed = true;
                 self.phase = Phase::Granting;
                 let ttl = self.cfg.lease;
                 Some(StoreCall::LeaseGrant { ttl })
--- a/crates/controller/src/elector/claim.rs
+++ b/crates/controller/src/elector/claim.rs
@@ -7,6 +7,21 @@
 use super::{Call, Change, Clocks, Elector, Leading, Phase};
 
 impl Elector {
+    /// Schedules a claim of a key that an earlier process of this VM holds.
+    ///
+    /// That process has ended, since this one listens at its address: its lease need not expire first.
+    pub(super) fn claim_left_behind(&mut self, now: Instant) {
+        if self.has_claimed || self.has_resigned {
+            return;
+        }
+        let me = &self.cfg.me;
+        let is_mine = |owner: &OwnerRecord| owner.name == me.name && owner.addr == me.addr;
+        if let Some(left) = self.seen.as_ref().filter(|(owner, _)| is_mine(owner)) {
+            self.claim_from = Some(left.clone());
+            self.claim_at = Some(now);
+        }
+    }
+
     /// Returns the claim of the epoch after the one in the store.
     pub(super) fn claim(
         &mut self,
@@ -107,10 +122,11 @@
         });
         self.seen = Some((record.clone(), revision));
         self.claim_at = None;
+        let previous = self.claim_from.take().map(|(previous, _)| previous);
         Some(Change::Elected {
             epoch: record.epoch,
             revision,
-            previous: self.claim_from.take().map(|(previous, _)| previous),
+            previous: previous.filter(|p| p.name != self.cfg.me.name),
         })
     }
 }
--- a/crates/controller/tests/elector.rs
+++ b/crates/controller/tests/elector.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use controller::Change;
-use harness::{Cluster, GRACE, LEASE, delayed_elector, elector};
+use harness::{Cluster, GRACE, LEASE, delayed_elector, elector, elector_at};
 use jobs::owner::Replacement;
 use ports::store::StoreCall;
 
@@ -154,6 +154,57 @@
     assert_eq!(change, None);
 }
 
+/// All VMs lose power and are back before the owner's lease has expired.
+#[test]
+fn restarted_owner_takes_the_key_of_its_earlier_process_at_once() {
+    let mut cluster = Cluster::new();
+    cluster.elect(&mut elector("a"));
+    let (mut restarted, mut other) = (elector("a"), elector("b"));
+
+    let of_other = cluster.elect(&mut other);
+    let change = cluster.elect(&mut restarted);
+
+    assert_eq!(of_other, None);
+    let Some(Change::Elected {
+        epoch, previous, ..
+    }) = change
+    else {
+        panic!("expected an election, got {change:?}");
+    };
+    assert_eq!(epoch, Epoch(2));
+    assert_eq!(previous, None);
+}
+
+/// A VM that was replaced keeps its name, but not its address: its process may still run.
+#[test]
+fn key_of_a_process_at_another_address_is_not_taken() {
+    let mut cluster = Cluster::new();
+    cluster.elect(&mut elector_at("a", 1));
+    let mut replacement = elector_at("a", 2);
+
+    let early = cluster.elect(&mut replacement);
+    cluster.advance(LEASE + Duration::from_millis(1));
+    let late = cluster.elect(&mut replacement);
+
+    assert_eq!(early, None);
+    assert!(matches!(late, Some(Change::Elected { .. })));
+}
+
+/// A read that was sent before the owner stepped down may be answered after it.
+#[test]
+fn owner_that_stepped_down_does_not_take_its_own_key_again_from_a_late_read() {
+    let mut cluster = Cluster::new();
+    let mut a = elector("a");
+    cluster.elect(&mut a);
+    let left = cluster.key();
+    a.step_down(cluster.now);
+
+    a.key_seen(cluster.now, Duration::ZERO, left.as_ref());
+    let call = a.run(cluster.now, Nonce(9));
+
+    assert_eq!(call, None);
+}
+
 #[test]
 fn entry_with_few_resources_lets_others_claim_first() {
     let delay = Duration::from_millis(400);
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -122,13 +122,25 @@
 pub fn delayed_elector(name: &str, claim_delay: Duration) -> Elector {
     Elector::new(ElectorCfg {
         claim_delay,
+        ..elector_cfg(name, 1)
+    })
+}
+
+/// Creates an elector of an entry that takes calls at another port.
+pub fn elector_at(name: &str, port: u16) -> Elector {
+    Elector::new(elector_cfg(name, port))
+}
+
+fn elector_cfg(name: &str, port: u16) -> ElectorCfg {
+    ElectorCfg {
+        claim_delay: Duration::ZERO,
         me: OwnerRecord {
             name: name.into(),
-            addr: "127.0.0.1:1".parse().expect("an address"),
+            addr: ([127, 0, 0, 1], port).into(),
             epoch: Epoch(0),
             nonce: Nonce(0),
         },
         lease: LEASE,
         outage_grace: GRACE,
-    })
+    }
 }
