--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -1,6 +1,7 @@
 //! Leader election: the entry that holds a leased key in the store owns the jobs.
 
 mod claim;
+mod release;
 mod renewal;
 mod resume;
 
@@ -51,13 +52,6 @@
     OwnershipLost(&'static str),
 }
 
-/// The delay before a failed claim is retried.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
-/// How long an entry that stepped down makes no claim: several times an election, so that another
-/// entry claims first.
-const STEP_DOWN_PAUSE: Duration = Duration::from_secs(2);
-
 /// How long the store must have failed for its next response to count as its return.
 const OUTAGE_AFTER: Duration = Duration::from_secs(1);
 
@@ -65,10 +59,6 @@
 /// outdated: several times the interval of its attempts.
 const OUTDATED_REPORT: Duration = Duration::from_secs(1);
 
-/// How long a claim waits after the store's return, so that the owner can resume: twice the
-/// interval of its attempts.
-const RESUME_TIME: Duration = Duration::from_millis(400);
-
 #[derive(Clone, Debug)]
 enum Phase {
     Following,
@@ -262,32 +252,6 @@
         None
     }
 
-    /// Returns when to claim a key that is free now.
-    fn claim_time(&self, now: Instant, is_store_back: bool) -> Instant {
-        let resume_time = if is_store_back {
-            RESUME_TIME
-        } else {
-            Duration::ZERO
-        };
-        now + self.cfg.claim_delay + resume_time
-    }
-
-    /// Schedules a claim of the key held by the owner at `epoch`, which cannot reach the store.
-    ///
-    /// Does nothing if this entry cannot reach the store either, or could not just before: then the
-    /// owner may have reached it meanwhile.
-    pub fn claim_from(&mut self, now: Instant, epoch: Epoch) {
-        if self.is_store_out(now) {
-            return;
-        }
-        let is_free = matches!(self.phase, Phase::Following) && self.claim_at.is_none();
-        let owner = self.seen.as_ref().filter(|(owner, _)| owner.epoch == epoch);
-        if let Some(owner) = owner.filter(|_| is_free && !self.has_resigned) {
-            self.claim_from = Some(owner.clone());
-            self.claim_at = Some(now + self.cfg.claim_delay);
-        }
-    }
-
     /// Records that another entry has taken the key.
     pub fn replaced(&mut self, by: &Replacement) -> Option<Change> {
         let seen = self.seen.as_ref().map(|(_, revision)| *revision);
@@ -301,43 +265,6 @@
         was_leading.then_some(Change::OwnershipLost("another entry has taken over"))
     }
 
-    /// Steps down and delays the next claim, so that another entry claims first.
-    ///
-    /// Returns the call that revokes the lease; `None` if this entry is not the owner.
-    pub fn step_down(&mut self, now: Instant) -> Option<Call> {
-        let call = self.release()?;
-        self.claim_at = Some(now + STEP_DOWN_PAUSE);
-        Some(call)
-    }
-
-    /// Steps down and makes no further claim, as the process stops.
-    ///
-    /// Returns the call that revokes the lease; `None` if this entry is not the owner.
-    pub fn resign(&mut self) -> Option<Call> {
-        self.has_resigned = true;
-        self.release()
-    }
-
-    /// Ends ownership; returns the call that revokes the lease.
-    fn release(&mut self) -> Option<Call> {
-        let Phase::Leading(leading) = &self.phase else {
-            return None;
-        };
-        let call = StoreCall::LeaseRevoke {
-            lease: leading.lease,
-        };
-        self.phase = Phase::Following;
-        self.seen = None;
-        Some(call)
-    }
-
-    /// Returns to following after a failed claim or a loss of ownership.
-    pub fn follow(&mut self, now: Instant) {
-        self.phase = Phase::Following;
-        self.claim_from = None;
-        self.claim_at = self.seen.is_none().then(|| now + RETRY_AFTER);
-    }
-
     /// Returns the call that is due, if any; `nonce` identifies a claim.
     pub fn run(&mut self, now: Instant, nonce: Nonce) -> Option<Call> {
         match &mut self.phase {
--- a/crates/controller/src/elector/claim.rs
+++ b/crates/controller/src/elector/claim.rs
@@ -6,7 +6,37 @@
 
 use super::{Call, Change, Clocks, Elector, Leading, Phase};
 
+/// How long a claim waits after the store's return, so that the owner can resume: twice the
+/// interval of its attempts.
+const RESUME_TIME: Duration = Duration::from_millis(400);
+
 impl Elector {
+    /// Returns when to claim a key that is free now.
+    pub(super) fn claim_time(&self, now: Instant, is_store_back: bool) -> Instant {
+        let resume_time = if is_store_back {
+            RESUME_TIME
+        } else {
+            Duration::ZERO
+        };
+        now + self.cfg.claim_delay + resume_time
+    }
+
+    /// Schedules a claim of the key held by the owner at `epoch`, which cannot reach the store.
+    ///
+    /// Does nothing if this entry cannot reach the store either, or could not just before: then the
+    /// owner may have reached it meanwhile.
+    pub fn claim_from(&mut self, now: Instant, epoch: Epoch) {
+        if self.is_store_out(now) {
+            return;
+        }
+        let is_free = matches!(self.phase, Phase::Following) && self.claim_at.is_none();
+        let owner = self.seen.as_ref().filter(|(owner, _)| owner.epoch == epoch);
+        if let Some(owner) = owner.filter(|_| is_free && !self.has_resigned) {
+            self.claim_from = Some(owner.clone());
+            self.claim_at = Some(now + self.cfg.claim_delay);
+        }
+    }
+
     /// Schedules a claim of a key that an earlier process of this VM holds.
     ///
     /// That process has ended, since this one listens at its address: its lease need not expire first.
