Keep the classes that a worker serves with its other counts

They are read for each worker whenever a standing task is placed, at a restart for all tasks at once. Counted where runs are added and removed, so that no set is built there.

--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -324,7 +324,7 @@
         return 0.0;
     }
     let packed = -worker.load_with(0);
-    if stage.class.is_some() && served.contains(&stage.class.as_ref()) {
+    if stage.class.is_some() && served.contains(&stage.class) {
         packed + OTHER_CLASS_COST * (served.len() - 1) as f64 - SAME_CLASS_GAIN
     } else {
         packed + OTHER_CLASS_COST * served.len() as f64
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -127,6 +127,8 @@
     pub(super) reserved_until: Option<Instant>,
     used: Resources,
     demand_milli: u64,
+    /// The classes of the latency-critical tasks here, each once.
+    served_classes: Vec<Option<Name>>,
     latency_critical: u32,
     trials: u32,
 }
@@ -170,6 +172,7 @@
             reserved_until: None,
             used: Resources::ZERO,
             demand_milli: 0,
+            served_classes: Vec::new(),
             latency_critical: 0,
             trials: 0,
         }
@@ -211,12 +214,18 @@
         self.may_have_orders = true;
         self.used = Resources::ZERO;
         self.demand_milli = 0;
+        self.served_classes.clear();
         self.latency_critical = 0;
         self.trials = 0;
         for run in self.runs.values() {
             self.used += run.charged;
             self.demand_milli += run.demand_milli;
-            self.latency_critical += u32::from(run.latency_target_ms.is_some());
+            if run.latency_target_ms.is_some() {
+                self.latency_critical += 1;
+                if !self.served_classes.contains(&run.class) {
+                    self.served_classes.push(run.class.clone());
+                }
+            }
             self.trials += u32::from(run.trial.is_some());
         }
     }
@@ -260,9 +269,8 @@
     }
 
     /// Returns the classes of the latency-critical tasks here.
-    pub(super) fn served_classes(&self) -> IndexSet<Option<&Name>> {
-        let served = self.runs.values().filter(|r| r.latency_target_ms.is_some());
-        served.map(|r| r.class.as_ref()).collect()
+    pub(super) fn served_classes(&self) -> &[Option<Name>] {
+        &self.served_classes
     }
 
     /// Returns the number of latency-critical tasks here.
