--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -65,6 +66,33 @@
     request_queue_size = 256
     allow_reuse_address = True
 
+    def __init__(self, *args):
+        self.channels = set()
+        super().__init__(*args)
+
+    def get_request(self):
+        channel, address = super().get_request()
+        self.channels.add(channel)
+        return channel, address
+
+    def shutdown_request(self, request):
+        self.channels.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """Stops listening and ends all channels, as the end of a process does."""
+        self.close_channels()
+        self.shutdown()
+        self.server_close()
+        self.close_channels()
+
+    def close_channels(self):
+        for channel in list(self.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # The peer has closed it.
+
     def handle_error(self, request, client_address):
         """A peer that disconnects is no error of the stand-in."""
 
@@ -327,8 +355,7 @@
                 self.leave_gang(run)
         server, self.server = self.server, None
         if server:
-            server.shutdown()
-            server.server_close()
+            server.end()
         self.record(f"runner {self.name}: crashes with {len(lost)} runs")
 
     def clock_ms(self):
