A heartbeat names a candidate until the worker itself confirms it

Callers saw: after one heartbeat of another writer, with a later birth, a worker was never used again.

Cause: what a heartbeat says of itself was taken as proof. Any later birth replaced the known incarnation; numbers and clocks that are too large outweighed all that the worker said afterwards.

Change: the companion asks the worker, at its own address, which incarnation it is, by a call without effect. Only the one that answers replaces the known one, whatever its birth; the clock comes from replies alone. A heartbeat of the known incarnation that contradicts it is ignored for 3.5 s. The owner follows the companion in place of the birth. A leave without a drain before is checked in the same way.

Two tests had sent a late heartbeat, or a leave, of a worker that the harness still lets answer; they now say which incarnation is up, and assert the same.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -16,11 +16,12 @@
 use tiny_http::{Request, Response};
 use wire::{HttpPool, OwnerClient, hop};
 
-use crate::event::{Event, LongPollDone};
+use crate::event::{Event, IdentityDone, LongPollDone};
 use crate::node::{Node, OutboundCalls};
 use crate::orders::MAX_CALLS;
 use crate::ports::{
-    HeartbeatCodec, LongPollCall, Runner, StartCall, StopCall, ThrottleCall, WorkerMessage,
+    HeartbeatCodec, IdentityCall, IdentityReply, LongPollCall, Runner, StartCall, StopCall,
+    ThrottleCall, WorkerMessage,
 };
 use crate::state::AgentState;
 
@@ -59,6 +60,7 @@
 /// A blocking call to the worker, queued for a thread.
 #[derive(Debug)]
 enum WorkerCall {
+    Identify(Incarnation, IdentityCall),
     LongPoll(Incarnation, LongPollCall),
     Start(Incarnation, StartCall),
     Stop(Incarnation, StopCall),
@@ -86,6 +88,10 @@
 }
 
 impl OutboundCalls for CallQueues {
+    fn identify(&self, incarnation: Incarnation, call: IdentityCall) {
+        drop(self.immediate.send(WorkerCall::Identify(incarnation, call)));
+    }
+
     fn long_poll(&self, incarnation: Incarnation, call: LongPollCall) {
         let queue = if call.wait.is_zero() {
             &self.immediate
@@ -160,6 +166,11 @@
     log: &Logger,
 ) {
     let event = match call {
+        WorkerCall::Identify(incarnation, call) => Event::Identified(IdentityDone {
+            worker: call.worker.clone(),
+            incarnation,
+            reply: runner.identify(&call),
+        }),
         WorkerCall::LongPoll(incarnation, call) => Event::LongPolled(LongPollDone {
             incarnation,
             fence: call.fence,
@@ -181,6 +192,11 @@
         }
     };
     match &event {
+        Event::Identified(IdentityDone {
+            reply: Ok(IdentityReply::Other),
+            ..
+        }) => operation_metrics.count("identify", "other"),
+        Event::Identified(done) => operation_metrics.count("identify", outcome(&done.reply)),
         Event::LongPolled(done) => operation_metrics.count("hold", outcome(&done.reply)),
         Event::Started(_, _, reply) => operation_metrics.count("start", outcome(reply)),
         Event::Stopped(_, _, reply) => operation_metrics.count("stop", outcome(reply)),
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -5,13 +5,15 @@
 use jobs::TaskRun;
 use jobs::report::SyncReply;
 
-use crate::ports::{LongPollReply, StartReply, WorkerMessage};
+use crate::ports::{IdentityReply, LongPollReply, StartReply, WorkerMessage};
 
 /// An event for the agent's actor.
 #[derive(Debug)]
 pub enum Event {
     /// The worker sent a message.
     Worker(WorkerMessage),
+    /// A call that asks the worker for its identity completed.
+    Identified(IdentityDone),
     /// A long poll completed.
     LongPolled(LongPollDone),
     /// A start call completed.
@@ -27,6 +29,17 @@
     OwnerKey(KeyUpdate),
 }
 
+/// The outcome of a call that asks the worker for its identity.
+#[derive(Debug)]
+pub struct IdentityDone {
+    /// The worker that was expected to answer.
+    pub worker: WorkerId,
+    /// The incarnation that it was expected to be.
+    pub incarnation: Incarnation,
+    /// The reply.
+    pub reply: Result<IdentityReply>,
+}
+
 /// The outcome of a long poll, with the parameters of the call.
 #[derive(Debug)]
 pub struct LongPollDone {
--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -14,11 +14,20 @@
 /// How long connections to the worker must be refused before its lease is no longer renewed.
 const REFUSED_AFTER: Duration = Duration::from_millis(250);
 
+/// How long the last accepted heartbeat outweighs others of the incarnation that contradict it: more
+/// than two intervals of heartbeats.
+const CONTRADICTED_FOR: Duration = Duration::from_millis(3500);
+
+/// How far the clock in a heartbeat may be from that in the worker's replies, in milliseconds.
+const MAX_CLOCK_ERROR_MS: u64 = 2000;
+
 /// The state of one incarnation of the worker.
 #[derive(Debug)]
 pub(crate) struct WorkerIncarnation {
-    /// The latest heartbeat.
+    /// The latest heartbeat that was accepted.
     pub(crate) heartbeat: Heartbeat,
+    /// When it arrived.
+    pub(crate) heard_at: Instant,
     pub(crate) is_gone: bool,
     /// The fencing token under which the owner was told that the worker is gone: it releases all runs,
     /// so nothing starts until the token has risen.
@@ -66,6 +75,7 @@
     pub(crate) fn new(heartbeat: Heartbeat, now: Instant, stop_time: Duration) -> Self {
         Self {
             heartbeat,
+            heard_at: now,
             is_gone: false,
             gone_fence: None,
             clock: None,
@@ -91,6 +101,27 @@
         }
     }
 
+    /// Returns true if a heartbeat of this incarnation is to be applied.
+    ///
+    /// One that is outdated, or that contradicts the worker, may be another writer's. But so may be the
+    /// one accepted before: if nothing has agreed with that for long, the worker itself contradicts it.
+    pub(crate) fn accepts(&self, now: Instant, heartbeat: &Heartbeat) -> bool {
+        let known = &self.heartbeat;
+        let is_later = heartbeat.number > known.number;
+        let is_alike = heartbeat.pool == known.pool
+            && heartbeat.zone == known.zone
+            && heartbeat.labels == known.labels;
+        let has_clock = heartbeat
+            .clock_ms
+            .zip(self.clock)
+            .is_none_or(|(ms, clock)| {
+                ms >= clock.at_least(now).saturating_sub(MAX_CLOCK_ERROR_MS)
+                    && ms <= clock.at_most(now).saturating_add(MAX_CLOCK_ERROR_MS)
+            });
+        let is_agreed = is_later && is_alike && has_clock;
+        is_agreed || now.saturating_duration_since(self.heard_at) >= CONTRADICTED_FOR
+    }
+
     /// Returns true if the latest status was made under the current fencing token and no start or
     /// stop was in progress.
     pub(crate) fn has_current_status(&self) -> bool {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,8 +8,10 @@
 //! and its state.
 
 mod app;
+mod candidates;
 mod crashes;
 mod event;
+mod heartbeats;
 mod incarnation;
 mod node;
 mod orders;
@@ -20,10 +22,10 @@
 mod worker_clock;
 
 pub use app::{AgentCfg, App, run};
-pub use event::{Event, LongPollDone};
+pub use event::{Event, IdentityDone, LongPollDone};
 pub use node::{Node, OutboundCalls};
 pub use ports::{
-    Heartbeat, HeartbeatCodec, LongPollCall, LongPollReply, Runner, StartCall, StartReply,
-    StopCall, ThrottleCall, WorkerMessage,
+    Heartbeat, HeartbeatCodec, IdentityCall, IdentityReply, LongPollCall, LongPollReply, Runner,
+    StartCall, StartReply, StopCall, ThrottleCall, WorkerMessage,
 };
 pub use state::{Action, AgentState};
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -11,13 +11,15 @@
 use stakker::{ActorOwn, CX, FixedTimerKey, Stakker, actor, call, ret_nop};
 
 use crate::event::Event;
-use crate::ports::{LongPollCall, StartCall, StopCall, ThrottleCall};
+use crate::ports::{IdentityCall, LongPollCall, StartCall, StopCall, ThrottleCall};
 use crate::state::{Action, AgentState};
 
 /// The calls that the agent's actor makes.
 ///
 /// They return at once; their outcome is delivered as an [`Event`].
 pub trait OutboundCalls: Send + Sync + fmt::Debug {
+    /// Asks the worker whether it is the expected incarnation; [`Event::Identified`] follows.
+    fn identify(&self, incarnation: Incarnation, call: IdentityCall);
     /// Makes a long poll to the worker; [`Event::LongPolled`] follows.
     fn long_poll(&self, incarnation: Incarnation, call: LongPollCall);
     /// Starts a run; [`Event::Started`] follows.
@@ -57,6 +59,7 @@
         let now = cx.now();
         match event {
             Event::Worker(message) => self.state.worker_message(now, message),
+            Event::Identified(done) => self.state.identified(now, done),
             Event::LongPolled(done) => self.state.long_polled(now, done),
             Event::Started(incarnation, run, reply) => {
                 self.state.started(now, incarnation, &run, reply)
@@ -99,6 +102,7 @@
 
     fn carry_out(&self, action: Action) {
         match action {
+            Action::Identify(incarnation, call) => self.calls.identify(incarnation, call),
             Action::LongPoll(incarnation, call) => self.calls.long_poll(incarnation, call),
             Action::Start(incarnation, call) => self.calls.start(incarnation, call),
             Action::Stop(incarnation, call) => self.calls.stop(incarnation, call),
--- a/crates/agent/src/ports.rs
+++ b/crates/agent/src/ports.rs
@@ -6,6 +6,8 @@
 use jobs::TaskRun;
 use jobs::report::{FinishedRun, RejectKind, RunningRow};
 
+use crate::candidates::Identity;
+
 /// A worker's description of itself, sent periodically.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
@@ -29,6 +31,13 @@
     pub clock_ms: Option<u64>,
 }
 
+impl Heartbeat {
+    /// Returns the incarnation that the heartbeat names.
+    pub(crate) fn identity(&self) -> Identity {
+        (self.id.clone(), self.incarnation)
+    }
+}
+
 /// A message from a worker to its companion.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WorkerMessage {
@@ -48,6 +57,29 @@
     fn read(&self, method: &str, target: &str, body: &[u8]) -> Result<Option<WorkerMessage>>;
 }
 
+/// Asks the worker whether it is the expected one; has no effect on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IdentityCall {
+    /// The worker that is expected to answer.
+    pub worker: WorkerId,
+    /// The fencing token of the owner, 0 if none is known.
+    pub fence: u64,
+}
+
+/// The reply to an [`IdentityCall`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdentityReply {
+    /// The expected worker replied.
+    Expected {
+        /// Its incarnation, if the reply contains it.
+        incarnation: Option<Incarnation>,
+        /// Its clock, in milliseconds.
+        clock_ms: u64,
+    },
+    /// Another worker replied.
+    Other,
+}
+
 /// Renews the worker's lease, acknowledges finished runs, and returns the worker's status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LongPollCall {
@@ -147,6 +179,8 @@
 /// Errors whose kind [is of unknown outcome](ErrorKind::is_outcome_unknown) may have taken
 /// effect, or may do so seconds later.
 pub trait Runner: Send + Sync + fmt::Debug {
+    /// Asks the worker whether it is the expected one.
+    fn identify(&self, call: &IdentityCall) -> Result<IdentityReply>;
     /// Renews the lease, acknowledges finished runs and returns the worker's status.
     fn long_poll(&self, call: &LongPollCall) -> Result<LongPollReply>;
     /// Starts a run.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -2,16 +2,16 @@
 
 use base::prelude::*;
 use jobs::TaskRun;
-use jobs::report::{RejectKind, SyncReport, WorkerReport};
+use jobs::report::{SyncReport, WorkerReport};
 use slog::{Logger, info, warn};
 
+use crate::candidates::Candidates;
 use crate::crashes::Crashes;
 use crate::event::LongPollDone;
 use crate::incarnation::{WorkerIncarnation, record_status};
 use crate::orders::CallSlots;
-use crate::ports::{Heartbeat, LongPollCall, StartCall, StopCall, ThrottleCall, WorkerMessage};
+use crate::ports::{IdentityCall, LongPollCall, StartCall, StopCall, ThrottleCall, WorkerMessage};
 use crate::sync::Syncs;
-use crate::worker_clock::WorkerClock;
 
 /// How long a long poll waits for a run to end, and so how old the figures of a status get.
 ///
@@ -31,6 +31,8 @@
 /// A call that a companion is to make.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Ask the worker whether it is this incarnation.
+    Identify(Incarnation, IdentityCall),
     /// Make a long poll to the worker.
     LongPoll(Incarnation, LongPollCall),
     /// Start a run.
@@ -51,13 +53,14 @@
     pub(crate) log: Logger,
     pub(crate) epoch: Epoch,
     pub(crate) worker: Option<WorkerIncarnation>,
+    pub(crate) candidates: Candidates,
     pub(crate) crashes: Crashes,
     pub(crate) syncs: Syncs,
     pub(crate) calls: CallSlots,
     /// Runs to throttle, with their share of speed in percent.
     pub(crate) throttles: IndexMap<TaskRun, u32>,
     /// The longest time that a stop takes, [`STOP_MARGIN`] included.
-    stop_time: Duration,
+    pub(crate) stop_time: Duration,
 }
 
 impl AgentState {
@@ -73,6 +76,7 @@
             log,
             epoch: Epoch(0),
             worker: None,
+            candidates: Candidates::default(),
             crashes: Crashes::default(),
             syncs: Syncs::default(),
             calls: CallSlots::default(),
@@ -84,86 +88,7 @@
     pub fn worker_message(&mut self, now: Instant, message: WorkerMessage) {
         match message {
             WorkerMessage::Heartbeat(heartbeat) => self.heartbeat(now, heartbeat),
-            WorkerMessage::Leave(id, incarnation) => {
-                let is_of = |w: &&mut WorkerIncarnation| {
-                    w.heartbeat.id == id && incarnation.is_none_or(|i| i == w.heartbeat.incarnation)
-                };
-                if let Some(worker) = self.worker.as_mut().filter(is_of) {
-                    info!(self.log, "companion: worker left"; "worker" => %id);
-                    worker.record_gone();
-                    self.syncs.has_changes = true;
-                }
-            }
-        }
-    }
-
-    fn heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
-        let known = self
-            .worker
-            .as_ref()
-            .map(|w| (w.heartbeat.incarnation, w.heartbeat.number));
-        let is_same = self.worker.as_ref().is_some_and(|w| {
-            w.heartbeat.incarnation == heartbeat.incarnation && w.heartbeat.id == heartbeat.id
-        });
-        if let Some((incarnation, number)) = known
-            && (heartbeat.incarnation < incarnation || (is_same && heartbeat.number <= number))
-        {
-            info!(self.log, "companion: outdated heartbeat ignored";
-                "worker" => %heartbeat.id,
-                "born" => heartbeat.incarnation.0, "number" => heartbeat.number);
-            return;
-        }
-        if !is_same {
-            info!(self.log, "companion: worker heard";
-                "worker" => %heartbeat.id,
-                "born" => heartbeat.incarnation.0, "pool" => %heartbeat.pool);
-            self.record_crash(now);
-            self.worker = Some(WorkerIncarnation::new(
-                heartbeat.clone(),
-                now,
-                self.stop_time,
-            ));
-            self.throttles.clear();
-            self.syncs.has_changes = true;
-        }
-        let Some(worker) = self.worker.as_mut() else {
-            return;
-        };
-        if heartbeat.draining.is_some() && worker.heartbeat.draining.is_none() {
-            info!(self.log, "companion: worker drains"; "worker" => %heartbeat.id);
-            self.syncs.has_changes = true;
-        }
-        if worker.is_gone {
-            info!(self.log, "companion: heartbeat from a worker that was gone";
-                "worker" => %heartbeat.id);
-            worker.is_gone = false;
-            self.syncs.has_changes = true;
-        }
-        if heartbeat.capacity != worker.heartbeat.capacity {
-            info!(self.log, "companion: capacity changed"; "worker" => %heartbeat.id,
-                "from" => %worker.heartbeat.capacity, "to" => %heartbeat.capacity);
-            self.syncs.has_changes = true;
-            if !worker.heartbeat.capacity.fits(&heartbeat.capacity) {
-                // The owner placed them by the larger capacity.
-                worker.starts.reject_unsent(now, RejectKind::Room);
-            }
-        }
-        if let Some(clock_ms) = heartbeat.clock_ms {
-            worker.clock = Some(WorkerClock::new(clock_ms, now));
-        }
-        worker.heartbeat = heartbeat;
-    }
-
-    /// Records that another incarnation replaces the known one, which may have crashed.
-    fn record_crash(&mut self, now: Instant) {
-        let Some(worker) = &self.worker else {
-            return;
-        };
-        if let Some(crash) = self.crashes.add(worker, now) {
-            warn!(self.log, "companion: worker crashed";
-                "worker" => %worker.heartbeat.id, "born" => crash.incarnation.0,
-                "runs" => crash.runs.len(), "within_lease" => crash.is_within_lease,
-                "silent_ms" => now.duration_since(worker.answered_at).as_millis());
+            WorkerMessage::Leave(id, incarnation) => self.leave(now, &id, incarnation),
         }
     }
 
@@ -224,6 +149,7 @@
         let mut actions = Vec::new();
         // Stops come first: a start that waits may no longer be wanted.
         self.send_stops(now, &mut actions);
+        self.check_candidates(now, &mut actions);
         self.long_poll(now, &mut actions);
         self.send_starts(now, &mut actions);
         self.send_throttles(&mut actions);
@@ -247,7 +173,16 @@
             .filter(|w| w.is_confirmed)
             .and_then(|w| w.starts.next_stop_due());
         let starts = worker.and_then(WorkerIncarnation::next_start_due);
-        let due = [long_poll, status_poll, stops, starts, self.syncs.next_due()];
+        let check = self.candidates.next_due(now);
+        let check = check.filter(|_| self.calls.is_free());
+        let due = [
+            long_poll,
+            status_poll,
+            stops,
+            starts,
+            check,
+            self.syncs.next_due(),
+        ];
         due.into_iter().flatten().min()
     }
 
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -216,7 +216,7 @@
             }
             worker.stored_ends = worker.stored_ends.max(reply.stored_ends);
             if let (Some(clock_ms), Some(lease_ms)) = (sent.clock_ms, reply.lease_ms) {
-                let deadline = clock_ms + lease_ms;
+                let deadline = clock_ms.saturating_add(lease_ms);
                 worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
             }
             if number >= worker.starts_until_from {
--- a/crates/agent/src/worker_clock.rs
+++ b/crates/agent/src/worker_clock.rs
@@ -23,16 +23,17 @@
     /// Network delay of the reading, or a pause of the local clock since, only lowers the result,
     /// so that deadlines computed from it never come too late.
     pub(crate) fn at_least(&self, now: Instant) -> u64 {
-        let since = now.duration_since(self.read_at).as_millis();
+        let since = now.saturating_duration_since(self.read_at).as_millis();
         // The worker's clock may run up to 2 % slower than the local one.
         let since = u64::try_from(since).unwrap_or(u64::MAX) / 100 * 98;
-        self.clock_ms + since
+        self.clock_ms.saturating_add(since)
     }
 
     /// Returns an upper bound of the worker's clock at `at`, in milliseconds, if the reading was not
     /// delayed by more than the drift since.
     pub(crate) fn at_most(&self, at: Instant) -> u64 {
         let since = at.saturating_duration_since(self.read_at);
-        self.clock_ms + base::whole_ms(since.mul_f64(1.02))
+        let since = base::whole_ms(since.mul_f64(1.02));
+        self.clock_ms.saturating_add(since)
     }
 }
--- a/crates/agent/tests/crashes.rs
+++ b/crates/agent/tests/crashes.rs
@@ -2,7 +2,6 @@
 
 mod harness;
 
-use agent::WorkerMessage;
 use base::prelude::*;
 use harness::{Harness, no_reply, run_of};
 use jobs::report::{Crash, SyncReply};
@@ -89,8 +88,7 @@
 #[test]
 fn leave_and_drain_are_no_crashes() {
     let mut left = running();
-    let leave = WorkerMessage::Leave("worker".into(), Some(Incarnation(1)));
-    left.state.worker_message(left.now, leave);
+    left.leave(Some(Incarnation(1)));
     let mut drained = running();
     drained.send_draining(2);
 
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
 use agent::{
-    Action, AgentState, Heartbeat, LongPollCall, LongPollReply, StartReply, WorkerMessage,
+    Action, AgentState, Heartbeat, IdentityCall, IdentityDone, IdentityReply, LongPollCall,
+    LongPollDone, LongPollReply, StartCall, StartReply, WorkerMessage,
 };
-use agent::{LongPollDone, StartCall};
 use base::prelude::*;
 use jobs::owner::OwnerRecord;
 use jobs::report::{FinishedRun, RunningRow, StartOrder, SyncReply, SyncReport, WorkerReport};
@@ -22,6 +22,10 @@
     pub state: AgentState,
     pub actions: Vec<Action>,
     pub clock_ms: u64,
+    /// The incarnation that answers at the worker's address, if one does.
+    pub live: Option<(WorkerId, Incarnation)>,
+    /// The fencing token that it has seen.
+    pub seen_fence: u64,
 }
 
 impl Harness {
@@ -34,14 +38,11 @@
             state: AgentState::new("vm".into(), 1, STOP_TIME, log),
             actions: Vec::new(),
             clock_ms: 10_000,
+            live: None,
+            seen_fence: 0,
         };
-        harness.state.owner_seen(&OwnerRecord {
-            name: "entry".into(),
-            addr: "127.0.0.1:1".parse().expect("an address"),
-            epoch: Epoch(1),
-            nonce: Nonce(1),
-        });
         harness.send_heartbeat(1, 1);
+        harness.see_owner();
         harness.run();
         harness
     }
@@ -54,10 +55,37 @@
         harness
     }
 
+    /// Replaces the companion by another process, which knows nothing.
+    pub fn restart(&mut self) {
+        let log = Logger::root(slog::Discard, o!());
+        self.state = AgentState::new("vm".into(), 2, STOP_TIME, log);
+        self.see_owner();
+        self.actions.clear();
+        self.run();
+    }
+
+    fn see_owner(&mut self) {
+        self.state.owner_seen(&OwnerRecord {
+            name: "entry".into(),
+            addr: "127.0.0.1:1".parse().expect("an address"),
+            epoch: Epoch(1),
+            nonce: Nonce(1),
+        });
+    }
+
+    /// Sends a heartbeat of the incarnation that answers from now on.
     pub fn send_heartbeat(&mut self, incarnation: u64, number: u64) {
+        self.live = Some(("worker".into(), Incarnation(incarnation)));
         self.deliver_heartbeat(incarnation, number, CAPACITY, None);
     }
 
+    /// Sends a heartbeat that another writer made, or that arrives late.
+    pub fn send_stray_heartbeat(&mut self, heartbeat: Heartbeat) {
+        let message = WorkerMessage::Heartbeat(heartbeat);
+        self.state.worker_message(self.now, message);
+        self.answer_checks();
+    }
+
     /// Sends a heartbeat with another capacity.
     pub fn send_capacity(&mut self, number: u64, capacity: Resources) {
         self.deliver_heartbeat(1, number, capacity, None);
@@ -77,18 +105,78 @@
         draining: Option<Duration>,
     ) {
         let heartbeat = Heartbeat {
+            capacity,
+            draining,
+            ..self.heartbeat(incarnation, number)
+        };
+        self.send_stray_heartbeat(heartbeat);
+    }
+
+    /// Ends the worker's process, which has said that it leaves.
+    pub fn leave(&mut self, incarnation: Option<Incarnation>) {
+        self.live = None;
+        self.send_leave(incarnation);
+    }
+
+    /// Sends a message that the worker leaves.
+    pub fn send_leave(&mut self, incarnation: Option<Incarnation>) {
+        let leave = WorkerMessage::Leave("worker".into(), incarnation);
+        self.state.worker_message(self.now, leave);
+        self.answer_checks();
+    }
+
+    /// Returns a heartbeat of an incarnation of the worker.
+    pub fn heartbeat(&self, incarnation: u64, number: u64) -> Heartbeat {
+        Heartbeat {
             id: "worker".into(),
             incarnation: Incarnation(incarnation),
             number,
             pool: "desk".into(),
             zone: "north".into(),
             labels: Vec::new(),
-            capacity,
-            draining,
+            capacity: CAPACITY,
+            draining: None,
             clock_ms: Some(self.clock_ms),
-        };
-        self.state
-            .worker_message(self.now, WorkerMessage::Heartbeat(heartbeat));
+        }
+    }
+
+    /// Answers the calls that ask the worker for its identity, as the incarnation that is up.
+    pub fn answer_checks(&mut self) {
+        loop {
+            let actions = self.state.run(self.now);
+            let checks = actions.iter().filter_map(|action| match action {
+                Action::Identify(incarnation, call) => Some((*incarnation, call.clone())),
+                _ => None,
+            });
+            let checks: Vec<_> = checks.collect();
+            self.actions.extend(actions);
+            if checks.is_empty() {
+                return;
+            }
+            for (incarnation, call) in checks {
+                let reply = self.identity_reply(&call);
+                let done = IdentityDone {
+                    worker: call.worker,
+                    incarnation,
+                    reply,
+                };
+                self.state.identified(self.now, done);
+            }
+        }
+    }
+
+    fn identity_reply(&self, call: &IdentityCall) -> Result<IdentityReply> {
+        let nobody = || Error::new(ErrorKind::NotListening, "identify", "worker", "refused");
+        let (id, incarnation) = self.live.as_ref().ok_or_else(nobody)?;
+        if *id != call.worker {
+            return Ok(IdentityReply::Other);
+        }
+        // A rejection for a low fencing token does not say when the worker was born.
+        let incarnation = (call.fence >= self.seen_fence).then_some(*incarnation);
+        Ok(IdentityReply::Expected {
+            incarnation,
+            clock_ms: self.clock_ms,
+        })
     }
 
     pub fn advance(&mut self, ms: u64) {
@@ -97,8 +185,7 @@
     }
 
     pub fn run(&mut self) {
-        let actions = self.state.run(self.now);
-        self.actions.extend(actions);
+        self.answer_checks();
     }
 
     pub fn last_sync(&self) -> (u64, SyncReport) {
@@ -132,6 +219,18 @@
         self.run();
     }
 
+    /// Replies to all reports so far, each for the incarnation that it names.
+    pub fn reply_to_reports(&mut self) {
+        let syncs = self.actions.iter().filter_map(|action| match action {
+            Action::Sync(number, report) => Some((*number, report.worker.clone())),
+            _ => None,
+        });
+        for (number, worker) in syncs.collect::<Vec<_>>() {
+            let incarnation = worker.map(|w| w.incarnation).unwrap_or_default();
+            self.reply_to(number, |reply| reply.incarnation = incarnation);
+        }
+    }
+
     pub fn order(&mut self, run: &TaskRun) {
         let (number, _) = self.last_sync();
         self.order_in_reply_to(number, run);
--- a/crates/agent/tests/reborn.rs
+++ b/crates/agent/tests/reborn.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use agent::{Action, StartReply, WorkerMessage};
+use agent::{Action, StartReply};
 use base::prelude::*;
 use harness::{Harness, run_of};
 
@@ -83,11 +83,10 @@
 fn late_leave_of_an_earlier_incarnation_does_not_end_the_next_one() {
     let mut harness = Harness::fenced();
     harness.send_heartbeat(2, 1);
-    let leave = |born| WorkerMessage::Leave("worker".into(), Some(Incarnation(born)));
 
-    harness.state.worker_message(harness.now, leave(1));
+    harness.send_leave(Some(Incarnation(1)));
     let after_late = harness.next_report();
-    harness.state.worker_message(harness.now, leave(2));
+    harness.leave(Some(Incarnation(2)));
     let after_own = harness.next_report();
 
     assert!(!after_late.is_gone);
--- a/crates/agent/tests/state.rs
+++ b/crates/agent/tests/state.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use agent::{StartReply, WorkerMessage};
+use agent::StartReply;
 use base::prelude::*;
 use harness::{Harness, LEASE_MS, no_reply, run_of};
 use jobs::report::{EndKind, FinishedRun, RejectKind, StartOrder};
@@ -146,8 +146,7 @@
     harness.send_heartbeat(5, 1);
     harness.run();
 
-    harness.send_heartbeat(1, 99);
-    harness.run();
+    harness.send_stray_heartbeat(harness.heartbeat(1, 99));
 
     assert_eq!(harness.last_report().incarnation, Incarnation(5));
 }
@@ -215,9 +214,7 @@
 
 fn reported_gone() -> Harness {
     let mut harness = Harness::fenced();
-    let leave = WorkerMessage::Leave("worker".into(), None);
-    harness.state.worker_message(harness.now, leave);
-    harness.run();
+    harness.leave(None);
     harness
 }
 
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -73,10 +73,7 @@
             self.reply_unknown(&vm, token);
             return;
         };
-        if !self.update_incarnation(now, &vm, &report) {
-            self.reply_unknown(&vm, token);
-            return;
-        }
+        self.update_incarnation(now, &vm, &report);
         let is_unresponsive = report.is_unresponsive;
         self.apply_crashes(now, unix_ms, &vm, &report.crashes);
         self.clear_doubts(&vm, report.incarnation);
@@ -96,7 +93,7 @@
         }
     }
 
-    /// Replies to a companion that knows no worker, or an old incarnation of it.
+    /// Replies to a companion that knows no worker.
     fn reply_unknown(&mut self, vm: &Name, token: Token) {
         let worker = self.workers.get(vm);
         let last_report = worker.and_then(|w| w.last_report.as_ref());
@@ -111,28 +108,25 @@
         self.effects.push(Effect::Sync(token, Box::new(reply)));
     }
 
-    /// Records the incarnation of the worker; returns false if a later one is known.
-    fn update_incarnation(&mut self, now: Instant, vm: &Name, report: &WorkerReport) -> bool {
+    /// Records the incarnation of the worker.
+    ///
+    /// The companion names the one that answers it. Its birth does not tell whether it is the later one,
+    /// since the worker's time of day may have been set back.
+    fn update_incarnation(&mut self, now: Instant, vm: &Name, report: &WorkerReport) {
         let Some(worker) = self.workers.get(vm) else {
-            return false;
+            return;
         };
         let known = worker
             .last_report
             .as_ref()
             .map(|l| (l.incarnation, l.id.clone()));
-        if known
-            .as_ref()
-            .is_some_and(|(incarnation, _)| report.incarnation < *incarnation)
-        {
-            return false;
-        }
         let is_new = known
             .is_none_or(|(incarnation, id)| incarnation != report.incarnation || id != report.id);
         if is_new {
             self.suspect_unreported_runs(now, vm, report);
         }
         let Some(worker) = self.workers.get_mut(vm) else {
-            return false;
+            return;
         };
         if is_new {
             info!(self.log, "owner: worker known";
@@ -179,7 +173,6 @@
             self.release_all(vm, "worker left");
             self.commits.mark_vm(vm);
         }
-        true
     }
 
     /// Stops the standing tasks on a draining worker, so that they restart elsewhere early.
--- /dev/null
+++ b/crates/jobs/tests/incarnations.rs
@@ -0,0 +1,57 @@
+//! Which incarnation of a worker the owner takes for the current one.
+
+mod harness;
+
+use base::prelude::*;
+use harness::{Harness, job, stage};
+use jobs::StageSpec;
+
+/// Guards against a worker that is ignored for good since the time of day was set back before its
+/// restart, so that it was born before its earlier incarnation.
+#[test]
+fn worker_with_an_earlier_birth_gets_its_tasks_back() {
+    for (id, birth) in [("one", 3), ("another", 3), ("another", 0)] {
+        let mut harness = Harness::new();
+        harness.add_vm("one", 16);
+        harness.vm("one").incarnation = 5;
+        harness.sync_all();
+        let standing = StageSpec {
+            standing: true,
+            ..stage(2, 1)
+        };
+        harness.submit("job", job(vec![standing]));
+        harness.sync_all();
+        let before = harness.running().len();
+
+        let vm = harness.vm("one");
+        vm.restart();
+        (vm.worker, vm.incarnation) = (WorkerId::from(id), birth);
+        harness.pass(Duration::from_secs(1), &["one"]);
+
+        assert_eq!(before, 2);
+        assert_eq!(harness.running().len(), 2, "{id} born at {birth}");
+    }
+}
+
+/// Guards against a late report of a companion process that has ended, which names an earlier
+/// incarnation: the current one keeps its runs.
+#[test]
+fn late_report_of_an_earlier_incarnation_costs_no_run() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 16);
+    harness.vm("one").incarnation = 5;
+    harness.sync_all();
+    harness.vm("one").boot = 2;
+    harness.sync_all();
+    harness.submit("job", job(vec![stage(2, 1)]));
+    harness.sync_all();
+
+    harness.vm("one").incarnation = 3;
+    harness.sync_late("one", 1, 99);
+    harness.vm("one").incarnation = 5;
+    harness.pass(Duration::from_secs(1), &["one"]);
+
+    let runs = harness.running();
+    assert_eq!(runs.len(), 2);
+    assert!(runs.iter().all(|(_, run)| run.attempt == Attempt(1)));
+}
