--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -3,6 +3,7 @@
 mod cordoning;
 mod lookups;
 mod ownership;
+mod stats;
 mod waiting;
 
 use base::prelude::*;
@@ -153,11 +154,13 @@
         // A resumption takes two calls of the store; its owner need not send the reports back.
         let is_waiting = self.elector.is_resuming();
         if let Some(owner) = self.owner.as_mut().filter(|_| !is_waiting) {
+            let began = self.clock.now();
             let effects = if may_lead {
                 owner.run(now, unix_ms(self.clock.wall()))
             } else {
                 owner.pause()
             };
+            self.record_run(began);
             self.export_stats();
             self.carry_out(cx, effects);
         }
@@ -176,26 +179,6 @@
         }
     }
 
-    /// Exports the owner's counters, timings and gauges.
-    fn export_stats(&mut self) {
-        let Some(owner) = self.owner.as_mut() else {
-            return;
-        };
-        let stats = owner.take_stats();
-        for (kind, outcome) in stats.events {
-            self.operation_metrics.count(kind, outcome);
-        }
-        for (kind, time) in stats.times {
-            self.operation_metrics.observe_duration(kind, time);
-        }
-        let (jobs, runs, workers) = owner.counts();
-        self.operation_metrics.set_level("active_jobs", jobs);
-        self.operation_metrics.set_level("runs", runs);
-        self.operation_metrics.set_level("workers", workers);
-        let cordoned = owner.cordoned_zones();
-        self.operation_metrics.set_level("cordoned_zones", cordoned);
-    }
-
     fn election_call(&mut self, now: Instant, call: StoreCall) {
         self.election_sent = Some((now, self.clock.boot_time()));
         self.ports.store(StoreToken::Election, call);
