--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -259,8 +259,13 @@
     /// Completes starts and stops whose outcome shows in a status made at `clock_ms` of the
     /// worker's clock; the absence of a run from a partial status shows nothing.
     pub(crate) fn reconcile(&mut self, status: &WorkerStatus, clock_ms: u64, is_partial: bool) {
-        let is_running = |run: &TaskRun| status.running.iter().any(|row| row.run == *run);
-        let has_finished = |run: &TaskRun| status.finished.iter().any(|row| row.run == *run);
+        if self.open.is_empty() && self.stops.is_empty() {
+            return;
+        }
+        let running: IndexSet<&TaskRun> = status.running.iter().map(|row| &row.run).collect();
+        let finished: IndexSet<&TaskRun> = status.finished.iter().map(|row| &row.run).collect();
+        let is_running = |run: &TaskRun| running.contains(run);
+        let has_finished = |run: &TaskRun| finished.contains(run);
         let mut never_started = Vec::new();
         let concluded = &mut self.concluded;
         let stops = &self.stops;
@@ -270,7 +275,7 @@
                 return false;
             }
             if let Progress::Accepted(at) = open.progress
-                && clock_ms > at + MAX_STATUS_LAG_MS
+                && clock_ms > at.saturating_add(MAX_STATUS_LAG_MS)
                 && !is_partial
                 && !stops.contains_key(run)
             {
@@ -284,7 +289,9 @@
         let stop_ms = self.stop_ms;
         self.stops.retain(|run, stop| {
             let may_be_stopping = match stop {
-                Stop::Done(at) => is_partial || is_running(run) || clock_ms <= *at + stop_ms,
+                Stop::Done(at) => {
+                    is_partial || is_running(run) || clock_ms <= at.saturating_add(stop_ms)
+                }
                 Stop::Due(_) | Stop::Sent => true,
             };
             if may_be_stopping && !has_finished(run) {
@@ -340,7 +347,7 @@
     /// their outcome shows. Those of an earlier one carry a lower fencing token, so they begin before
     /// the first status, made at `first_status_ms`.
     pub(crate) fn is_settled(&self, first_status_ms: u64, clock_ms: u64) -> bool {
-        clock_ms > first_status_ms + self.stop_ms
+        clock_ms > first_status_ms.saturating_add(self.stop_ms)
             && self.stops.is_empty()
             && !self.has_unconfirmed()
     }
--- a/crates/base/src/resources.rs
+++ b/crates/base/src/resources.rs
@@ -41,6 +41,14 @@
             && self.accelerators <= free.accelerators
     }
 
+    /// Returns how many times this amount fits into `free`; [`u64::MAX`] if it is nothing.
+    pub fn times_in(&self, free: &Self) -> u64 {
+        let times = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu_milli, free.cpu_milli)
+            .min(times(self.memory_mib, free.memory_mib))
+            .min(times(self.accelerators.into(), free.accelerators.into()))
+    }
+
     /// Subtracts `other`, saturating at zero in each resource.
     #[must_use]
     pub const fn saturating_sub(self, other: Self) -> Self {
@@ -57,9 +65,9 @@
 
     fn add(self, rhs: Self) -> Self {
         Self {
-            cpu_milli: self.cpu_milli + rhs.cpu_milli,
-            memory_mib: self.memory_mib + rhs.memory_mib,
-            accelerators: self.accelerators + rhs.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(rhs.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(rhs.memory_mib),
+            accelerators: self.accelerators.saturating_add(rhs.accelerators),
         }
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod relay;
 pub mod store;
 pub mod target;
+pub mod timing;
 pub mod worker;
--- a/crates/inherit/src/lib.rs
+++ b/crates/inherit/src/lib.rs
@@ -46,15 +46,17 @@
 
 /// Returns true if a stored record should be replaced: what it says has become wrong, or it holds back
 /// more than it must. A task whose wait costs little may stay on it.
-pub fn is_outdated<T: PartialEq>(
+pub fn is_outdated<T: Eq + Hash>(
     stored: Option<&Holding<T>>,
     wanted: Option<&Holding<T>>,
     is_dear: impl Fn(&T) -> bool,
 ) -> bool {
     match (stored, wanted) {
         (Some(Holding::Only(stored)), Some(Holding::Only(wanted))) => {
-            let has_left = |task: &&T| !wanted.contains(task);
-            !wanted.iter().all(|task| stored.contains(task))
+            let in_stored: IndexSet<&T> = stored.iter().collect();
+            let in_wanted: IndexSet<&T> = wanted.iter().collect();
+            let has_left = |task: &&T| !in_wanted.contains(task);
+            !wanted.iter().all(|task| in_stored.contains(task))
                 || stored.iter().filter(has_left).any(is_dear)
         }
         (stored, wanted) => stored != wanted,
--- a/crates/inherit/tests/waits.rs
+++ b/crates/inherit/tests/waits.rs
@@ -1,6 +1,7 @@
 //! What a record says of a worker, and whom a new owner waits for.
 
 use base::prelude::*;
+use fakes::timing::processor_time;
 use inherit::{Holding, Inherited, Knowledge, is_outdated, record_of};
 
 const DRAINED: Knowledge = Knowledge {
@@ -57,3 +58,18 @@
     assert!(!inherited.settle(&some));
     assert!(!inherited.holds_some());
 }
+
+/// Guards against a draining worker whose record of thousands of tasks is compared pair by pair with each
+/// report, which holds up all other reports.
+#[test]
+fn long_records_are_compared_in_little_time() {
+    let tasks: Vec<u32> = (0..10_000).collect();
+    let (stored, wanted) = (only(&tasks), only(&tasks));
+
+    let began = processor_time();
+    let is_changed = is_outdated(Some(&stored), Some(&wanted), |_| true);
+    let took = processor_time() - began;
+
+    assert!(!is_changed);
+    assert!(took < Duration::from_millis(100), "{took:?}");
+}
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,5 +1,9 @@
 //! The in-memory state of a job: its tasks, and which of them may start.
 
+mod counts;
+
+use std::collections::BTreeSet;
+
 use base::prelude::*;
 use blame::{Evidence, Verdict};
 use ports::store::Revision;
@@ -77,6 +81,10 @@
         !self.is_done && self.active_runs.is_empty()
     }
 
+    fn has_run_on(&self, vm: &Name) -> bool {
+        self.active_runs.iter().any(|(at, _)| at == vm)
+    }
+
     /// Returns true if the task must not start yet.
     pub(crate) fn is_held(&self, now: Instant) -> bool {
         self.held_until.is_some_and(|until| now < until)
@@ -99,8 +107,11 @@
     /// The position of its first task.
     pub(crate) first: usize,
     pub(crate) tasks: usize,
-    pub(crate) waiting: u32,
+    /// The positions of the tasks that wait.
+    pub(crate) waiting: BTreeSet<usize>,
     pub(crate) done: u32,
+    /// How many of its tasks have a run on a VM.
+    on_vm: IndexMap<Name, u32>,
 }
 
 impl StageInstance {
@@ -111,6 +122,16 @@
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks
     }
+
+    /// Returns how many of its tasks have a run on a VM.
+    pub(crate) fn tasks_on(&self, vm: &Name) -> u32 {
+        self.on_vm.get(vm).copied().unwrap_or(0)
+    }
+
+    /// Returns the VMs on which its tasks have runs.
+    pub(crate) fn vms(&self) -> impl Iterator<Item = &Name> {
+        self.on_vm.keys()
+    }
 }
 
 /// A job and the state of its tasks.
@@ -132,6 +153,18 @@
     /// Why it failed.
     pub(crate) cause: Option<Name>,
     pub(crate) stored: Stored,
+    /// The stage instances with waiting tasks.
+    open: BTreeSet<usize>,
+    /// How many stage instances are done.
+    done_instances: usize,
+    /// How many runs its tasks have.
+    runs: usize,
+    /// Whether there may be evidence against a task of it.
+    pub(crate) has_evidence: bool,
+    /// The estimated work of the tasks that are not done, in core-microseconds.
+    remaining_core_us: u128,
+    /// The stage instance from which the next round continues if it can't take all.
+    next_instance: usize,
     /// The remaining critical path from the start of each stage, in milliseconds.
     remaining_paths_ms: Vec<u64>,
 }
@@ -149,6 +182,8 @@
     pub(crate) stored_version: u64,
     /// Whether a write is in flight.
     pub(crate) in_flight: bool,
+    /// The progress of a job that goes on is not written again before this time.
+    pub(crate) next_write: Option<Instant>,
 }
 
 impl Job {
@@ -163,13 +198,14 @@
                     stage,
                     first,
                     tasks: spec.tasks as usize,
-                    waiting: spec.tasks,
+                    waiting: BTreeSet::new(),
                     done: 0,
+                    on_vm: IndexMap::new(),
                 });
                 first += spec.tasks as usize;
             }
         }
-        Self {
+        let mut job = Self {
             id,
             remaining_paths_ms: remaining_paths_ms(&record.spec.stages),
             record,
@@ -182,7 +218,15 @@
             ended_unix_ms: None,
             cause: None,
             stored: Stored::default(),
-        }
+            open: BTreeSet::new(),
+            done_instances: 0,
+            runs: 0,
+            has_evidence: false,
+            remaining_core_us: 0,
+            next_instance: 0,
+        };
+        job.recount();
+        job
     }
 
     /// Restores the job's stored progress.
@@ -194,6 +238,7 @@
         for (position, evidence) in progress.faults.evidence {
             if let Some(task) = self.tasks.get_mut(position as usize) {
                 task.evidence = evidence;
+                self.has_evidence = true;
             }
         }
         for (position, stored) in progress.tasks {
@@ -203,11 +248,7 @@
                 task.checkpoint = stored.checkpoint;
             }
         }
-        for instance in &mut self.instances {
-            let tasks = &self.tasks[instance.range()];
-            instance.done = count_tasks(tasks, |t| t.is_done);
-            instance.waiting = count_tasks(tasks, Task::is_waiting);
-        }
+        self.recount();
     }
 
     /// Returns the job's progress as a record for the store.
@@ -242,6 +283,12 @@
         self.stored.version += 1;
     }
 
+    /// Returns until when the next write of the progress waits; that of an ended job does not.
+    pub(crate) fn write_waits_until(&self, now: Instant) -> Option<Instant> {
+        let next = self.stored.next_write.filter(|at| *at > now);
+        next.filter(|_| !self.state.has_ended())
+    }
+
     pub(crate) fn is_stored(&self) -> bool {
         self.stored.record.is_some() && self.stored.stored_version == self.stored.version
     }
@@ -284,28 +331,14 @@
         }
     }
 
-    /// Changes a task and updates the counts of its stage instance.
-    pub(crate) fn update(
-        &mut self,
-        instance: usize,
-        position: usize,
-        change: impl FnOnce(&mut Task),
-    ) {
-        let task = &mut self.tasks[position];
-        let instance = &mut self.instances[instance];
-        let before = (task.is_waiting(), task.is_done);
-        change(task);
-        instance.waiting -= u32::from(before.0);
-        instance.waiting += u32::from(task.is_waiting());
-        instance.done -= u32::from(before.1);
-        instance.done += u32::from(task.is_done);
-    }
-
     /// Returns the scheduled start of an occurrence, in milliseconds since the Unix epoch, if the
     /// job has a schedule.
     fn scheduled_unix_ms(&self, instance: &StageInstance) -> Option<u64> {
         let schedule = self.record.spec.schedule.as_ref()?;
-        Some(schedule.first_unix_ms + u64::from(instance.occurrence) * schedule.interval_ms)
+        let passed = schedule
+            .interval_ms
+            .saturating_mul(u64::from(instance.occurrence));
+        Some(schedule.first_unix_ms.saturating_add(passed))
     }
 
     /// Returns the time from which the objective of an occurrence counts, in milliseconds since the
@@ -329,17 +362,22 @@
 
     /// Updates since when the job could run but has no run; returns true if it has none.
     pub(crate) fn update_idle(&mut self, now: Instant) -> bool {
-        if self.tasks.iter().all(|t| t.active_runs.is_empty()) {
-            self.idle_since.get_or_insert(now);
-        } else {
+        if self.has_runs() {
             self.idle_since = None;
+        } else {
+            self.idle_since.get_or_insert(now);
         }
         self.idle_since.is_some()
     }
 
+    /// Returns true if any of its tasks has a run.
+    pub(crate) fn has_runs(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Returns true if all tasks are done.
     pub(crate) fn is_all_done(&self) -> bool {
-        self.instances.iter().all(StageInstance::is_done)
+        self.done_instances == self.instances.len()
     }
 
     /// Returns the remaining critical path from a stage instance on, in milliseconds.
@@ -354,12 +392,7 @@
 
     /// Returns the estimated work of the tasks that are not done, in core-milliseconds.
     pub(crate) fn remaining_work(&self) -> u64 {
-        let work = |instance: &StageInstance| {
-            let stage = self.stage(instance);
-            let left = instance.tasks as u64 - u64::from(instance.done);
-            left * stage.estimate_ms * stage.resources.cpu_milli / 1000
-        };
-        self.instances.iter().map(work).sum()
+        u64::try_from(self.remaining_core_us / 1000).unwrap_or(u64::MAX)
     }
 }
 
@@ -367,7 +400,7 @@
 fn remaining_paths_ms(stages: &[StageSpec]) -> Vec<u64> {
     let mut path = vec![0_u64; stages.len()];
     for (at, stage) in stages.iter().enumerate().rev() {
-        path[at] += stage.estimate_ms;
+        path[at] = path[at].saturating_add(stage.estimate_ms);
         for before in &stage.after {
             let before = *before as usize;
             path[before] = path[before].max(path[at]);
@@ -375,7 +408,3 @@
     }
     path
 }
-
-fn count_tasks(tasks: &[Task], predicate: impl Fn(&Task) -> bool) -> u32 {
-    u32::try_from(tasks.iter().filter(|t| predicate(t)).count()).unwrap_or(u32::MAX)
-}
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -17,6 +17,7 @@
 mod gang;
 mod health;
 mod look_ahead;
+mod orders;
 mod owner_record;
 mod placement;
 mod processes;
@@ -29,6 +30,7 @@
 mod sync;
 mod takeover;
 mod throttle;
+mod totals;
 mod trials;
 mod worker;
 
@@ -47,6 +49,7 @@
 use self::commit::Commits;
 use self::look_ahead::LookAhead;
 use self::ranking::Throughput;
+use self::totals::StageKey;
 use self::worker::Worker;
 use crate::report::SyncReply;
 use crate::{Job, JobReply, JobState, TaskId};
@@ -138,6 +141,8 @@
     repeat_round: Option<Instant>,
     /// The earliest time of the next placement round.
     next_round: Option<Instant>,
+    /// The stages that rounds have placed since the last one that reached all.
+    placed_stages: IndexSet<StageKey>,
     /// When runs were last checked for stalls.
     last_stall_check: Option<Instant>,
     /// Whether there may be evidence against a task of which it is not known whether the worker crashed.
@@ -175,6 +180,7 @@
             is_round_due: true,
             repeat_round: None,
             next_round: None,
+            placed_stages: IndexSet::new(),
             last_stall_check: None,
             // A previous owner may have left some.
             has_doubts: true,
@@ -286,8 +292,9 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        for active_run in job.tasks.iter().flat_map(|t| &t.active_runs) {
-            if let Some(worker) = self.workers.get_mut(&active_run.0) {
+        let vms: IndexSet<&Name> = job.instances.iter().flat_map(|i| i.vms()).collect();
+        for vm in vms {
+            if let Some(worker) = self.workers.get_mut(vm) {
                 worker.stop_job(id);
             }
         }
@@ -298,10 +305,7 @@
         if let Some(job) = self.jobs.get_mut(&run.task.job)
             && let Some((instance, position)) = job.find(&run.task)
         {
-            job.update(instance, position, |task| {
-                task.active_runs
-                    .retain(|(at, attempt)| at != vm || *attempt != run.attempt);
-            });
+            job.remove_run(instance, position, vm, run.attempt);
         }
         self.is_round_due = true;
     }
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -64,10 +64,7 @@
         run.phase = Phase::Stopping { sent: None };
         run.was_listed = true;
         worker.insert(row.run.clone(), run);
-        job.update(instance, position, |task| {
-            task.active_runs.push((Arc::clone(vm), row.run.attempt));
-            task.last_attempt = task.last_attempt.max(row.run.attempt);
-        });
+        job.add_run(instance, position, vm, row.run.attempt);
     }
 
     /// Applies the progress of a run in a status made at `clock_ms` of the worker's clock; returns false
@@ -84,8 +81,8 @@
         if let Some(trial) = &mut run.trial {
             trial.listed.get_or_insert((now, clock_ms));
         }
-        if matches!(run.phase, Phase::Ordered { .. }) {
-            run.phase = Phase::Running;
+        let has_started = matches!(run.phase, Phase::Ordered { .. });
+        if has_started {
             run.last_progress = now;
             run.measured_since = is_whole.then_some(now);
             let order_time = now.duration_since(run.since);
@@ -98,6 +95,10 @@
             run.last_progress = now;
         }
         run.gauge = row.gauge;
+        if has_started {
+            self.is_round_due |= worker.waits_for_starts();
+            worker.set_phase(&row.run, Phase::Running);
+        }
         if let Some(job) = self.jobs.get_mut(&row.run.task.job)
             && let Some((instance, position)) = job.find(&row.run.task)
         {
@@ -138,13 +139,12 @@
         // The previous owner may have throttled it, so the speed is sent in any case.
         run.speed_sent = run.is_best_effort.then_some((SPEED_UNKNOWN, now));
         job.state = JobState::Running;
-        job.update(instance, position, |task| {
-            task.active_runs.push((Arc::clone(vm), row.run.attempt));
-            task.last_attempt = task.last_attempt.max(row.run.attempt);
-            if row.checkpoint.is_some() {
-                task.checkpoint = row.checkpoint.clone();
-            }
-        });
+        job.add_run(instance, position, vm, row.run.attempt);
+        if row.checkpoint.is_some() {
+            job.update(instance, position, |task| {
+                task.checkpoint = row.checkpoint.clone()
+            });
+        }
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.insert(row.run.clone(), run);
         }
@@ -186,13 +186,14 @@
         worker.is_unused = false;
         worker.processes.record_adoption();
         worker.inherited_until = None;
-        let is_reported = |id: &TaskRun| status.running.iter().any(|r| r.run == *id);
+        let running = status.running.iter().map(|r| &r.run);
+        let reported: IndexSet<&TaskRun> = running.chain(open).collect();
         // Starts sent under an earlier fencing token can't take effect any more, whether or not
         // their outcome is known.
         let lost: Vec<TaskRun> = worker
             .runs
             .keys()
-            .filter(|id| !is_reported(id) && !open.contains(id))
+            .filter(|id| !reported.contains(id))
             .cloned()
             .collect();
         info!(self.log, "owner: worker adopted";
@@ -208,19 +209,37 @@
         self.is_round_due = true;
     }
 
-    /// Handles a start that will never take effect, unless the worker's lists show otherwise;
+    /// Handles starts that will never take effect, unless the worker's lists show otherwise;
     /// `status` is the latest.
-    pub(super) fn apply_rejection(
+    pub(super) fn apply_rejections(
+        &mut self,
+        now: Instant,
+        vm: &Name,
+        rejected: &[Rejected],
+        status: Option<&WorkerStatus>,
+    ) {
+        if rejected.is_empty() {
+            return;
+        }
+        let running = status.into_iter().flat_map(|s| &s.running);
+        let listed: IndexSet<&TaskRun> = running.map(|r| &r.run).collect();
+        for rejected in rejected {
+            let is_listed = listed.contains(&rejected.run);
+            self.apply_rejection(now, vm, rejected, is_listed, status);
+        }
+    }
+
+    fn apply_rejection(
         &mut self,
         now: Instant,
         vm: &Name,
         rejected: &Rejected,
+        is_listed: bool,
         status: Option<&WorkerStatus>,
     ) {
         let Some(worker) = self.workers.get_mut(vm) else {
             return;
         };
-        let is_listed = status.is_some_and(|s| s.running.iter().any(|r| r.run == rejected.run));
         let is_settled = status.is_some_and(|s| s.is_settled);
         let was_listed = worker.runs.get(&rejected.run).is_some_and(|r| r.was_listed);
         // The companion concludes these two from the lists, others from the reply to one of several
@@ -265,6 +284,7 @@
 /// Creates a newly ordered run of a task of `stage`.
 pub(super) fn new_run(stage: &StageSpec, now: Instant) -> Run {
     Run {
+        number: 0,
         phase: Phase::Ordered {
             sent: None,
             is_acknowledged: false,
--- a/crates/jobs/src/owner/advice.rs
+++ b/crates/jobs/src/owner/advice.rs
@@ -163,7 +163,12 @@
             return;
         };
         let instance = &job.instances[at];
-        let Some(terms) = job.record.terms.advice.filter(|_| instance.waiting > 0) else {
+        let Some(terms) = job
+            .record
+            .terms
+            .advice
+            .filter(|_| !instance.waiting.is_empty())
+        else {
             return;
         };
         let (stage_id, stage) = (StageId::of(job, instance), job.stage(instance));
@@ -214,7 +219,7 @@
                 warn!(self.log, "owner: advisor failed"; "job" => %stage.job, "error" => %e);
                 let retry = now + RETRY_AFTER;
                 self.advice.not_before = Some(retry);
-                self.repeat_round = Some(self.repeat_round.map_or(retry, |at| at.min(retry)));
+                self.repeat_soon(retry);
                 return;
             }
         };
--- a/crates/jobs/src/owner/capacity.rs
+++ b/crates/jobs/src/owner/capacity.rs
@@ -4,7 +4,7 @@
 use slog::info;
 
 use super::Owner;
-use super::worker::Phase;
+use super::worker::{Phase, Run};
 use crate::TaskRun;
 
 impl Owner {
@@ -20,10 +20,12 @@
         };
         self.stats.events.push(("capacity", kind));
         self.is_round_due = true;
-        for run in self.starts_over_capacity(vm, after) {
+        let starts = self.starts_over_capacity(vm, after).into_iter();
+        let starts: Vec<_> = starts.map(|run| (Arc::clone(vm), run)).collect();
+        for (vm, run) in &starts {
             info!(self.log, "owner: start withdrawn"; "run" => %run, "vm" => %vm);
-            self.withdraw(vm, &run);
         }
+        self.withdraw(&starts);
     }
 
     /// Returns the starts in flight that have to be withdrawn for the rest to fit.
@@ -31,43 +33,56 @@
         let Some(worker) = self.workers.get(vm) else {
             return Vec::new();
         };
-        let mut used = Resources::ZERO;
-        for run in worker.runs.values() {
-            used += run.charged;
-        }
+        let mut used = worker.totals().used;
+        let is_start = |run: &Run| matches!(run.phase, Phase::Ordered { .. });
+        let starts = worker.runs.iter().filter(|(_, run)| is_start(run));
+        let mut starts: Vec<_> = starts
+            .filter(|(_, run)| run.charged != Resources::ZERO)
+            .collect();
+        starts.sort_by_key(|(_, run)| std::cmp::Reverse(run.number));
         let mut withdrawn = Vec::new();
-        for (id, run) in worker.runs.iter().rev() {
+        for (id, run) in starts {
             if used.fits(&capacity) {
                 break;
             }
-            if matches!(run.phase, Phase::Ordered { .. }) && run.charged != Resources::ZERO {
-                used = used.saturating_sub(run.charged);
-                withdrawn.push(id.clone());
-            }
+            used = used.saturating_sub(run.charged);
+            withdrawn.push(id.clone());
         }
         withdrawn
     }
 
-    /// Stops a start in flight; the members of a gang do not work without it, so they are stopped too.
-    pub(super) fn withdraw(&mut self, vm: &Name, run: &TaskRun) {
-        let mut runs = vec![(Arc::clone(vm), run.clone())];
-        if let Some(job) = self.jobs.get(&run.task.job)
-            && let Some((instance, _)) = job.find(&run.task)
-            && job.stage(&job.instances[instance]).gang
-        {
-            let instance = &job.instances[instance];
-            for position in instance.range() {
-                let task = job.task_id(instance, position);
-                let active_runs = job.tasks[position].active_runs.iter();
-                runs.extend(active_runs.map(|(vm, attempt)| {
-                    let (task, attempt) = (task.clone(), *attempt);
-                    (Arc::clone(vm), TaskRun { task, attempt })
-                }));
+    /// Stops starts in flight; the members of a gang do not work without each other, so the others are
+    /// stopped too.
+    pub(super) fn withdraw(&mut self, starts: &[(Name, TaskRun)]) {
+        let mut gangs: IndexSet<(JobId, usize)> = IndexSet::new();
+        for (vm, run) in starts {
+            if let Some(worker) = self.workers.get_mut(vm) {
+                worker.stop_run(run);
             }
+            if let Some(job) = self.jobs.get(&run.task.job)
+                && let Some((instance, _)) = job.find(&run.task)
+                && job.stage(&job.instances[instance]).gang
+            {
+                gangs.insert((job.id.clone(), instance));
+            }
+        }
+        for (job, instance) in gangs {
+            self.stop_gang(&job, instance);
         }
-        for (vm, run) in runs {
-            if let Some(worker) = self.workers.get_mut(&vm) {
-                worker.stop_run(&run);
+    }
+
+    fn stop_gang(&mut self, id: &JobId, instance: usize) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let instance = &job.instances[instance];
+        for position in instance.range() {
+            let task = job.task_id(instance, position);
+            for (vm, attempt) in &job.tasks[position].active_runs {
+                let (task, attempt) = (task.clone(), *attempt);
+                if let Some(worker) = self.workers.get_mut(vm) {
+                    worker.stop_run(&TaskRun { task, attempt });
+                }
             }
         }
     }
--- a/crates/jobs/src/owner/colocation.rs
+++ b/crates/jobs/src/owner/colocation.rs
@@ -156,7 +156,7 @@
         worker: &Worker,
         stage: &StageSpec,
     ) -> Option<f64> {
-        if worker.latency_critical() == 0 {
+        if worker.totals().latency_critical == 0 {
             return Some(0.0);
         }
         if worker.throttle_level > 0 {
--- a/crates/jobs/src/owner/commit.rs
+++ b/crates/jobs/src/owner/commit.rs
@@ -92,6 +92,8 @@
     last_response: Option<Instant>,
     /// No new transaction is sent before this time.
     retry_after: Option<Instant>,
+    /// When the first of the writes is due that wait since the job was written shortly before.
+    next_write: Option<Instant>,
 }
 
 impl Commits {
@@ -114,7 +116,11 @@
     pub(super) fn next_due(&self) -> Option<Instant> {
         let retries = self.batches.values().filter_map(|b| b.retry_at);
         let rejected = self.retry_after.filter(|_| !self.dirty.is_empty());
-        retries.chain(rejected).min()
+        retries.chain(rejected).chain(self.next_write).min()
+    }
+
+    fn wait_until(&mut self, at: Instant) {
+        self.next_write = Some(self.next_write.map_or(at, |due| due.min(at)));
     }
 
     /// Returns true if the store has failed for long enough to count as unavailable.
@@ -176,8 +182,9 @@
             return;
         }
         self.commits.retry_after = None;
+        self.commits.next_write = None;
         while self.commits.batches.len() < MAX_IN_FLIGHT {
-            let changes = self.collect_changes();
+            let changes = self.collect_changes(now);
             if changes.is_empty() {
                 return;
             }
@@ -212,7 +219,7 @@
         }
     }
 
-    fn collect_changes(&mut self) -> Vec<Change> {
+    fn collect_changes(&mut self, now: Instant) -> Vec<Change> {
         let waiting: Vec<Dirty> = self.commits.dirty.iter().cloned().collect();
         let mut changes = Vec::new();
         let mut rows = 0;
@@ -224,13 +231,13 @@
                 self.commits.dirty.shift_remove(&dirty);
                 continue;
             }
-            match self.change(&dirty) {
+            match self.change(now, &dirty) {
                 Ok(Some(change)) => {
                     self.commits.dirty.shift_remove(&dirty);
                     rows += change.rows();
                     changes.push(change);
                 }
-                // A write of the key is in flight, so it stays dirty.
+                // Its write has to wait, so it stays dirty.
                 Ok(None) => {}
                 Err(e) => {
                     error!(self.log, "owner: record not stored"; "error" => %e);
--- a/crates/jobs/src/owner/commit/changes.rs
+++ b/crates/jobs/src/owner/commit/changes.rs
@@ -10,12 +10,16 @@
 use crate::owner::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
 use crate::progress::encode;
 
+/// The shortest time between two writes of a job's progress, for each of its bytes: a wide job's ends
+/// would else keep the owner busy with writing all of them again and again.
+const WRITE_INTERVAL: Duration = Duration::from_micros(1);
+
 impl Owner {
-    /// Returns the change for a dirty key, or `None` while a write of that key is in flight.
-    pub(super) fn change(&mut self, dirty: &Dirty) -> Result<Option<Change>> {
+    /// Returns the change for a dirty key, or `None` while its write has to wait.
+    pub(super) fn change(&mut self, now: Instant, dirty: &Dirty) -> Result<Option<Change>> {
         match dirty {
             Dirty::Record(id) => self.record_change(dirty, id),
-            Dirty::Progress(id) => self.progress_change(dirty, id),
+            Dirty::Progress(id) => self.progress_change(now, dirty, id),
             Dirty::Vm(vm) => self.vm_change(dirty, vm),
             Dirty::Forget(id) => Ok(self.forget_change(dirty, id)),
         }
@@ -31,18 +35,29 @@
         Ok(Some(Change::new(dirty, key, Expect::Absent, value)))
     }
 
-    fn progress_change(&mut self, dirty: &Dirty, id: &JobId) -> Result<Option<Change>> {
+    fn progress_change(
+        &mut self,
+        now: Instant,
+        dirty: &Dirty,
+        id: &JobId,
+    ) -> Result<Option<Change>> {
         let is_free = |j: &&mut crate::Job| !j.stored.in_flight && j.stored.record.is_some();
         let Some(job) = self.jobs.get_mut(id).filter(is_free) else {
             return Ok(None);
         };
+        if let Some(at) = job.write_waits_until(now) {
+            self.commits.wait_until(at);
+            return Ok(None);
+        }
         job.stored.in_flight = true;
         let key = format!("{PROGRESS_PREFIX}{id}");
         let expect = expect_revision(job.stored.progress);
-        let value = Some(encode(&job.progress())?);
+        let value = encode(&job.progress())?;
+        let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
+        job.stored.next_write = Some(now + WRITE_INTERVAL * bytes);
         Ok(Some(Change {
             version: job.stored.version,
-            ..Change::new(dirty, key, expect, value)
+            ..Change::new(dirty, key, expect, Some(value))
         }))
     }
 
--- a/crates/jobs/src/owner/cordons.rs
+++ b/crates/jobs/src/owner/cordons.rs
@@ -117,9 +117,7 @@
                 ordered.map(|(id, _)| (Arc::clone(vm), id.clone()))
             })
             .collect();
-        for (vm, run) in &starts {
-            self.withdraw(vm, run);
-        }
+        self.withdraw(&starts);
         starts.len()
     }
 
--- a/crates/jobs/src/owner/crashes.rs
+++ b/crates/jobs/src/owner/crashes.rs
@@ -174,6 +174,8 @@
         let vm = Arc::clone(&evidence.vm);
         self.has_doubts |= !evidence.is_certain;
         task.evidence.push(evidence);
+        job.has_evidence = true;
+        let task = &mut job.tasks[position];
         if task.verdict() != Verdict::Clear && !task.avoid.contains(&vm) {
             task.avoid.push(vm);
         }
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -13,7 +13,7 @@
             return;
         };
         let instance = &job.instances[at];
-        if instance.waiting as usize != instance.tasks {
+        if instance.waiting.len() != instance.tasks {
             // Some members of the previous run have not ended yet.
             return;
         }
@@ -90,14 +90,11 @@
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut members = Vec::new();
-        for _ in instance.range() {
-            let candidate = candidates
-                .iter_mut()
-                .find(|(_, _, free, left)| demand.fits(free) && *left > 0)?;
-            candidate.2 = candidate.2.saturating_sub(demand);
-            candidate.3 -= 1;
-            members.push(Arc::clone(candidate.1));
+        for (_, vm, free, most) in candidates {
+            let left = (instance.tasks - members.len()) as u64;
+            let here = demand.times_in(&free).min(u64::from(most)).min(left);
+            members.extend((0..here).map(|_| Arc::clone(vm)));
         }
-        Some(members)
+        (members.len() == instance.tasks).then_some(members)
     }
 }
--- a/crates/jobs/src/owner/look_ahead.rs
+++ b/crates/jobs/src/owner/look_ahead.rs
@@ -3,11 +3,13 @@
 //! A charged task that fits nowhere, and is larger than what usually ends, gets a reservation where
 //! room will be free first. Tasks that come after it use that room only as [`lookahead`] admits.
 
+use std::cell::RefCell;
+
 use base::prelude::*;
 use lookahead::{Release, Reservations, Room};
 
 use super::Owner;
-use super::placement::takes;
+use super::placement::{is_eligible, takes};
 use super::ranking::Urgency;
 use super::run_times::stage_key;
 use super::worker::{Phase, Run, Worker};
@@ -37,6 +39,8 @@
     pub(super) placing: Option<Urgency>,
     /// How the pools are used, worked out at most once a round.
     uses: IndexMap<PoolName, PoolUse>,
+    /// The room of workers with the version of their runs, worked out at most once a version and round.
+    rooms: RefCell<IndexMap<Name, (u64, Arc<Room>)>>,
 }
 
 /// How a pool is used.
@@ -52,7 +56,7 @@
 impl PoolUse {
     /// Returns true if a task is large beside those of the pool that end.
     fn makes_large(&self, need: &Resources) -> bool {
-        need.cpu_milli * self.ending >= LARGE * self.ending_milli && self.ending > 0
+        need.cpu_milli.saturating_mul(self.ending) >= LARGE * self.ending_milli && self.ending > 0
     }
 }
 
@@ -61,6 +65,7 @@
     pub(super) fn look_ahead(&mut self, now: Instant) {
         let mut look_ahead = std::mem::take(&mut self.look_ahead);
         look_ahead.uses.clear();
+        look_ahead.rooms.get_mut().clear();
         look_ahead.reservations.retain(now, |vm, reservation| {
             self.workers.get(vm).is_some_and(|w| w.takes_tasks(now))
                 && self.waits(&reservation.task)
@@ -98,11 +103,9 @@
             has_room_to_spare: self.has_room_to_spare(now, pool),
             ..PoolUse::default()
         };
-        let workers = self.workers.values().filter(|w| w.is_in(pool));
-        let runs = workers.flat_map(|w| w.runs.values());
-        for run in runs.filter(|r| !r.is_standing && r.charged.cpu_milli > 0) {
-            pool_use.ending_milli += run.charged.cpu_milli;
-            pool_use.ending += 1;
+        for worker in self.workers.values().filter(|w| w.is_in(pool)) {
+            pool_use.ending_milli += worker.totals().ending_milli;
+            pool_use.ending += u64::from(worker.totals().ending);
         }
         self.look_ahead.uses.insert(pool.clone(), pool_use);
         pool_use
@@ -126,7 +129,7 @@
         let spec = &job.record.spec.stages[stage as usize];
         let declared = Duration::from_millis(spec.estimate_ms);
         let prediction = self.run_times.predict(&stage_key(job, stage), declared);
-        let room = self.room(now, worker);
+        let room = self.room(now, vm, worker);
         reservation.admits(urgency, spec.charged(), now + prediction.likely_max, &room)
     }
 
@@ -152,18 +155,26 @@
         };
         let instance = &job.instances[at];
         let stage = job.stage(instance);
+        let key = (job.id.clone(), instance.stage);
+        let waits_for_starts = |(vm, worker): (&Name, &Worker)| {
+            !worker.takes_start(&key) && is_eligible(now, job, instance, stage, vm, worker)
+        };
+        if self.workers.iter().any(waits_for_starts) {
+            return;
+        }
         let mut starts = Vec::new();
         for (vm, worker) in &self.workers {
             if takes(now, job, instance, stage, vm, worker)
                 && need.fits(&worker.capacity())
-                && let Some(at) = self.room(now, worker).earliest(now, &need)
+                && let Some(at) = self.room(now, vm, worker).earliest(now, &need)
             {
                 starts.push((Arc::clone(vm), at));
             }
         }
-        let waiting = instance.range().filter(|p| job.tasks[*p].is_waiting());
-        let tasks: Vec<TaskId> = waiting
-            .map(|position| job.task_id(instance, position))
+        let tasks: Vec<TaskId> = instance
+            .waiting
+            .iter()
+            .map(|position| job.task_id(instance, *position))
             .take(MAX_PER_STAGE)
             .collect();
         for task in tasks {
@@ -174,7 +185,19 @@
     }
 
     /// Returns what a worker has free now and soon.
-    fn room(&self, now: Instant, worker: &Worker) -> Room {
+    fn room(&self, now: Instant, vm: &Name, worker: &Worker) -> Arc<Room> {
+        let mut rooms = self.look_ahead.rooms.borrow_mut();
+        if let Some((version, room)) = rooms.get(vm)
+            && *version == worker.version
+        {
+            return Arc::clone(room);
+        }
+        let room = Arc::new(self.compute_room(now, worker));
+        rooms.insert(Arc::clone(vm), (worker.version, Arc::clone(&room)));
+        room
+    }
+
+    fn compute_room(&self, now: Instant, worker: &Worker) -> Room {
         let releases = worker
             .runs
             .iter()
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -6,6 +6,7 @@
 
 use super::Owner;
 use super::adopt::new_run;
+use super::totals::StageKey;
 use super::trials::trial_of;
 use super::worker::Worker;
 use crate::job::StageInstance;
@@ -32,6 +33,13 @@
 /// The maximum delay between rounds.
 const MAX_ROUND_GAP: Duration = Duration::from_millis(30);
 
+/// How many tasks of a stage a round tries to place, so that a wide stage does not hold up others.
+const MAX_TASKS_PER_STAGE: usize = 64;
+
+/// How many workers a round may look at, over all tasks, before what it has not reached goes on to the
+/// next one: a round must not hold up leases and answers.
+const MAX_LOOKS: usize = 200_000;
+
 /// How long a best-effort job may have no run before one is placed despite interference: half of
 /// the three seconds after which a job that could be placed counts as forgotten.
 const FORCED_AFTER: Duration = Duration::from_millis(1500);
@@ -83,25 +91,41 @@
         self.next_round = Some(
             now + (ROUND_GAP * candidate_count.saturating_sub(UNDELAYED_STAGES)).min(MAX_ROUND_GAP),
         );
+        let mut budget = Budget::default();
         for (urgency, id, instance) in candidates {
+            if budget.looks >= MAX_LOOKS {
+                self.stats.events.push(("round", "cut"));
+                self.look_ahead.placing = None;
+                self.repeat_soon(now);
+                return;
+            }
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let stage = (id.clone(), job.instances[instance].stage);
+            let is_gang = job.stage(&job.instances[instance]).gang;
             self.look_ahead.placing = Some(urgency);
-            let is_gang = self
-                .jobs
-                .get(&id)
-                .is_some_and(|j| j.stage(&j.instances[instance]).gang);
             if is_gang {
+                budget.looks += self.workers.len();
                 self.place_gang(now, &id, instance);
             } else {
-                self.place_stage(now, &id, instance);
+                self.place_stage(now, &id, instance, &mut budget);
             }
+            self.placed_stages.insert(stage);
             self.request_advice(now, &id, instance);
             if self.jobs.get_mut(&id).is_some_and(|j| j.update_idle(now)) {
-                self.repeat_round = Some(now + REPEAT_AFTER);
+                self.repeat_soon(now + REPEAT_AFTER);
             }
         }
+        self.placed_stages.clear();
         self.look_ahead.placing = None;
     }
 
+    /// Makes a placement round due at a time, even without a change.
+    pub(super) fn repeat_soon(&mut self, at: Instant) {
+        self.repeat_round = Some(self.repeat_round.map_or(at, |due| due.min(at)));
+    }
+
     fn has_schedules(&self) -> bool {
         self.active.iter().any(|id| {
             self.jobs
@@ -110,26 +134,32 @@
         })
     }
 
-    /// Places as many tasks of a stage instance as fit.
-    fn place_stage(&mut self, now: Instant, id: &JobId, at: usize) {
-        let Some(range) = self.jobs.get(id).map(|j| j.instances[at].range()) else {
+    /// Places as many tasks of a stage instance as fit, and as the budget allows.
+    fn place_stage(&mut self, now: Instant, id: &JobId, at: usize, budget: &mut Budget) {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
+        let stage = (id.clone(), job.instances[at].stage);
         // Tasks that no crash speaks against go first.
-        for is_suspect in [false, true] {
-            for position in range.clone() {
+        let passes: &[bool] = if job.has_evidence {
+            &[false, true]
+        } else {
+            &[false]
+        };
+        for is_suspect in passes.iter().copied() {
+            let mut next = 0;
+            while let Some(position) = self.next_waiting(now, id, at, next, is_suspect) {
+                next = position + 1;
+                if !budget.take(&stage, self.workers.len()) {
+                    if !is_suspect {
+                        // What is left has its turn once other events have been handled.
+                        self.repeat_soon(now);
+                    }
+                    return;
+                }
                 let Some(job) = self.jobs.get(id) else {
                     return;
                 };
-                let task = &job.tasks[position];
-                let is_suspected = task.verdict() != Verdict::Clear;
-                if !task.is_waiting()
-                    || is_suspected != is_suspect
-                    || task.is_held(now)
-                    || self.is_awaited(job, &job.instances[at], position)
-                {
-                    continue;
-                }
                 let Some(vm) = self.choose_worker(now, job, &job.instances[at], position) else {
                     self.reserve(now, id, at);
                     break;
@@ -143,6 +173,28 @@
         }
     }
 
+    /// Returns the position of the next waiting task of a stage instance that may start now, from
+    /// `position` on, among those that are suspected of crashes or among the others.
+    fn next_waiting(
+        &self,
+        now: Instant,
+        id: &JobId,
+        at: usize,
+        position: usize,
+        is_suspect: bool,
+    ) -> Option<usize> {
+        let job = self.jobs.get(id)?;
+        let instance = &job.instances[at];
+        let may_start = |position: &&usize| {
+            let task = &job.tasks[**position];
+            (task.verdict() != Verdict::Clear) == is_suspect
+                && !task.is_held(now)
+                && !self.is_awaited(job, instance, **position)
+        };
+        let mut waiting = instance.waiting.range(position..);
+        waiting.find(may_start).copied()
+    }
+
     /// Returns the attempt number of a task's next run, higher than any that a previous owner may
     /// have used.
     pub(super) fn next_attempt(&self, task: &crate::Task) -> Attempt {
@@ -173,10 +225,7 @@
         run.ticket = ticket;
         run.trial = trial_of(job, at, position);
         run.resumes = job.tasks[position].checkpoint.is_some();
-        job.update(at, position, |task| {
-            task.active_runs.push((Arc::clone(vm), attempt));
-            task.last_attempt = attempt;
-        });
+        job.add_run(at, position, vm, attempt);
         let run_id = TaskRun { task, attempt };
         info!(self.log, "owner: run ordered"; "run" => %run_id, "vm" => %vm,
             "load" => worker.load_with(0), "failures" => job.tasks[position].failed.len(),
@@ -201,9 +250,11 @@
         if !self.admits_trial(now, &job.record.terms.pool, verdict) {
             return None;
         }
+        let key = (job.id.clone(), instance.stage);
         let mut best: Option<(f64, &Name)> = None;
         for (vm, worker) in &self.workers {
-            if !is_eligible(now, job, instance, stage, vm, worker)
+            if !worker.takes_start(&key)
+                || !is_eligible(now, job, instance, stage, vm, worker)
                 || !self.is_allowed(now, job, instance, vm)
                 || !self.is_unreserved(now, job, instance.stage, vm)
             {
@@ -242,13 +293,33 @@
     }
 }
 
+/// What a round may still do.
+#[derive(Debug, Default)]
+struct Budget {
+    /// How many workers it has looked at, over all tasks.
+    looks: usize,
+    /// How many tasks of each stage it has tried to place.
+    tasks: IndexMap<StageKey, usize>,
+}
+
+impl Budget {
+    /// Returns true if the round may try to place another task of a stage.
+    fn take(&mut self, stage: &StageKey, workers: usize) -> bool {
+        let tasks = self.tasks.entry(stage.clone()).or_default();
+        *tasks += 1;
+        self.looks += workers;
+        *tasks <= MAX_TASKS_PER_STAGE
+    }
+}
+
 /// Returns true if a best-effort task may be placed on a worker despite the predicted interference:
 /// its job has long had no run, and the worker has little best-effort load. Throttling bounds the
 /// interference.
 fn is_forced(now: Instant, job: &Job, worker: &Worker) -> bool {
     let is_long = |since: Instant| now.duration_since(since) >= FORCED_AFTER;
-    let has_run = job.tasks.iter().any(|t| !t.active_runs.is_empty());
-    !has_run && job.idle_since.is_some_and(is_long) && worker.best_effort_load() <= FORCED_MAX_LOAD
+    !job.has_runs()
+        && job.idle_since.is_some_and(is_long)
+        && worker.best_effort_load() <= FORCED_MAX_LOAD
 }
 
 /// Returns true if a task of a stage may be placed on a worker now.
@@ -288,16 +359,8 @@
     if stage.best_effort && worker.load_with(stage.resources.cpu_milli) > MAX_OVERCOMMIT {
         return false;
     }
-    if let Some(max) = stage.max_per_worker {
-        let here = job.tasks[instance.range()].iter();
-        let here = here
-            .filter(|t| t.active_runs.iter().any(|(at, _)| at == vm))
-            .count();
-        if here >= max as usize {
-            return false;
-        }
-    }
-    true
+    let is_full = |max: u32| instance.tasks_on(vm) >= max;
+    !stage.max_per_worker.is_some_and(is_full)
 }
 
 /// Returns the cost of placing a task of a stage on a worker, in units of load.
@@ -319,14 +382,14 @@
 /// a worker serves, the more of them can run there. Fuller workers cost no more than others: packed
 /// tasks leave the others free.
 fn serving_cost(stage: &StageSpec, worker: &Worker) -> f64 {
-    let served = worker.served_classes();
-    if served.is_empty() {
+    let served = worker.totals().served_classes();
+    if served == 0 {
         return 0.0;
     }
     let packed = -worker.load_with(0);
-    if stage.class.is_some() && served.contains(&stage.class) {
-        packed + OTHER_CLASS_COST * (served.len() - 1) as f64 - SAME_CLASS_GAIN
+    if stage.class.is_some() && worker.totals().serves(&stage.class) {
+        packed + OTHER_CLASS_COST * (served - 1) as f64 - SAME_CLASS_GAIN
     } else {
-        packed + OTHER_CLASS_COST * served.len() as f64
+        packed + OTHER_CLASS_COST * served as f64
     }
 }
--- a/crates/jobs/src/owner/ranking.rs
+++ b/crates/jobs/src/owner/ranking.rs
@@ -36,6 +36,15 @@
 /// Stage instances that may be placed now, by job and index, most urgent first.
 pub(super) type Candidates = Vec<(Urgency, JobId, usize)>;
 
+/// How many stage instances of a job a round takes; those of its other occurrences follow with the next.
+const MAX_INSTANCES: usize = 64;
+
+/// The delay until the next round takes them.
+const OTHERS_AFTER: Duration = Duration::from_millis(10);
+
+/// How often the throughput is updated at most, for each run: it changes within seconds.
+const THROUGHPUT_INTERVAL: Duration = Duration::from_micros(5);
+
 /// The time constant of the decay of a work class's throughput while less of it runs: the duration
 /// of a few tasks.
 const THROUGHPUT_MEMORY: Duration = Duration::from_secs(5);
@@ -67,22 +76,43 @@
         self.update_throughput(now);
         let on_time = self.on_time_jobs(unix_ms);
         let mut found = Candidates::new();
+        let mut has_others = false;
         for id in &self.active {
-            let Some(job) = self.jobs.get(id).filter(|j| self.may_start(j)) else {
+            let may_start = self.jobs.get(id).is_some_and(|j| self.may_start(j));
+            let Some(job) = self.jobs.get_mut(id).filter(|_| may_start) else {
                 continue;
             };
-            for (at, instance) in job.instances.iter().enumerate() {
-                if instance.waiting > 0 && job.is_due(instance, unix_ms) {
-                    let urgency = urgency(job, instance, unix_ms, on_time.contains(id));
-                    found.push((urgency, id.clone(), at));
-                }
+            let (due, are_more) = job.due_instances(unix_ms, MAX_INSTANCES);
+            has_others |= are_more;
+            for at in due {
+                let urgency = urgency(job, &job.instances[at], unix_ms, on_time.contains(id));
+                found.push((urgency, id.clone(), at));
             }
         }
+        if has_others {
+            self.repeat_soon(now + OTHERS_AFTER);
+        }
         found.sort_by_key(|(urgency, _, _)| *urgency);
         self.order_by_class(&mut found);
+        self.order_by_turn(&mut found);
         found
     }
 
+    /// Moves the stages to the end that rounds have placed since the last one that reached all.
+    fn order_by_turn(&self, found: &mut Candidates) {
+        if self.placed_stages.is_empty() {
+            return;
+        }
+        let stage = |id: &JobId, at: usize| {
+            let job = self.jobs.get(id);
+            job.map(|job| (id.clone(), job.instances[at].stage))
+        };
+        let had_turn = |id: &JobId, at: usize| {
+            stage(id, at).is_some_and(|stage| self.placed_stages.contains(&stage))
+        };
+        found.sort_by_cached_key(|(_, id, at)| had_turn(id, *at));
+    }
+
     /// Orders the standing tasks of each priority by class, without changing their places among other
     /// tasks; those that have to spread come first, and others of the class fill up their workers.
     fn order_by_class(&self, found: &mut Candidates) {
@@ -108,6 +138,12 @@
 
     /// Updates the throughput of each work class.
     fn update_throughput(&mut self, now: Instant) {
+        let runs: usize = self.workers.values().map(|w| w.runs.len()).sum();
+        let interval = THROUGHPUT_INTERVAL * u32::try_from(runs).unwrap_or(u32::MAX);
+        let is_early = |at: Instant| now.saturating_duration_since(at) < interval;
+        if self.throughput.at.is_some_and(is_early) {
+            return;
+        }
         let passed = self.throughput.at.replace(now);
         let passed = passed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let kept = (-passed.as_secs_f64() / THROUGHPUT_MEMORY.as_secs_f64()).exp();
@@ -169,17 +205,17 @@
 fn feasible(mut jobs: Vec<Contender>, cores: f64, unix_ms: u64) -> impl Iterator<Item = JobId> {
     jobs.sort_by_key(|j| j.due_unix_ms);
     let mut chosen: Vec<Contender> = Vec::new();
-    let mut work = 0;
+    let mut work: u128 = 0;
     for job in jobs {
-        if unix_ms + job.remaining_path_ms > job.due_unix_ms {
+        if unix_ms.saturating_add(job.remaining_path_ms) > job.due_unix_ms {
             continue;
         }
         let due = job.due_unix_ms;
-        work += job.work;
+        work += u128::from(job.work);
         chosen.push(job);
         let is_late = cores > 0.0 && unix_ms as f64 + work as f64 / cores > due as f64;
         if is_late && let Some(at) = (0..chosen.len()).max_by_key(|at| chosen[*at].work) {
-            work -= chosen.swap_remove(at).work;
+            work -= u128::from(chosen.swap_remove(at).work);
         }
     }
     chosen.into_iter().map(|j| j.id)
@@ -187,23 +223,25 @@
 
 /// Returns the deadline of an occurrence of a job, in milliseconds since the Unix epoch.
 fn due_unix_ms(job: &Job, instance: &StageInstance) -> u64 {
-    job.released_unix_ms(instance) + objective_ms(job)
+    let released = job.released_unix_ms(instance);
+    released.saturating_add(objective_ms(job))
 }
 
 /// Returns the time that an occurrence has to be on time, in milliseconds.
 pub(super) fn objective_ms(job: &Job) -> u64 {
     let terms = &job.record.terms;
-    (job.critical_path_ms() as f64 * terms.stretch) as u64 + terms.slack_ms
+    let stretched = (job.critical_path_ms() as f64 * terms.stretch) as u64;
+    stretched.saturating_add(terms.slack_ms)
 }
 
 /// Ranks the tasks of a stage: under overload, jobs that can be on time go before others, so that
 /// no capacity is spent on results that are late anyway.
 fn urgency(job: &Job, instance: &StageInstance, unix_ms: u64, is_on_time: bool) -> Urgency {
     let due = due_unix_ms(job, instance);
-    let latest = due + objective_ms(job) * (LATE_FACTOR - 1);
+    let latest = due.saturating_add(objective_ms(job).saturating_mul(LATE_FACTOR - 1));
     let deadline_class = if job.stage(instance).standing || is_on_time {
         DeadlineClass::OnTime
-    } else if unix_ms + job.remaining_path_ms(instance) <= latest {
+    } else if unix_ms.saturating_add(job.remaining_path_ms(instance)) <= latest {
         DeadlineClass::Late
     } else {
         DeadlineClass::Missed
--- a/crates/jobs/src/owner/run.rs
+++ b/crates/jobs/src/owner/run.rs
@@ -31,6 +31,9 @@
 /// A run on a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
+    /// Rises with each run of a worker.
+    pub(super) number: u64,
+    /// Changed by [`super::worker::Worker`] only, which counts the starts.
     pub(super) phase: Phase,
     /// Whether a status has contained it, so that it has started.
     pub(super) was_listed: bool,
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -3,10 +3,11 @@
 use base::prelude::*;
 use slog::{info, warn};
 
-use super::worker::{Parked, Phase, RESEND_AFTER, Worker};
+use super::orders::Orders;
+use super::worker::{Parked, Worker};
 use super::{Effect, Owner, OwnerCfg, Token};
-use crate::report::{StartOrder, SyncReply, SyncReport, WorkerReport};
-use crate::{Job, TaskRun};
+use crate::TaskRun;
+use crate::report::{SyncReply, SyncReport, WorkerReport};
 
 /// How long a report stays parked when there are no orders; bounds the age of a worker's lease.
 pub(super) const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -196,9 +197,7 @@
         if let Some(status) = &mut report.status {
             status.is_settled &= status.finished.len() < MAX_LISTED_ENDS;
         }
-        for rejected in &report.rejected {
-            self.apply_rejection(now, vm, rejected, report.status.as_ref());
-        }
+        self.apply_rejections(now, vm, &report.rejected, report.status.as_ref());
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.noted_rejects = report.rejected.into_iter().map(|r| r.run).collect();
             let is_unknown = |run: &TaskRun| !worker.runs.contains_key(run);
@@ -311,81 +310,3 @@
         ..SyncReply::default()
     }
 }
-
-/// The orders that are due to be sent to a worker.
-#[derive(Debug, Default)]
-struct Orders {
-    starts: Vec<StartOrder>,
-    stops: Vec<TaskRun>,
-    throttles: Vec<(TaskRun, u32)>,
-}
-
-impl Orders {
-    fn of(worker: &Worker, jobs: &IndexMap<JobId, Job>, now: Instant) -> Self {
-        let is_due =
-            |sent: &Option<Instant>| sent.is_none_or(|at| now.duration_since(at) >= RESEND_AFTER);
-        let mut orders = Self::default();
-        if !worker.is_adopted {
-            return orders;
-        }
-        for (id, run) in &worker.runs {
-            match &run.phase {
-                Phase::Ordered {
-                    sent,
-                    is_acknowledged,
-                } if !is_acknowledged && is_due(sent) && worker.starts.is_open(now) => {
-                    orders.starts.extend(start_order(id, run, jobs));
-                }
-                Phase::Stopping { sent } if is_due(sent) => orders.stops.push(id.clone()),
-                _ => {}
-            }
-            if run.is_speed_due(now) {
-                orders.throttles.push((id.clone(), run.speed_percent));
-            }
-        }
-        orders.stops.extend(worker.unknown_runs.iter().cloned());
-        orders
-    }
-
-    fn is_empty(&self) -> bool {
-        self.starts.is_empty() && self.stops.is_empty() && self.throttles.is_empty()
-    }
-
-    fn mark_sent(&self, worker: &mut Worker, now: Instant) {
-        for order in &self.starts {
-            if let Some(run) = worker.runs.get_mut(&order.run)
-                && let Phase::Ordered { sent, .. } = &mut run.phase
-            {
-                *sent = Some(now);
-            }
-        }
-        for id in &self.stops {
-            if let Some(run) = worker.runs.get_mut(id)
-                && let Phase::Stopping { sent } = &mut run.phase
-            {
-                *sent = Some(now);
-            }
-        }
-        for (id, _) in &self.throttles {
-            if let Some(run) = worker.runs.get_mut(id) {
-                run.speed_sent = Some((run.speed_percent, now));
-            }
-        }
-        worker.unknown_runs.clear();
-    }
-}
-
-fn start_order(
-    id: &TaskRun,
-    run: &super::worker::Run,
-    jobs: &IndexMap<JobId, Job>,
-) -> Option<StartOrder> {
-    let job = jobs.get(&id.task.job)?;
-    let (_, position) = job.find(&id.task)?;
-    Some(StartOrder {
-        run: id.clone(),
-        payload: Arc::clone(&job.record.spec.payload),
-        checkpoint: job.tasks[position].checkpoint.clone(),
-        ticket: run.ticket.clone(),
-    })
-}
--- a/crates/jobs/src/owner/trials.rs
+++ b/crates/jobs/src/owner/trials.rs
@@ -110,8 +110,7 @@
         if !worker.is_reserved(now) {
             worker.reserved_until = Some(now + RESERVED + KEPT);
         }
-        let retry = now + RESERVED / 4;
-        self.repeat_round = Some(self.repeat_round.map_or(retry, |at| at.min(retry)));
+        self.repeat_soon(now + RESERVED / 4);
         false
     }
 }
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -1,5 +1,7 @@
 //! The owner's state of a worker.
 
+mod runs;
+
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
@@ -14,6 +16,7 @@
 use super::recent_usage::RecentUsage;
 pub(super) use super::run::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
 use super::service_load::Backlogged;
+use super::totals::Totals;
 use crate::report::{SharedStatus, WorkerReport};
 use crate::{TaskRun, WorkerRecord};
 
@@ -125,12 +128,10 @@
     pub(super) starts: StartWindow,
     /// Until when it is kept free for a suspect of crashes.
     pub(super) reserved_until: Option<Instant>,
-    used: Resources,
-    demand_milli: u64,
-    /// The classes of the latency-critical tasks here, each once.
-    served_classes: Vec<Option<Name>>,
-    latency_critical: u32,
-    trials: u32,
+    /// Sums over `runs`.
+    totals: Totals,
+    /// The number of the next run.
+    next_number: u64,
 }
 
 impl Worker {
@@ -170,11 +171,8 @@
             crashed_at: None,
             starts: StartWindow::default(),
             reserved_until: None,
-            used: Resources::ZERO,
-            demand_milli: 0,
-            served_classes: Vec::new(),
-            latency_critical: 0,
-            trials: 0,
+            totals: Totals::default(),
+            next_number: 0,
         }
     }
 
@@ -208,39 +206,6 @@
             .unwrap_or(now + super::IDLE_PERIOD)
     }
 
-    /// Recomputes the resources that the runs use.
-    pub(super) fn recount(&mut self) {
-        self.version += 1;
-        self.may_have_orders = true;
-        self.used = Resources::ZERO;
-        self.demand_milli = 0;
-        self.served_classes.clear();
-        self.latency_critical = 0;
-        self.trials = 0;
-        for run in self.runs.values() {
-            self.used += run.charged;
-            self.demand_milli += run.demand_milli;
-            if run.latency_target_ms.is_some() {
-                self.latency_critical += 1;
-                if !self.served_classes.contains(&run.class) {
-                    self.served_classes.push(run.class.clone());
-                }
-            }
-            self.trials += u32::from(run.trial.is_some());
-        }
-    }
-
-    pub(super) fn insert(&mut self, id: TaskRun, run: Run) {
-        self.runs.insert(id, run);
-        self.recount();
-    }
-
-    pub(super) fn remove(&mut self, id: &TaskRun) -> Option<Run> {
-        let run = self.runs.shift_remove(id);
-        self.recount();
-        run
-    }
-
     /// Returns true if it belongs to a pool.
     pub(super) fn is_in(&self, pool: &PoolName) -> bool {
         let last_report = self.last_report.as_ref();
@@ -255,7 +220,7 @@
 
     /// Returns the resources that are free.
     pub(super) fn free_capacity(&self) -> Resources {
-        self.capacity().saturating_sub(self.used)
+        self.capacity().saturating_sub(self.totals.used)
     }
 
     /// Returns the expected load if `demand_milli` were added: the processor demand of all tasks,
@@ -265,28 +230,22 @@
             .last_report
             .as_ref()
             .map_or(0, |l| l.capacity.cpu_milli);
-        (self.demand_milli + demand_milli) as f64 / cpu.max(1) as f64
+        self.totals.demand_milli.saturating_add(demand_milli) as f64 / cpu.max(1) as f64
     }
 
-    /// Returns the classes of the latency-critical tasks here.
-    pub(super) fn served_classes(&self) -> &[Option<Name>] {
-        &self.served_classes
-    }
-
-    /// Returns the number of latency-critical tasks here.
-    pub(super) fn latency_critical(&self) -> u32 {
-        self.latency_critical
+    /// Returns the sums over all runs here.
+    pub(super) fn totals(&self) -> &Totals {
+        &self.totals
     }
 
     /// Returns true if a run here is suspected of crashing its workers.
     pub(super) fn has_trial(&self) -> bool {
-        self.trials > 0
+        self.totals.trials > 0
     }
 
     /// Returns the processor demand of best-effort tasks at full speed, divided by the capacity.
     pub(super) fn best_effort_load(&self) -> f64 {
-        let best_effort_runs = self.runs.values().filter(|r| r.is_best_effort);
-        self.share(best_effort_runs.map(|r| r.demand_milli).sum())
+        self.share(self.totals.best_effort_milli)
     }
 
     /// Returns thousandths of a core as a share of the capacity.
@@ -306,20 +265,6 @@
             .find(|l| l.contains('-'))
     }
 
-    pub(super) fn stop_job(&mut self, job: &JobId) {
-        self.may_have_orders = true;
-        for (_, run) in self.runs.iter_mut().filter(|(id, _)| id.task.job == *job) {
-            run.stop();
-        }
-    }
-
-    pub(super) fn stop_run(&mut self, id: &TaskRun) {
-        self.may_have_orders = true;
-        if let Some(run) = self.runs.get_mut(id) {
-            run.stop();
-        }
-    }
-
     /// Raises the fencing token; the worker has to report its runs again under the new one.
     pub(super) fn raise_fence(&mut self) {
         self.fence_step += 1;
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::*;
 use fakes::store::MemStore;
+use fakes::timing::processor_time;
 use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
 use jobs::report::{
     Crash, CrashedRun, EndKind, FinishedRun, Rejected, RunningRow, SharedStatus, StartOrder,
@@ -72,6 +73,8 @@
     /// Crashes that the owner has not recorded.
     pub crashes: Vec<Crash>,
     pub open: Vec<TaskRun>,
+    /// Whether its starts stay open: the worker begins none.
+    pub holds_starts: bool,
     pub stored_ends: u64,
     pub throttles: IndexMap<TaskRun, u32>,
     /// The tickets of the start orders.
@@ -101,6 +104,12 @@
     pub is_key_missing: bool,
     pub vms: IndexMap<Name, Vm>,
     pub transactions: usize,
+    /// The bytes of all values in them.
+    pub written_bytes: usize,
+    /// The longest time that the owner has computed for one call, on this thread's processor clock.
+    pub longest_call: Duration,
+    /// The size of the largest reply to a report as JSON, in bytes.
+    pub largest_reply: usize,
     /// Whether operators can cordon zones.
     cordon_bound: Option<Duration>,
     /// The calls that a silent store has not answered.
@@ -134,6 +143,9 @@
             is_key_missing: false,
             vms: IndexMap::new(),
             transactions: 0,
+            written_bytes: 0,
+            longest_call: Duration::ZERO,
+            largest_reply: 0,
             unanswered: Vec::new(),
             next: 0,
         }
@@ -143,7 +155,9 @@
     pub fn take_over(&mut self) {
         let epoch = self.owner.epoch().0 + 1;
         self.reporting.clear();
+        let began = processor_time();
         (self.owner, self.revision) = elect(&mut self.store, self.now, epoch, self.cordon_bound);
+        self.record_call(began);
         for vm in self.vms.values_mut() {
             vm.shared_status.clear();
         }
@@ -173,6 +187,7 @@
             rejected: Vec::new(),
             crashes: Vec::new(),
             open: Vec::new(),
+            holds_starts: false,
             stored_ends: 0,
             throttles: IndexMap::new(),
             tickets: IndexMap::new(),
@@ -195,8 +210,10 @@
     pub fn request(&mut self, request: JobRequest) -> u64 {
         self.next += 1;
         let token = self.next;
+        let began = processor_time();
         self.owner
             .handle_request(self.now, self.unix_ms, Token(token), request);
+        self.record_call(began);
         self.settle();
         token
     }
@@ -232,7 +249,10 @@
     pub fn settle(&mut self) {
         let mut store_replies: VecDeque<(u64, Result<StoreReply>)> = VecDeque::new();
         loop {
-            for effect in self.owner.run(self.now, self.unix_ms) {
+            let began = processor_time();
+            let effects = self.owner.run(self.now, self.unix_ms);
+            self.record_call(began);
+            for effect in effects {
                 match effect {
                     Effect::Reply(token, reply) => {
                         self.replies.insert(token.0, reply);
@@ -240,6 +260,8 @@
                     Effect::Sync(token, reply) => {
                         let name = self.reporting.swap_remove(&token.0);
                         let name = name.expect("a report is answered once");
+                        let json = serde_json::to_vec(&reply).expect("a reply is serializable");
+                        self.largest_reply = self.largest_reply.max(json.len());
                         if &*name != NOBODY {
                             self.vm(&name).apply_reply(*reply);
                         }
@@ -261,6 +283,10 @@
         }
     }
 
+    fn record_call(&mut self, began: Duration) {
+        self.longest_call = self.longest_call.max(processor_time() - began);
+    }
+
     /// Lets the calls that a silent store has not answered time out.
     pub fn time_out(&mut self) {
         for id in std::mem::take(&mut self.unanswered) {
@@ -295,6 +321,9 @@
 
     fn execute(&mut self, call: &StoreCall) -> Result<StoreReply> {
         self.transactions += 1;
+        if let StoreCall::Txn { writes, .. } = call {
+            self.written_bytes += writes.iter().map(|w| w.value.len()).sum::<usize>();
+        }
         let lost = || Error::new(ErrorKind::Timeout, "txn", "store", "no answer");
         match self.mode {
             StoreMode::Up => self.store.call(self.now, call),
@@ -326,8 +355,10 @@
         }
         let report = vm.report(clock_ms);
         self.reporting.insert(token, name.into());
+        let began = processor_time();
         self.owner
             .sync(self.now, self.unix_ms, Token(token), report);
+        self.record_call(began);
         self.settle();
     }
 
@@ -474,6 +505,7 @@
             }
             self.throttles.extend(reply.throttles.iter().cloned());
             for run in &reply.stops {
+                self.open.retain(|open| open != run);
                 self.end(run, EndKind::Stopped);
             }
         }
@@ -486,7 +518,9 @@
         if let Some(ticket) = &order.ticket {
             self.tickets.insert(order.run.clone(), Arc::clone(ticket));
         }
-        if !is_known {
+        if self.holds_starts && !self.open.contains(&order.run) {
+            self.open.push(order.run.clone());
+        } else if !is_known && !self.holds_starts {
             self.running.push(RunningRow {
                 run: order.run.clone(),
                 checkpoint: order.checkpoint.clone(),
--- a/crates/lookahead/src/lib.rs
+++ b/crates/lookahead/src/lib.rs
@@ -51,9 +51,14 @@
         if need.fits(&self.free) {
             return Some(now);
         }
-        let mut times: Vec<Instant> = self.releases.iter().map(|r| r.at.max(now)).collect();
-        times.sort();
-        times.into_iter().find(|at| need.fits(&self.at(*at)))
+        let mut releases: Vec<&Release> = self.releases.iter().collect();
+        releases.sort_by_key(|r| r.at);
+        let mut free = self.free;
+        let first = releases.into_iter().find(|release| {
+            free += release.resources;
+            need.fits(&free)
+        });
+        first.map(|release| release.at.max(now))
     }
 }
 
