Records that no caller can have submitted, and numbers of any size, end no process

Cause: what a job may look like was checked when a caller submits it, not when an owner loads it. 2^32 - 1 tasks ask for 584 GB; a stage after one that does not exist is an index out of range. And arithmetic relied on amounts of ordinary size: a predicted run time that no duration can hold panicked on the release build too, and a panic left a process that goes on to accept calls without deciding.

Change: an owner ignores records of jobs that a caller cannot have submitted; decisions count with at most 2^40 of anything; sums of times saturate; predictions end at a hundred years; a process whose actors panic ends, and is started again. Nothing that a caller may send is refused.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -244,7 +244,7 @@
         let boot = base::unix_ms(clock.wall());
         let state = AgentState::new(Arc::clone(&cfg.vm), boot, cfg.stop_time, log.clone());
         let stopping = Arc::new(AtomicBool::new(false));
-        let actors = std::thread::spawn({
+        let actors = host::spawn_actors({
             let (stopping, log) = (Arc::clone(&stopping), log.clone());
             move || {
                 let mut node = Node::new(state, Arc::new(calls), log, clock.now());
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -152,7 +152,7 @@
     let (least, most) = (ran_ms.clone().min(), ran_ms.max());
     least
         .zip(most)
-        .is_some_and(|(least, most)| most <= least + least / 4 + PRECISION_MS)
+        .is_some_and(|(least, most)| most - least <= least / 4 + PRECISION_MS)
 }
 
 impl Candidate<'_> {
--- a/crates/companion/src/app.rs
+++ b/crates/companion/src/app.rs
@@ -112,7 +112,7 @@
             log: log.clone(),
         };
         let stopping = Arc::new(AtomicBool::new(false));
-        let actors = std::thread::spawn({
+        let actors = host::spawn_actors({
             let cfg = Arc::clone(&cfg);
             let stopping = Arc::clone(&stopping);
             let in_flight = Arc::clone(&in_flight);
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -144,7 +144,7 @@
             log: log.clone(),
         };
         let node_cfg = node_cfg(cfg, rpc_addr);
-        let actors = std::thread::spawn({
+        let actors = host::spawn_actors({
             let (stopping, log) = (Arc::clone(&stopping), log.clone());
             move || {
                 let ports: Arc<dyn Ports> = Arc::new(ports);
--- a/crates/host/src/actors.rs
+++ b/crates/host/src/actors.rs
@@ -1,6 +1,8 @@
 //! The event loop that runs actors in real time.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 
 use base::prelude::*;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
@@ -35,6 +37,29 @@
     }
 }
 
+/// The exit status of a process whose actors have panicked.
+const PANIC_STATUS: i32 = 101;
+
+/// Starts the thread that runs a process's actors; if it panics, the process ends.
+///
+/// The other threads would go on to accept calls that nothing handles. A process that ends is started
+/// again.
+pub fn spawn_actors(run: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
+    spawn_watched(run, || std::process::exit(PANIC_STATUS))
+}
+
+/// Starts a thread that calls `on_panic` if it panics.
+pub fn spawn_watched(
+    run: impl FnOnce() + Send + 'static,
+    on_panic: impl FnOnce() + Send + 'static,
+) -> JoinHandle<()> {
+    std::thread::spawn(move || {
+        if catch_unwind(AssertUnwindSafe(run)).is_err() {
+            on_panic();
+        }
+    })
+}
+
 /// Runs actors until `stopping` is set or all senders of events are gone.
 ///
 /// `after_run` is called after each call of [`Actors::run`] in the loop.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,7 +9,7 @@
 mod signal;
 mod workers;
 
-pub use actors::{Actors, drive};
+pub use actors::{Actors, drive, spawn_actors, spawn_watched};
 pub use key_watcher::{KeyUpdate, watch_key};
 pub use rpc::{RpcLimits, call_actors, serve_rpc, start_runtime, stopping_error};
 pub use signal::{wait_for_stop, wait_for_stop_with};
--- a/crates/host/tests/actors.rs
+++ b/crates/host/tests/actors.rs
@@ -63,3 +63,18 @@
 
     assert_eq!(counter.runs, [0, 10]);
 }
+
+/// Guards against a process that goes on to accept calls though its actors have panicked.
+#[test]
+fn panic_of_the_actors_is_noticed_and_their_end_is_not() {
+    let has_ended = |run: fn()| {
+        let noticed = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&noticed);
+        let thread = host::spawn_watched(run, move || flag.store(true, Ordering::Release));
+        thread.join().expect("the panic is caught");
+        noticed.load(Ordering::Acquire)
+    };
+
+    assert!(has_ended(|| panic!("an actor fails")));
+    assert!(!has_ended(|| ()));
+}
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -400,7 +400,7 @@
 fn remaining_paths_ms(stages: &[StageSpec]) -> Vec<u64> {
     let mut path = vec![0_u64; stages.len()];
     for (at, stage) in stages.iter().enumerate().rev() {
-        path[at] = path[at].saturating_add(stage.estimate_ms);
+        path[at] = path[at].saturating_add(base::whole_ms(stage.estimate()));
         for before in &stage.after {
             let before = *before as usize;
             path[before] = path[before].max(path[at]);
--- a/crates/jobs/src/job/counts.rs
+++ b/crates/jobs/src/job/counts.rs
@@ -117,7 +117,7 @@
 
 /// Returns the estimated work of a task, in core-microseconds.
 fn core_us(stage: &StageSpec) -> u128 {
-    u128::from(stage.estimate_ms) * u128::from(stage.resources.cpu_milli)
+    stage.estimate().as_millis() * u128::from(stage.cpu_milli())
 }
 
 fn count_tasks(tasks: &[Task], predicate: impl Fn(&Task) -> bool) -> u32 {
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -74,26 +74,43 @@
 /// its peak.
 const LATENCY_CRITICAL_USE_PERCENT: u64 = 60;
 
+/// The largest amount of a resource, and the longest estimate in milliseconds, that decisions count with:
+/// more than any worker has, and sums over all tasks do not overflow.
+const MAX_AMOUNT: u64 = 1 << 40;
+
+/// The same for accelerators.
+const MAX_ACCELERATORS: u32 = 1 << 16;
+
 impl StageSpec {
+    /// Returns the processors that a task requests, in thousandths of a core.
+    pub fn cpu_milli(&self) -> u64 {
+        self.resources.cpu_milli.min(MAX_AMOUNT)
+    }
+
+    /// Returns the caller's estimate of a task's run time.
+    pub fn estimate(&self) -> Duration {
+        Duration::from_millis(self.estimate_ms.min(MAX_AMOUNT))
+    }
+
     /// Returns the processors that a task is expected to use, in thousandths of a core.
     pub fn demand_milli(&self) -> u64 {
         if self.standing && self.latency_target_ms.is_some() {
-            self.resources.cpu_milli * LATENCY_CRITICAL_USE_PERCENT / 100
+            self.cpu_milli() * LATENCY_CRITICAL_USE_PERCENT / 100
         } else {
-            self.resources.cpu_milli
+            self.cpu_milli()
         }
     }
 
     /// Returns the resources that a task of the stage is charged to its worker.
     pub fn charged(&self) -> Resources {
-        let cpu_milli = if self.best_effort {
-            0
-        } else {
-            self.resources.cpu_milli
-        };
         Resources {
-            cpu_milli,
-            ..self.resources
+            cpu_milli: if self.best_effort {
+                0
+            } else {
+                self.cpu_milli()
+            },
+            memory_mib: self.resources.memory_mib.min(MAX_AMOUNT),
+            accelerators: self.resources.accelerators.min(MAX_ACCELERATORS),
         }
     }
 }
--- a/crates/jobs/src/owner/advice.rs
+++ b/crates/jobs/src/owner/advice.rs
@@ -194,7 +194,10 @@
             .collect();
         info!(self.log, "owner: advisor asked";
             "job" => %id, "stage" => instance.stage, "workers" => incarnations.len());
-        let response_ms = terms.base_ms + terms.per_worker_ms * incarnations.len() as u64;
+        let for_workers = terms
+            .per_worker_ms
+            .saturating_mul(incarnations.len() as u64);
+        let response_ms = terms.base_ms.saturating_add(for_workers);
         self.effects.push(Effect::Advise(AdviceRequest {
             stage: stage_id.clone(),
             workers: incarnations.keys().cloned().collect(),
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -211,7 +211,7 @@
 const FORGET_SCAN: usize = 16;
 
 /// Returns an error with the reason if a job can never run.
-fn validate(spec: &JobSpec) -> Result<(), &'static str> {
+pub(super) fn validate(spec: &JobSpec) -> Result<(), &'static str> {
     if spec.stages.is_empty() {
         return Err("a job needs a stage");
     }
--- a/crates/jobs/src/owner/colocation.rs
+++ b/crates/jobs/src/owner/colocation.rs
@@ -163,7 +163,7 @@
             return None;
         }
         // Rounded to whole cores, so that jobs of similar size share cached results.
-        let cpu_milli = stage.resources.cpu_milli.next_multiple_of(1000);
+        let cpu_milli = stage.cpu_milli().next_multiple_of(1000);
         let mut cache = worker.added_load_cache.borrow_mut();
         let stamp = (worker.processes.last_number, worker.version);
         if cache.stamp != stamp {
--- a/crates/jobs/src/owner/look_ahead.rs
+++ b/crates/jobs/src/owner/look_ahead.rs
@@ -91,7 +91,8 @@
             free += worker.free_capacity();
             all += worker.capacity();
         }
-        2 * free.cpu_milli > all.cpu_milli && 2 * free.memory_mib > all.memory_mib
+        let is_free = |free: u64, all: u64| free > all / 2;
+        is_free(free.cpu_milli, all.cpu_milli) && is_free(free.memory_mib, all.memory_mib)
     }
 
     /// Returns how a pool is used, as of the first call in this round.
@@ -127,8 +128,9 @@
             return true;
         };
         let spec = &job.record.spec.stages[stage as usize];
-        let declared = Duration::from_millis(spec.estimate_ms);
-        let prediction = self.run_times.predict(&stage_key(job, stage), declared);
+        let prediction = self
+            .run_times
+            .predict(&stage_key(job, stage), spec.estimate());
         let room = self.room(now, vm, worker);
         reservation.admits(urgency, spec.charged(), now + prediction.likely_max, &room)
     }
@@ -222,7 +224,7 @@
         let left = if run.percent >= MIN_PERCENT {
             passed.mul_f64((100.0 - run.percent).max(0.0) / run.percent)
         } else {
-            let declared = Duration::from_millis(job.stage_of(&id.task).estimate_ms);
+            let declared = job.stage_of(&id.task).estimate();
             let key = stage_key(job, id.task.stage);
             let prediction = self.run_times.predict(&key, declared);
             prediction.typical.saturating_sub(passed)
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -356,7 +356,7 @@
     {
         return false;
     }
-    if stage.best_effort && worker.load_with(stage.resources.cpu_milli) > MAX_OVERCOMMIT {
+    if stage.best_effort && worker.load_with(stage.cpu_milli()) > MAX_OVERCOMMIT {
         return false;
     }
     let is_full = |max: u32| instance.tasks_on(vm) >= max;
--- a/crates/jobs/src/owner/run_times.rs
+++ b/crates/jobs/src/owner/run_times.rs
@@ -25,7 +25,7 @@
         let Some(since) = run.measured_since.filter(|_| !run.is_standing) else {
             return;
         };
-        let declared = Duration::from_millis(job.stage_of(&id.task).estimate_ms);
+        let declared = job.stage_of(&id.task).estimate();
         let actual = now.duration_since(since);
         let key = stage_key(job, id.task.stage);
         self.run_times.record(now, &key, declared, actual);
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -6,6 +6,7 @@
 use slog::{info, warn};
 
 use super::Owner;
+use super::callers::validate;
 use super::worker::{Worker, lease_bound};
 use crate::job::StageInstance;
 use crate::progress::{decode, decode_progress, decode_worker};
@@ -31,7 +32,7 @@
         vms: &[KeyValue],
     ) {
         for item in jobs {
-            match decode::<JobRecord>(&item.key, &item.value) {
+            match decode(&item.key, &item.value).and_then(|record| valid(&item.key, record)) {
                 Ok(record) => self.load_job(now, item, record),
                 Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
             }
@@ -177,3 +178,10 @@
         self.release_all(vm, "lease lapsed");
     }
 }
+
+/// Returns the record if a caller can have submitted its job; another writer may have left it.
+fn valid(key: &Name, record: JobRecord) -> Result<JobRecord> {
+    let invalid = |reason| Error::new(ErrorKind::Malformed, "load job", Arc::clone(key), reason);
+    validate(&record.spec).map_err(invalid)?;
+    Ok(record)
+}
--- a/crates/runtimes/src/lib.rs
+++ b/crates/runtimes/src/lib.rs
@@ -39,6 +39,9 @@
 /// The shortest time that is told apart from none.
 const SHORTEST: Duration = Duration::from_millis(1);
 
+/// The longest time that is predicted: declared times may be of any length.
+const LONGEST: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
 /// The tasks of a stage in all jobs of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StageKey {
@@ -202,7 +205,10 @@
 
     fn predict(&self, declared: Duration) -> Prediction {
         let fitted = self.fit.predict(ln(declared));
-        let time = |error: f64| Duration::from_secs_f64((fitted + error).exp());
+        let time = |error: f64| {
+            let seconds = (fitted + error).exp();
+            Duration::from_secs_f64(seconds.min(LONGEST.as_secs_f64()))
+        };
         Prediction {
             typical: time(self.typical_error),
             likely_max: time(self.likely_max_error),
--- a/crates/runtimes/tests/predictions.rs
+++ b/crates/runtimes/tests/predictions.rs
@@ -173,3 +173,15 @@
     let prediction = run_times.predict(&key(0), seconds(1.0));
     assert!(prediction.typical >= seconds(4.0), "{prediction:?}");
 }
+
+/// Guards against a declared time that is too large for a prediction: it ended the process.
+#[test]
+fn longest_declared_time_is_predicted_too() {
+    let now = Instant::now();
+    let run_times = learned(now, &[(seconds(0.001), seconds(900.0)); 100]);
+
+    let prediction = run_times.predict(&key(0), Duration::from_millis(u64::MAX));
+
+    assert!(prediction.likely_max >= prediction.typical);
+    assert!(now.checked_add(prediction.likely_max).is_some());
+}
