--- a/crates/jobs/src/owner/worker/runs.rs
+++ b/crates/jobs/src/owner/worker/runs.rs
@@ -45,11 +45,15 @@
         Some(run)
     }
 
-    /// Changes the phase of a run.
     pub(in crate::owner) fn set_phase(&mut self, id: &TaskRun, phase: Phase) {
+        self.change(id, |run| run.phase = phase);
+    }
+
+    /// Changes a run together with the sums.
+    fn change(&mut self, id: &TaskRun, change: impl FnOnce(&mut Run)) {
         if let Some(run) = self.runs.get_mut(id) {
             self.totals.subtract(id, run);
-            run.phase = phase;
+            change(run);
             self.totals.add(id, run);
         }
     }
@@ -76,10 +80,6 @@
 
     pub(in crate::owner) fn stop_run(&mut self, id: &TaskRun) {
         self.may_have_orders = true;
-        if let Some(run) = self.runs.get_mut(id) {
-            self.totals.subtract(id, run);
-            run.stop();
-            self.totals.add(id, run);
-        }
+        self.change(id, Run::stop);
     }
 }
