--- a/crates/jobs/src/owner/orders.rs
+++ b/crates/jobs/src/owner/orders.rs
@@ -9,7 +9,7 @@
 /// The maximum number of orders of a kind in a reply; the others follow with the next one.
 const MAX_ORDERS: usize = 512;
 
-/// How many bytes of payloads the starts of a reply may have before no further one is added: a reply has
+/// How many bytes of payloads and checkpoints the starts of a reply may have before no further one is added: a reply has
 /// to stay below the size that companions accept, though JSON may take six bytes for one.
 const MAX_PAYLOAD_BYTES: usize = 256 * 1024;
 
@@ -58,7 +58,7 @@
                 return;
             }
             if let Some(order) = start_order(id, run, jobs) {
-                bytes += order.payload.len();
+                bytes += order.payload.len() + order.checkpoint.as_ref().map_or(0, |c| c.len());
                 self.starts.push(order);
             }
         }
