Owner: log what each release of a run and each order rests on

`worker lease lapsed` now names the worker, its last report and fencing token; orders, lapses and leaves carry the age of the last proof; vanished, rejected and lost runs name the report and the clock of the status they rest on. No decision changes.

--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -180,6 +180,12 @@
             .is_some_and(|l| renewal::age((now, boot_time), l.proved) < limit)
     }
 
+    /// Returns when the last call was sent whose reply showed this owner's key: until then no other entry
+    /// owned the jobs.
+    pub fn proved_at(&self) -> Option<Instant> {
+        self.leading().map(|l| l.proved.0)
+    }
+
     /// Returns the state of an ownership that is not suspended.
     fn leading(&self) -> Option<&Leading> {
         match &self.phase {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -155,6 +155,9 @@
         let is_waiting = self.elector.is_resuming();
         if let Some(owner) = self.owner.as_mut().filter(|_| !is_waiting) {
             let began = self.clock.now();
+            if let Some(at) = self.elector.proved_at() {
+                owner.ownership_proved(at);
+            }
             let effects = if may_lead {
                 owner.run(now, unix_ms(self.clock.wall()))
             } else {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -21,6 +21,7 @@
 mod owner_record;
 mod placement;
 mod processes;
+mod proof;
 mod ranking;
 mod recent_usage;
 mod run;
@@ -155,6 +156,8 @@
     cordons: Option<Cordons>,
     /// What inherited tasks wait for.
     inherited: Inherited<TaskId>,
+    /// Until when no other entry is known to have owned the jobs.
+    proved: Option<Instant>,
 }
 
 impl Owner {
@@ -187,6 +190,7 @@
             unexplained_crash: None,
             first_run: None,
             inherited: Inherited::default(),
+            proved: None,
         }
     }
 
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -156,12 +156,14 @@
     ///
     /// Requires a settled status report: a run that is being stopped may be missing from an
     /// unsettled one, both as running and as finished.
-    pub(super) fn drop_vanished(&mut self, vm: &Name, rows: &[RunningRow], open: &[TaskRun]) {
+    pub(super) fn drop_vanished(&mut self, vm: &Name, status: &WorkerStatus, open: &[TaskRun]) {
         let Some(worker) = self.workers.get(vm) else {
             return;
         };
-        let reported: IndexSet<&TaskRun> = rows.iter().map(|r| &r.run).chain(open).collect();
+        let running = status.running.iter().map(|r| &r.run);
+        let reported: IndexSet<&TaskRun> = running.chain(open).collect();
         let is_reported = |id: &TaskRun| reported.contains(id);
+        let report = worker.processes.last_number;
         let vanished: Vec<TaskRun> = worker
             .runs
             .iter()
@@ -169,7 +171,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in vanished {
-            warn!(self.log, "owner: run vanished"; "run" => %id, "vm" => %vm);
+            warn!(self.log, "owner: run vanished"; "run" => %id, "vm" => %vm,
+                "fence" => status.fence, "clock_ms" => status.clock_ms, "report" => report);
             if let Some(worker) = self.workers.get_mut(vm) {
                 worker.remove(&id);
             }
@@ -197,8 +200,11 @@
             .cloned()
             .collect();
         info!(self.log, "owner: worker adopted";
-            "vm" => %vm, "running" => status.running.len(), "lost" => lost.len());
+            "vm" => %vm, "running" => status.running.len(), "lost" => lost.len(),
+            "fence" => status.fence, "clock_ms" => status.clock_ms);
         for id in lost {
+            info!(self.log, "owner: run lost"; "run" => %id, "vm" => %vm,
+                "why" => "missing after the fencing token rose");
             if let Some(worker) = self.workers.get_mut(vm) {
                 worker.remove(&id);
             }
@@ -255,7 +261,8 @@
         };
         info!(self.log, "owner: start rejected";
             "run" => %rejected.run, "vm" => %vm, "why" => ?rejected.why,
-            "ordered_ms_ago" => now.duration_since(run.since).as_millis());
+            "ordered_ms_ago" => now.duration_since(run.since).as_millis(),
+            "was_listed" => was_listed, "report" => worker.processes.last_number);
         self.stats.events.push(("run", "rejected"));
         if rejected.why == RejectKind::Ticket {
             self.drop_ticket(vm, &rejected.run);
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -217,6 +217,7 @@
             .jobs
             .get(id)
             .and_then(|job| self.ticket(now, job, &job.instances[at], vm));
+        let (fence, proved_ms_ago) = (self.fence(vm), self.proved_ms_ago(now));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(id), self.workers.get_mut(vm)) else {
             return;
         };
@@ -230,6 +231,7 @@
         info!(self.log, "owner: run ordered"; "run" => %run_id, "vm" => %vm,
             "load" => worker.load_with(0), "failures" => job.tasks[position].failed.len(),
             "suspect" => run.trial.is_some(), "resumes" => run.resumes,
+            "fence" => fence, "proved_ms_ago" => proved_ms_ago,
             "waited_ms" => now.duration_since(job.since).as_millis());
         self.stats
             .times
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -51,7 +51,7 @@
             // The companion's previous process may have passed on orders whose outcome is unknown.
             // Raising the fencing token stops those that have not taken effect; the next status
             // report shows those that have.
-            info!(self.log, "owner: companion restarted"; "vm" => %vm);
+            info!(self.log, "owner: companion restarted"; "vm" => %vm, "boot" => boot);
             worker.raise_fence();
             worker.shared_status.clear();
         }
@@ -165,7 +165,8 @@
             self.stop_standing(vm);
         }
         if report.is_gone && !was_gone {
-            info!(self.log, "owner: worker left"; "vm" => %vm, "worker" => %report.id);
+            info!(self.log, "owner: worker left"; "vm" => %vm, "worker" => %report.id,
+                "fence" => self.fence(vm), "proved_ms_ago" => self.proved_ms_ago(now));
             if let Some(worker) = self.workers.get_mut(vm) {
                 worker.inherited_until = None;
                 worker.raise_fence();
@@ -215,7 +216,7 @@
         self.apply_finished(now, unix_ms, vm, &status.finished);
         self.apply_running(now, vm, &status, &report.open, is_first);
         if !is_first && status.is_settled {
-            self.drop_vanished(vm, &status.running, &report.open);
+            self.drop_vanished(vm, &status, &report.open);
         }
         // Runs in neither list are those being stopped, of which an unused worker has none.
         let is_empty = status.running.is_empty() && report.open.is_empty();
@@ -226,7 +227,7 @@
     }
 
     /// Returns the fencing token of orders to the worker's current incarnation.
-    fn fence(&self, vm: &Name) -> u64 {
+    pub(super) fn fence(&self, vm: &Name) -> u64 {
         let step = self.workers.get(vm).map_or(0, |w| w.fence_step);
         fence_of(&self.cfg, step)
     }
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -165,7 +165,7 @@
     }
 
     fn expire(&mut self, now: Instant, vm: &Name) {
-        warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm);
+        self.log_lapse(now, vm);
         self.suspect_lost_runs(now, vm);
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.lease_from = None;
@@ -177,6 +177,20 @@
         self.settle_inherited(vm);
         self.release_all(vm, "lease lapsed");
     }
+
+    fn log_lapse(&self, now: Instant, vm: &Name) {
+        let Some(worker) = self.workers.get(vm) else {
+            return;
+        };
+        let heard_ms_ago = worker.lease_from.map(|at| base::whole_ms(now - at));
+        let last_report = worker.last_report.as_ref();
+        warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm,
+            "worker" => last_report.map(|l| l.id.to_string()),
+            "born" => last_report.map(|l| l.incarnation.0),
+            "heard_ms_ago" => heard_ms_ago, "is_inherited" => worker.inherited_until.is_some(),
+            "fence" => self.fence(vm), "proved_ms_ago" => self.proved_ms_ago(now),
+            "runs" => worker.runs.len());
+    }
 }
 
 /// Returns the record if a caller can have submitted its job; another writer may have left it.
