A worker's lease lapses only while the owner's key is proved

Cause: an owner may lead for 5 s after the last proof of its key, a lease lapsed for it 4.74 s after the worker's last report, and another entry can be elected 2 s after the last renewal. Silence was taken as proof that a run has ended, though another owner may have renewed its lease.

Change: an expired lease counts once a read of the owner's key, sent after its end, has shown the key at this owner's revision: then no other entry can have owned the jobs before, nor renewed the lease. Nothing waits by a longer bound.

--- a/crates/controller/src/elector.rs
+++ b/crates/controller/src/elector.rs
@@ -88,6 +88,8 @@
     renewed: Clocks,
     /// When the last call was sent whose reply showed the key at `revision`, on both clocks.
     proved: Clocks,
+    /// Whether the next renewal is to be followed by a read of the key.
+    needs_proof: bool,
     /// The outstanding call.
     renewing: Option<SentCall>,
     next_renewal: Instant,
@@ -186,6 +188,18 @@
         self.leading().map(|l| l.proved.0)
     }
 
+    /// Renews the lease and reads the key now.
+    pub fn prove(&mut self, now: Instant) {
+        // While the store does not respond, its next call is due after a delay already.
+        let is_failing = self.is_store_failing();
+        if let Phase::Leading(leading) = &mut self.phase
+            && !std::mem::replace(&mut leading.needs_proof, true)
+            && !is_failing
+        {
+            leading.next_renewal = leading.next_renewal.min(now);
+        }
+    }
+
     /// Returns the state of an ownership that is not suspended.
     fn leading(&self) -> Option<&Leading> {
         match &self.phase {
--- a/crates/controller/src/elector/claim.rs
+++ b/crates/controller/src/elector/claim.rs
@@ -147,6 +147,7 @@
             resume: None,
             renewed: granted,
             proved: sent,
+            needs_proof: false,
             renewing: None,
             next_renewal: now,
         });
--- a/crates/controller/src/elector/renewal.rs
+++ b/crates/controller/src/elector/renewal.rs
@@ -43,8 +43,8 @@
             Ok(StoreReply::Leased { .. }) => {
                 leading.renewed = sent;
                 leading.next_renewal = now + self.cfg.lease / 4;
-                let is_proof_due = age(sent, leading.proved) >= self.cfg.lease.mul_f64(PROOF_AGE);
-                if is_proof_due && leading.resume.is_none() {
+                let is_proof_old = age(sent, leading.proved) >= self.cfg.lease.mul_f64(PROOF_AGE);
+                if (is_proof_old || leading.needs_proof) && leading.resume.is_none() {
                     leading.renewing = Some(SentCall { step: None });
                     next = Some(read_key());
                 }
@@ -73,6 +73,7 @@
         let is_own = found.is_some_and(|kv| kv.revision == leading.revision);
         if is_own {
             leading.proved = sent;
+            leading.needs_proof = false;
         }
         self.phase = Phase::Leading(leading);
         let change = self.key_seen(now, Duration::ZERO, found);
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -371,6 +371,7 @@
                 Effect::Lookup(token, job) => self.look_up(token, &job),
                 Effect::Advise(request) => self.ports.advise(request),
                 Effect::KeyMissing => self.elector.key_missing(cx.now()),
+                Effect::ProveOwnership => self.elector.prove(cx.now()),
                 Effect::StepDown(why) => {
                     self.elector.follow(cx.now());
                     self.stop_owner(cx, why);
--- a/crates/controller/tests/revoked.rs
+++ b/crates/controller/tests/revoked.rs
@@ -177,3 +177,37 @@
         "{changes:?}"
     );
 }
+
+#[test]
+fn requested_proof_is_read_after_the_request_and_at_once() {
+    let mut cluster = Cluster::new();
+    let mut a = elector("a");
+    cluster.elect(&mut a);
+    cluster.advance(RENEWAL / 5);
+
+    let change = cluster.step(&mut a, false);
+    let before = a.proved_at();
+    a.prove(cluster.now);
+    let change = change.or(cluster.step(&mut a, false));
+
+    assert_eq!(change, None);
+    assert!(before < Some(cluster.now));
+    assert_eq!(a.proved_at(), Some(cluster.now));
+}
+
+#[test]
+fn proof_that_cannot_be_read_does_not_keep_the_lease_from_being_renewed() {
+    let mut cluster = Cluster::new();
+    let mut a = elector("a");
+    cluster.elect(&mut a);
+    let mut changes = Vec::new();
+
+    for _ in 0..2 * LEASE.as_millis() / RENEWAL.as_millis() {
+        a.prove(cluster.now);
+        changes.extend(keep_leading(&mut cluster, &mut a, RENEWAL, is_read));
+    }
+    cluster.store.expire(cluster.now);
+
+    assert_eq!(changes, []);
+    assert!(cluster.key().is_some(), "the lease has not expired");
+}
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -101,6 +101,8 @@
     Advise(AdviceRequest),
     /// The owner's key is missing in the store; this entry has to take it again or step down.
     KeyMissing,
+    /// Read the owner's key and pass when that was sent to [`Owner::ownership_proved`].
+    ProveOwnership,
     /// Another entry owns the jobs; this one has to step down for the given reason.
     StepDown(&'static str),
 }
@@ -158,6 +160,8 @@
     inherited: Inherited<TaskId>,
     /// Until when no other entry is known to have owned the jobs.
     proved: Option<Instant>,
+    /// Whether a lease has expired for which ownership is not proved.
+    awaits_proof: bool,
 }
 
 impl Owner {
@@ -191,6 +195,7 @@
             first_run: None,
             inherited: Inherited::default(),
             proved: None,
+            awaits_proof: false,
         }
     }
 
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -149,18 +149,22 @@
     }
 
     /// Removes the runs of workers whose leases have expired.
+    ///
+    /// Silence alone proves nothing: another owner may have been elected and may have renewed the lease.
+    /// So the expiry counts only once ownership has been proved for a time after it.
     pub(super) fn expire_workers(&mut self, now: Instant) {
-        let expired: Vec<Name> = self
+        let due: Vec<(Name, bool)> = self
             .workers
             .iter()
-            .filter(|(_, w)| {
-                w.lease_expires_at(self.cfg.worker_lease)
-                    .is_some_and(|at| at <= now)
+            .filter_map(|(vm, w)| {
+                let at = w.lease_expires_at(self.cfg.worker_lease)?;
+                (at <= now).then(|| (Arc::clone(vm), self.is_proved(at)))
             })
-            .map(|(vm, _)| Arc::clone(vm))
             .collect();
-        for vm in expired {
-            self.expire(now, &vm);
+        let unproved = due.iter().filter(|(_, is_proved)| !is_proved).count();
+        self.await_proof(now, unproved);
+        for (vm, _) in due.iter().filter(|(_, is_proved)| *is_proved) {
+            self.expire(now, vm);
         }
     }
 
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -102,6 +102,8 @@
     pub step_down: Option<&'static str>,
     /// Whether the owner found its key missing.
     pub is_key_missing: bool,
+    /// Whether the owner has asked for a proof that it owns the jobs.
+    pub is_proof_requested: bool,
     /// Whether the owner can't read its key, so that another one may have been elected.
     pub is_unproved: bool,
     pub vms: IndexMap<Name, Vm>,
@@ -143,6 +145,7 @@
             advice_requests: Vec::new(),
             step_down: None,
             is_key_missing: false,
+            is_proof_requested: false,
             is_unproved: false,
             vms: IndexMap::new(),
             transactions: 0,
@@ -279,6 +282,7 @@
                     Effect::Lookup(_, job) => self.lookups.push(job),
                     Effect::Advise(request) => self.advice_requests.push(request),
                     Effect::KeyMissing => self.is_key_missing = true,
+                    Effect::ProveOwnership => self.is_proof_requested = true,
                     Effect::StepDown(why) => self.step_down = Some(why),
                 }
             }
--- a/crates/jobs/tests/proofs.rs
+++ b/crates/jobs/tests/proofs.rs
@@ -64,3 +64,17 @@
 
     assert_eq!(harness.vm("one").running.len(), 2, "two runs of one task");
 }
+
+#[test]
+fn expired_lease_lapses_once_ownership_is_proved() {
+    let mut harness = harness_with_silent_worker();
+    harness.is_unproved = true;
+    pass(&mut harness, LAPSED);
+    let is_requested = harness.is_proof_requested;
+
+    harness.is_unproved = false;
+    pass(&mut harness, Duration::from_millis(500));
+
+    assert!(is_requested);
+    assert_eq!(harness.vm("one").running.len(), 4);
+}
