Random cuts: workers that drain, leave and take time to stop runs, and cancelled jobs

The play of owners, companions and the store behind links that fail knew only workers that stay. Draining and leaving ones change what their records say, and a run that is being stopped is in no list for 0.9 s, so a takeover has to wait for a settled status.

--- a/crates/controller/tests/partitions/play.rs
+++ b/crates/controller/tests/partitions/play.rs
@@ -91,7 +91,7 @@
                 play.next_job = play.now + play.random(300, 2000);
             }
             if !is_trouble {
-                play.network.heal();
+                play.heal();
                 if play.tasks_left().is_empty() {
                     return Ok(());
                 }
--- a/crates/controller/tests/partitions/play/trouble.rs
+++ b/crates/controller/tests/partitions/play/trouble.rs
@@ -15,6 +15,8 @@
 use crate::network::Site;
 use crate::vm::POOL;
 
+const ROUTE: &str = "checks";
+
 const SITES: usize = FIRST_VM + VMS;
 
 /// How long a caller waits.
@@ -51,7 +53,7 @@
                 schedule: None,
             }),
             terms: Box::new(RouteTerms {
-                route: "checks".into(),
+                route: ROUTE.into(),
                 pool: POOL.into(),
                 priority: 0,
                 attempts: 3,
@@ -74,7 +76,7 @@
 
     /// Lets something fail, or heals all links.
     pub(super) fn fail(&mut self) {
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..16) {
             0..=3 => self.partition(),
             4 => self.cut_some(),
             5 | 6 => {
@@ -83,11 +85,20 @@
             }
             7 | 8 => self.suspend(),
             9 => self.revoke_key(),
-            10 => {
+            10 => self.replace_worker(),
+            11 | 12 => {
+                let at = self.rng.random_range(0..VMS);
+                let vm = &mut self.vms[at];
+                vm.is_draining ^= true;
+                let what = format!("worker of vm-{at} drains: {}", vm.is_draining);
+                self.note(None, what);
+            }
+            13 => {
                 let at = self.rng.random_range(0..VMS);
-                self.note(None, format!("worker of vm-{at} restarts"));
-                self.vms[at].restart_worker();
+                self.note(None, format!("worker of vm-{at} leaves"));
+                self.vms[at].leave();
             }
+            14 => self.cancel(),
             _ => {
                 let at = self.rng.random_range(0..VMS);
                 self.note(None, format!("companion of vm-{at} restarts"));
@@ -96,6 +107,45 @@
         }
     }
 
+    /// Begins another life of a worker, under the same id or another.
+    fn replace_worker(&mut self) {
+        let at = self.rng.random_range(0..VMS);
+        self.note(None, format!("worker of vm-{at} restarts"));
+        self.vms[at].worker += u64::from(self.rng.random_bool(0.5));
+        self.vms[at].restart_worker();
+    }
+
+    /// Ends what has failed for good, so that all jobs can complete.
+    pub(super) fn heal(&mut self) {
+        self.network.heal();
+        for vm in &mut self.vms {
+            vm.is_draining = false;
+            if vm.is_gone() {
+                vm.worker += 1;
+                vm.restart_worker();
+            }
+        }
+    }
+
+    /// Cancels a random job; its tasks need not be done any more.
+    fn cancel(&mut self) {
+        if self.jobs.is_empty() {
+            return;
+        }
+        let at = self.rng.random_range(0..self.jobs.len());
+        self.jobs[at] = 0;
+        let request = JobRequest::Cancel {
+            job: job_id(at).as_str().into(),
+            route: ROUTE.into(),
+        };
+        self.note(None, format!("job {at} is cancelled"));
+        let entry = self.rng.random_range(0..ENTRIES);
+        let entry = &mut self.entries[entry];
+        let deadline = entry.clock.now() + CALLER_WAITS;
+        let responder = Responder::new(drop);
+        entry.deliver(Event::Caller(Box::new(request), deadline, responder));
+    }
+
     /// Cuts some machines, the owner's among them as often as not, off from the others, in both
     /// directions or in one.
     fn partition(&mut self) {
