Companion's log: who ordered a start or a stop, and which reply renewed the lease

The first call of each start, and each new stop order, is now one line with the owner's name and epoch, the report replied to and its age, the incarnation and the fencing token; a start also names the reply that set its deadline.

No decision changes.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -5,6 +5,7 @@
 use jobs::report::WorkerStatus;
 
 use crate::ports::{Heartbeat, LongPollReply};
+use crate::provenance::Source;
 use crate::starts::Starts;
 use crate::worker_clock::WorkerClock;
 
@@ -36,6 +37,8 @@
     pub(crate) fence: u64,
     /// When the lease of the tasks expires, on the worker's clock in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
+    /// The reply that set `deadline_ms`.
+    pub(crate) leased_by: Option<Source>,
     /// Until when the owner permits starts; `None` for as long as the lease lasts.
     pub(crate) starts_until: Option<Instant>,
     /// The number of the report whose reply set `starts_until`; replies may arrive in any order.
@@ -81,6 +84,7 @@
             clock: None,
             fence: 0,
             deadline_ms: None,
+            leased_by: None,
             starts_until: None,
             starts_until_from: 0,
             stored_ends: 0,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod node;
 mod orders;
 mod ports;
+mod provenance;
 mod starts;
 mod state;
 mod sync;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -156,9 +156,12 @@
             return;
         };
         while self.calls.is_free()
-            && let Some(order) = worker.starts.take_due(now)
+            && let Some((order, source)) = worker.starts.take_due(now)
         {
             self.calls.take();
+            if let Some(source) = source {
+                worker.log_start(now, &order.run, &source, &self.log);
+            }
             let call = StartCall {
                 worker: worker.heartbeat.id.clone(),
                 fence: worker.fence,
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -4,6 +4,8 @@
 use jobs::TaskRun;
 use jobs::report::{RejectKind, Rejected, StartOrder, WorkerStatus};
 
+use crate::provenance::Source;
+
 /// How many runs are remembered after their outcome is known: more than a worker starts while a
 /// reply of the owner is on its way.
 const MAX_CONCLUDED: usize = 1024;
@@ -32,6 +34,7 @@
 #[derive(Clone, Debug)]
 struct OpenStart {
     order: StartOrder,
+    source: Source,
     progress: Progress,
     /// When the first call was made.
     sent_at: Option<Instant>,
@@ -94,7 +97,7 @@
     }
 
     /// Adds an order to start, unless the run is known.
-    pub(crate) fn order(&mut self, now: Instant, order: StartOrder) {
+    pub(crate) fn order(&mut self, now: Instant, order: StartOrder, source: &Source) {
         let run = &order.run;
         let is_known = self.open.contains_key(run)
             || self.rejected.contains_key(run)
@@ -103,6 +106,7 @@
         if !is_known {
             let open = OpenStart {
                 order,
+                source: source.clone(),
                 progress: Progress::Due(now),
                 sent_at: None,
                 unanswered: 0,
@@ -112,15 +116,17 @@
         }
     }
 
-    /// Adds an order to stop.
-    pub(crate) fn order_stop(&mut self, now: Instant, run: TaskRun) {
+    /// Adds an order to stop; returns true unless one is in progress.
+    pub(crate) fn order_stop(&mut self, now: Instant, run: TaskRun) -> bool {
         if let Some(open) = self.open.get_mut(&run) {
             open.stopping.get_or_insert(RejectKind::Stopped);
         }
+        let is_new = !self.stops.contains_key(&run);
         let stop = self.stops.entry(run).or_insert(Stop::Due(now));
         if matches!(stop, Stop::Done(_)) {
             *stop = Stop::Due(now);
         }
+        is_new
     }
 
     /// Rejects the starts that are to be sent.
@@ -149,8 +155,9 @@
             .retain(|_, open| matches!(open.progress, Progress::Accepted(_)));
     }
 
-    /// Returns the start that has been due for longest, and marks it as sent.
-    pub(crate) fn take_due(&mut self, now: Instant) -> Option<StartOrder> {
+    /// Returns the start that has been due for longest, and marks it as sent; with the first call, also
+    /// where the order came from.
+    pub(crate) fn take_due(&mut self, now: Instant) -> Option<(StartOrder, Option<Source>)> {
         let open = self.open.values_mut();
         let due = open.filter_map(|open| Some((open.due()?, open)));
         let (at, open) = due.min_by_key(|(at, _)| *at)?;
@@ -158,8 +165,9 @@
             return None;
         }
         open.progress = Progress::Sent;
+        let source = open.sent_at.is_none().then(|| open.source.clone());
         open.sent_at.get_or_insert(now);
-        Some(open.order.clone())
+        Some((open.order.clone(), source))
     }
 
     /// Returns the stop that has been due for longest, and marks it as sent.
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -7,6 +7,7 @@
 use jobs::report::{RejectKind, SharedStatus, SyncReply, SyncReport};
 use slog::{info, warn};
 
+use crate::provenance::{Source, age_ms};
 use crate::state::{Action, AgentState};
 
 /// How many reports may be in flight: one that the owner holds open, and one with newer state.
@@ -35,6 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Syncs {
     pub(crate) owner: Option<(SocketAddr, Epoch)>,
+    owner_name: Name,
     /// Whether the state has changed since the last report.
     pub(crate) has_changes: bool,
     last_number: u64,
@@ -92,6 +94,7 @@
         info!(self.log, "companion: new owner";
             "owner" => %record.name, "epoch" => record.epoch.0);
         self.syncs.owner = Some(owner);
+        self.syncs.owner_name = Arc::clone(&record.name);
         self.syncs.in_flight.clear();
         self.syncs.not_before = None;
         self.syncs.failures = 0;
@@ -193,6 +196,12 @@
     /// Applies the owner's lease and orders, unless they are for another incarnation of the worker
     /// or made under a lower fencing token.
     fn apply_reply(&mut self, now: Instant, number: u64, sent: SentReport, reply: SyncReply) {
+        let source = Source {
+            owner: Arc::clone(&self.syncs.owner_name),
+            epoch: reply.epoch,
+            report: number,
+            sent_at: sent.sent_at,
+        };
         let throttles = {
             let Some(worker) = self.worker.as_mut() else {
                 return;
@@ -217,7 +226,10 @@
             worker.stored_ends = worker.stored_ends.max(reply.stored_ends);
             if let (Some(clock_ms), Some(lease_ms)) = (sent.clock_ms, reply.lease_ms) {
                 let deadline = clock_ms.saturating_add(lease_ms);
-                worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
+                if worker.deadline_ms.is_none_or(|known| known < deadline) {
+                    worker.deadline_ms = Some(deadline);
+                    worker.leased_by = Some(source.clone());
+                }
             }
             if number >= worker.starts_until_from {
                 let start_lease = reply.start_lease_ms.map(Duration::from_millis);
@@ -227,13 +239,18 @@
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
             self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
-                worker.starts.order(now, order);
+                worker.starts.order(now, order, &source);
             }
             if !sent.capacity.fits(&worker.heartbeat.capacity) {
                 worker.starts.reject_unsent(now, RejectKind::Room);
             }
             for run in reply.stops {
-                worker.starts.order_stop(now, run);
+                if worker.starts.order_stop(now, run.clone()) {
+                    info!(self.log, "companion: stop ordered"; "run" => %run,
+                        "owner" => %source.owner, "epoch" => source.epoch.0,
+                        "report" => number, "report_age_ms" => age_ms(now, source.sent_at),
+                        "born" => worker.heartbeat.incarnation.0, "fence" => worker.fence);
+                }
             }
             reply.throttles
         };
