Companion's log: what a conclusion about a run rests on

A companion reports that a start will not take effect for one of four reasons that its log did not tell apart: no call was made, an accepted run is missing from a later status, a stop was confirmed, or the fencing token rose (this one is not even reported). Each is now one line with the proof, the worker's clock at that time, the calls without a reply, and the fencing token and clock of the status it rests on.

No decision changes.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -65,9 +65,10 @@
                 why: RejectKind::Old,
                 clock_ms: Some(clock_ms),
             }) => worker.starts.accepted(run, clock_ms),
-            Ok(StartReply::Rejected { why, .. }) => {
+            Ok(StartReply::Rejected { why, clock_ms }) => {
                 info!(self.log, "companion: start rejected";
-                    "run" => %run, "why" => ?why, "unanswered" => worker.starts.unanswered(run));
+                    "run" => %run, "why" => ?why, "unanswered" => worker.starts.unanswered(run),
+                    "born" => incarnation.0, "fence" => worker.fence, "clock_ms" => clock_ms);
                 worker.starts.reject(now, run, why);
                 self.syncs.has_changes = true;
             }
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -4,7 +4,7 @@
 use jobs::TaskRun;
 use jobs::report::{RejectKind, Rejected, StartOrder, WorkerStatus};
 
-use crate::provenance::Source;
+use crate::provenance::{Conclusions, Proof, Source};
 
 /// How many runs are remembered after their outcome is known: more than a worker starts while a
 /// reply of the owner is on its way.
@@ -83,6 +83,8 @@
     /// Runs that a status has shown, and starts whose rejection the owner has recorded: a
     /// redelivered order must not start them again.
     concluded: IndexSet<TaskRun>,
+    /// For the log.
+    pub(crate) conclusions: Conclusions,
 }
 
 impl Starts {
@@ -93,6 +95,7 @@
             stops: IndexMap::new(),
             rejected: IndexMap::new(),
             concluded: IndexSet::new(),
+            conclusions: Conclusions::default(),
         }
     }
 
@@ -142,6 +145,9 @@
         let before = self.rejected.len();
         for run in unsent {
             self.reject(now, &run, why);
+            if self.rejected.contains_key(&run) {
+                self.conclusions.add(&run, Some(why), Proof::Unsent, 0);
+            }
         }
         self.rejected.len() > before
     }
@@ -151,8 +157,14 @@
     /// Retried under the new token they would take effect, although the owner that raised it does
     /// not expect them. Runs that did start under the old token show in the next status.
     pub(crate) fn drop_unanswered(&mut self) {
-        self.open
-            .retain(|_, open| matches!(open.progress, Progress::Accepted(_)));
+        let conclusions = &mut self.conclusions;
+        self.open.retain(|run, open| {
+            let is_accepted = matches!(open.progress, Progress::Accepted(_));
+            if !is_accepted {
+                conclusions.add(run, None, Proof::Fenced, open.unanswered);
+            }
+            is_accepted
+        });
     }
 
     /// Returns the start that has been due for longest, and marks it as sent; with the first call, also
@@ -276,6 +288,7 @@
         let has_finished = |run: &TaskRun| finished.contains(run);
         let mut never_started = Vec::new();
         let concluded = &mut self.concluded;
+        let conclusions = &mut self.conclusions;
         let stops = &self.stops;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
@@ -289,6 +302,12 @@
             {
                 // The run finished and was acknowledged before this companion saw it.
                 never_started.push((run.clone(), RejectKind::Old));
+                conclusions.add(
+                    run,
+                    Some(RejectKind::Old),
+                    Proof::Missing(at),
+                    open.unanswered,
+                );
                 return false;
             }
             true
@@ -305,11 +324,17 @@
             if may_be_stopping && !has_finished(run) {
                 return true;
             }
-            let why = open.shift_remove(run).and_then(|open| open.stopping);
+            let start = open.shift_remove(run);
             if has_finished(run) {
                 concluded.insert(run.clone());
-            } else {
-                never_started.push((run.clone(), why.unwrap_or(RejectKind::Stopped)));
+                return false;
+            }
+            let unanswered = start.as_ref().map_or(0, |open| open.unanswered);
+            let why = start.and_then(|open| open.stopping);
+            let why = why.unwrap_or(RejectKind::Stopped);
+            never_started.push((run.clone(), why));
+            if let Stop::Done(at) = *stop {
+                conclusions.add(run, Some(why), Proof::Stopped(at), unanswered);
             }
             false
         });
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -154,6 +154,9 @@
         self.send_starts(now, &mut actions);
         self.send_throttles(&mut actions);
         self.sync_due(now, &mut actions);
+        if let Some(worker) = &mut self.worker {
+            worker.log_conclusions(now, &self.log);
+        }
         actions
     }
 
