Companion's log: raised fencing tokens, orders that are ignored, the process's number

With two owners alive, a companion may get orders of the earlier one after it has heard the later one, and drops them without a word; nor did the log tell when, and by whose reply, the fencing token rose, which drops the starts in flight. Both are now one line each, with epochs, tokens and the report replied to. The first line of a companion has the number by which the owner tells its processes apart.

No decision changes.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -260,7 +260,7 @@
             Arc::clone(&stopping),
             sink,
         ));
-        info!(log, "companion: started"; "vm" => %cfg.vm);
+        info!(log, "companion: started"; "vm" => %cfg.vm, "boot" => boot);
         Ok(Self {
             stopping,
             heartbeats,
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -92,7 +92,9 @@
             return;
         }
         info!(self.log, "companion: new owner";
-            "owner" => %record.name, "epoch" => record.epoch.0);
+            "owner" => %record.name, "epoch" => record.epoch.0,
+            "before" => self.syncs.owner.map(|(_, epoch)| epoch.0), "replied" => self.epoch.0,
+            "fence" => self.worker.as_ref().map(|w| w.fence));
         self.syncs.owner = Some(owner);
         self.syncs.owner_name = Arc::clone(&record.name);
         self.syncs.in_flight.clear();
@@ -158,6 +160,9 @@
     /// Handles the outcome of a report.
     pub fn synced(&mut self, now: Instant, number: u64, reply: Result<SyncReply>) {
         let Some(sent) = self.syncs.in_flight.swap_remove(&number) else {
+            if let Ok(reply) = &reply {
+                self.log_ignored(number, reply, "a later owner is known");
+            }
             return;
         };
         let reply = match reply {
@@ -177,6 +182,7 @@
             return;
         }
         if reply.epoch < self.epoch {
+            self.log_ignored(number, &reply, "the owner is an earlier one");
             return;
         }
         self.epoch = reply.epoch;
@@ -209,12 +215,19 @@
             if reply.incarnation != worker.heartbeat.incarnation
                 || sent.incarnation != worker.heartbeat.incarnation
             {
+                self.log_ignored(number, &reply, "they are for another incarnation");
                 return;
             }
             if reply.fence < worker.fence {
+                self.log_ignored(number, &reply, "the fencing token has risen");
                 return;
             }
             if reply.fence > worker.fence {
+                info!(self.log, "companion: fencing token raised";
+                    "owner" => %source.owner, "epoch" => source.epoch.0,
+                    "from" => worker.fence, "to" => reply.fence,
+                    "report" => number, "report_age_ms" => age_ms(now, source.sent_at),
+                    "born" => worker.heartbeat.incarnation.0);
                 worker.starts.drop_unanswered();
                 self.throttles.clear();
             }
@@ -256,4 +269,16 @@
         };
         self.throttles.extend(throttles);
     }
+
+    /// Logs that the orders of a reply are not carried out, if it has any.
+    fn log_ignored(&self, number: u64, reply: &SyncReply, reason: &str) {
+        let (starts, stops) = (reply.starts.len(), reply.stops.len());
+        if starts + stops > 0 {
+            warn!(self.log, "companion: orders ignored"; "reason" => reason,
+                "epoch" => reply.epoch.0, "known_epoch" => self.epoch.0,
+                "owner" => %self.syncs.owner_name, "fence" => reply.fence,
+                "born" => reply.incarnation.0, "report" => number,
+                "starts" => starts, "stops" => stops);
+        }
+    }
 }
