Companion's log: lapsed leases and pauses of their renewal

New ends by lapse are one line for each status that brings some, with the reply that last renewed the lease and its age; so is each time that the companion ceases to renew the lease of a worker without responses, or resumes it.

No decision changes.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use jobs::TaskRun;
 use jobs::report::WorkerStatus;
+use slog::Logger;
 
 use crate::ports::{Heartbeat, LongPollReply};
 use crate::provenance::Source;
@@ -71,6 +72,8 @@
     pub(crate) refused_since: Option<Instant>,
     /// Whether connections have been refused for [`REFUSED_AFTER`].
     pub(crate) is_refusing: bool,
+    /// Whether the worker was unresponsive in the last report; for the log.
+    pub(crate) was_unresponsive: bool,
 }
 
 impl WorkerIncarnation {
@@ -97,6 +100,7 @@
             listed_since: IndexMap::new(),
             refused_since: None,
             is_refusing: false,
+            was_unresponsive: false,
             is_confirmed: true,
             is_long_polling: false,
             is_status_polling: false,
@@ -228,6 +232,7 @@
     now: Instant,
     fence: u64,
     reply: LongPollReply,
+    log: &Logger,
 ) -> bool {
     worker.clock = Some(WorkerClock::new(reply.clock_ms, now));
     let known = worker
@@ -262,6 +267,10 @@
         .status
         .as_ref()
         .is_none_or(|s| last_end(&status) > last_end(s));
+    if has_new_end {
+        let known = worker.status.as_ref().and_then(last_end).unwrap_or(0);
+        worker.log_lapses(now, &status, known, log);
+    }
     let has_reject = !worker.starts.rejected().is_empty();
     worker.status_clock_ms = reply.clock_ms;
     worker.status = Some(status);
--- a/crates/agent/src/provenance.rs
+++ b/crates/agent/src/provenance.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use jobs::TaskRun;
-use jobs::report::RejectKind;
-use slog::{Logger, info};
+use jobs::report::{EndKind, RejectKind, WorkerStatus};
+use slog::{Logger, info, warn};
 
 use crate::incarnation::WorkerIncarnation;
 
@@ -82,6 +82,35 @@
             "lease_age_ms" => lease.map(|l| age_ms(now, l.sent_at)));
     }
 
+    /// Logs that runs have ended with the lease, if a status lists such ends beyond number `known`.
+    pub(crate) fn log_lapses(&self, now: Instant, status: &WorkerStatus, known: u64, log: &Logger) {
+        let is_new = |number: u64| number > known.max(self.stored_ends);
+        let mut lapsed = status
+            .finished
+            .iter()
+            .filter(|end| end.how == EndKind::Lapsed && is_new(end.number));
+        if let Some(first) = lapsed.next() {
+            let lease = self.leased_by.as_ref();
+            warn!(log, "companion: lease lapsed"; "runs" => lapsed.count() + 1,
+                "first" => %first.run, "born" => self.heartbeat.incarnation.0,
+                "fence" => status.fence, "status_ms" => status.clock_ms,
+                "deadline_ms" => self.deadline_ms,
+                "lease_owner" => lease.map(|l| l.owner.to_string()),
+                "lease_epoch" => lease.map(|l| l.epoch.0), "lease_report" => lease.map(|l| l.report),
+                "lease_age_ms" => lease.map(|l| age_ms(now, l.sent_at)));
+        }
+    }
+
+    /// Logs that the lease is no longer renewed, or is again.
+    pub(crate) fn log_unresponsive(&mut self, now: Instant, log: &Logger) {
+        let is_unresponsive = self.is_unresponsive(now);
+        if std::mem::replace(&mut self.was_unresponsive, is_unresponsive) != is_unresponsive {
+            info!(log, "companion: renewal of the lease";
+                "ends" => is_unresponsive, "born" => self.heartbeat.incarnation.0, "silent_ms" => age_ms(now, self.answered_at), "refused" => self.is_refusing,
+                "fence" => self.fence, "deadline_ms" => self.deadline_ms);
+        }
+    }
+
     /// Logs the runs that the companion has given up.
     pub(crate) fn log_conclusions(&mut self, now: Instant, log: &Logger) {
         for conclusion in std::mem::take(&mut self.starts.conclusions.0) {
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -120,7 +120,7 @@
                 let has_ends = reply.ends.iter().any(|e| e.number > worker.stored_ends);
                 worker.poll_answered(now);
                 worker.poll_after = has_ends.then(|| now + STATUS_POLL_INTERVAL);
-                let has_changes = record_status(worker, now, done.fence, reply);
+                let has_changes = record_status(worker, now, done.fence, reply, &self.log);
                 // Every long poll that waited is reported, since its figures age quickly.
                 self.syncs.has_changes |= has_changes || done.is_waiting;
             }
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -124,6 +124,9 @@
         self.syncs.not_before = None;
         self.syncs.last_number += 1;
         let number = self.syncs.last_number;
+        if let Some(worker) = self.worker.as_mut() {
+            worker.log_unresponsive(now, &self.log);
+        }
         let worker = self.worker.as_ref();
         let sent = SentReport {
             sent_at: now,
