Agent: a lost connection does not confirm that a worker has left

A leave of a worker that has not drained is checked with a call to it. If that call was reset, got a status or a body that cannot be read, or could not connect in time, the worker counted as gone, and the owner gave up all its runs at once, though they may go on (TWICE, LIMIT). One stray leave and one reset connection suffice.

Cause: an error that leaves open whether the worker is there was taken for its end. The worker is now asked again 100 ms later; only a refused connection or another incarnation counts.

A worker that leaves without draining counts as gone one check later.

--- a/crates/agent/src/heartbeats.rs
+++ b/crates/agent/src/heartbeats.rs
@@ -42,7 +42,7 @@
         self.calls.release();
         let identity = (done.worker, done.incarnation);
         if self.is_current(&identity) {
-            self.check_leave(&identity, &done.reply);
+            self.check_leave(now, &identity, &done.reply);
             return;
         }
         let reply = match done.reply {
@@ -99,7 +99,14 @@
     }
 
     /// Ends the check of whether the known incarnation, which did not drain, has left.
-    fn check_leave(&mut self, identity: &Identity, reply: &Result<IdentityReply>) {
+    fn check_leave(&mut self, now: Instant, identity: &Identity, reply: &Result<IdentityReply>) {
+        if let Err(e) = reply
+            && matches!(e.kind(), ErrorKind::Unreachable | ErrorKind::Interrupted)
+        {
+            // A worker that goes on may lose a connection too.
+            self.candidates.retry(now, identity);
+            return;
+        }
         self.candidates.settle(identity);
         let Some(worker) = self.worker.as_mut() else {
             return;
@@ -109,10 +116,7 @@
                 incarnation.is_some_and(|i| i != identity.1)
             }
             Ok(IdentityReply::Other) => true,
-            Err(e) => matches!(
-                e.kind(),
-                ErrorKind::NotListening | ErrorKind::Unreachable | ErrorKind::Interrupted
-            ),
+            Err(e) => e.kind() == ErrorKind::NotListening,
         };
         if has_left {
             info!(self.log, "companion: worker left"; "worker" => %identity.0);
--- a/crates/agent/tests/harness/mod.rs
+++ b/crates/agent/tests/harness/mod.rs
@@ -125,6 +125,23 @@
         self.answer_checks();
     }
 
+    /// Sends a message that the worker leaves; the first check of it fails.
+    pub fn send_leave_with_reply_lost(&mut self, kind: ErrorKind) {
+        let leave = WorkerMessage::Leave("worker".into(), None);
+        self.state.worker_message(self.now, leave);
+        for action in self.state.run(self.now) {
+            if let Action::Identify(incarnation, call) = &action {
+                let done = IdentityDone {
+                    worker: call.worker.clone(),
+                    incarnation: *incarnation,
+                    reply: Err(Error::new(kind, "identify", "worker", "lost")),
+                };
+                self.state.identified(self.now, done);
+            }
+            self.actions.push(action);
+        }
+    }
+
     /// Returns a heartbeat of an incarnation of the worker.
     pub fn heartbeat(&self, incarnation: u64, number: u64) -> Heartbeat {
         Heartbeat {
--- a/crates/agent/tests/other_writers.rs
+++ b/crates/agent/tests/other_writers.rs
@@ -231,3 +231,31 @@
     assert!(drained.next_report().is_gone);
     assert!(ended.next_report().is_gone);
 }
+
+/// Guards against a stray leave whose check is reset although the worker goes on.
+#[test]
+fn leave_counts_only_once_the_worker_has_answered_or_refuses() {
+    for kind in [ErrorKind::Interrupted, ErrorKind::Unreachable] {
+        let mut harness = Harness::fenced();
+        harness.complete_long_poll(&[], &[]);
+
+        harness.send_leave_with_reply_lost(kind);
+        harness.advance(100);
+        harness.run();
+
+        assert!(!harness.next_report().is_gone);
+        assert_in_use(&mut harness);
+    }
+}
+
+#[test]
+fn leave_of_a_worker_that_refuses_after_a_lost_connection_counts() {
+    let mut harness = Harness::fenced();
+    harness.live = None;
+
+    harness.send_leave_with_reply_lost(ErrorKind::Interrupted);
+    harness.advance(100);
+    harness.run();
+
+    assert!(harness.next_report().is_gone);
+}
