Agent: the permission to start also runs out while the VM is suspended

The owner's permission to start tasks was counted on the companion's steady clock, which stands still while the VM is suspended. After a suspension of 2 s, an order that came with a permission of 1 s was still carried out in a zone that may be cordoned by then.

Cause: one clock was taken for all time that passes. The permission now also has an end on the worker's clock, counted like its lease; the earlier of the two holds. A worker's clock that was read late can end it some ms early, and the start is then rejected as late and placed again.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -42,6 +42,8 @@
     pub(crate) leased_by: Option<Source>,
     /// Until when the owner permits starts; `None` for as long as the lease lasts.
     pub(crate) starts_until: Option<Instant>,
+    /// The same on the worker's clock in milliseconds, which also counts while the VM is suspended.
+    pub(crate) starts_until_ms: Option<u64>,
     /// The number of the report whose reply set `starts_until`; replies may arrive in any order.
     pub(crate) starts_until_from: u64,
     /// Finished runs up to this number are stored by the owner.
@@ -89,6 +91,7 @@
             deadline_ms: None,
             leased_by: None,
             starts_until: None,
+            starts_until_ms: None,
             starts_until_from: 0,
             stored_ends: 0,
             status: None,
@@ -152,7 +155,10 @@
 
     /// Returns true if the owner's permission to start tasks has run out.
     pub(crate) fn is_past_starts(&self, now: Instant) -> bool {
-        self.starts_until.is_some_and(|until| until <= now)
+        let clock_ms = self.clock.map(|clock| clock.at_least(now));
+        let is_past = self.starts_until.is_some_and(|until| until <= now);
+        let is_past_there = self.starts_until_ms.zip(clock_ms);
+        is_past || is_past_there.is_some_and(|(until_ms, clock_ms)| until_ms <= clock_ms)
     }
 
     /// Returns when the next start is to be sent.
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -250,6 +250,8 @@
             if number >= worker.starts_until_from {
                 let start_lease = reply.start_lease_ms.map(Duration::from_millis);
                 worker.starts_until = start_lease.map(|lease| sent.sent_at + lease);
+                let until_ms = sent.clock_ms.zip(reply.start_lease_ms);
+                worker.starts_until_ms = until_ms.map(|(at, lease)| at.saturating_add(lease));
                 worker.starts_until_from = number;
             }
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
--- a/crates/agent/tests/cordons.rs
+++ b/crates/agent/tests/cordons.rs
@@ -144,3 +144,22 @@
 
     assert!(harness.starts().is_empty());
 }
+
+/// Guards against a permission that lasts longer because the VM was suspended meanwhile.
+#[test]
+fn permission_runs_out_while_the_vm_is_suspended() {
+    let mut harness = Harness::fenced();
+    harness.complete_long_poll(&[], &[]);
+    let (number, _) = harness.last_sync();
+    // The companion's clock stands still.
+    harness.clock_ms += 2 * START_LEASE_MS;
+    harness.complete_long_poll(&[], &[]);
+
+    harness.reply_to(number, |reply| {
+        reply.start_lease_ms = Some(START_LEASE_MS);
+        reply.starts = vec![order(0)];
+    });
+
+    assert!(harness.starts().is_empty());
+    assert!(is_rejected(&harness, 0));
+}
