--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -3,8 +3,10 @@
 use base::prelude::*;
 use jobs::TaskRun;
 use jobs::report::WorkerStatus;
+use slog::Logger;
 
 use crate::ports::{Heartbeat, LongPollReply};
+use crate::provenance::Source;
 use crate::starts::Starts;
 use crate::worker_clock::WorkerClock;
 
@@ -36,8 +38,12 @@
     pub(crate) fence: u64,
     /// When the lease of the tasks expires, on the worker's clock in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
+    /// The reply that set `deadline_ms`.
+    pub(crate) leased_by: Option<Source>,
     /// Until when the owner permits starts; `None` for as long as the lease lasts.
     pub(crate) starts_until: Option<Instant>,
+    /// The same on the worker's clock in milliseconds, which also counts while the VM is suspended.
+    pub(crate) starts_until_ms: Option<u64>,
     /// The number of the report whose reply set `starts_until`; replies may arrive in any order.
     pub(crate) starts_until_from: u64,
     /// Finished runs up to this number are stored by the owner.
@@ -68,6 +74,8 @@
     pub(crate) refused_since: Option<Instant>,
     /// Whether connections have been refused for [`REFUSED_AFTER`].
     pub(crate) is_refusing: bool,
+    /// Whether the worker was unresponsive in the last report; for the log.
+    pub(crate) was_unresponsive: bool,
 }
 
 impl WorkerIncarnation {
@@ -81,7 +89,9 @@
             clock: None,
             fence: 0,
             deadline_ms: None,
+            leased_by: None,
             starts_until: None,
+            starts_until_ms: None,
             starts_until_from: 0,
             stored_ends: 0,
             status: None,
@@ -93,6 +103,7 @@
             listed_since: IndexMap::new(),
             refused_since: None,
             is_refusing: false,
+            was_unresponsive: false,
             is_confirmed: true,
             is_long_polling: false,
             is_status_polling: false,
@@ -144,7 +155,10 @@
 
     /// Returns true if the owner's permission to start tasks has run out.
     pub(crate) fn is_past_starts(&self, now: Instant) -> bool {
-        self.starts_until.is_some_and(|until| until <= now)
+        let clock_ms = self.clock.map(|clock| clock.at_least(now));
+        let is_past = self.starts_until.is_some_and(|until| until <= now);
+        let is_past_there = self.starts_until_ms.zip(clock_ms);
+        is_past || is_past_there.is_some_and(|(until_ms, clock_ms)| until_ms <= clock_ms)
     }
 
     /// Returns when the next start is to be sent.
@@ -224,6 +238,7 @@
     now: Instant,
     fence: u64,
     reply: LongPollReply,
+    log: &Logger,
 ) -> bool {
     worker.clock = Some(WorkerClock::new(reply.clock_ms, now));
     let known = worker
@@ -258,6 +273,10 @@
         .status
         .as_ref()
         .is_none_or(|s| last_end(&status) > last_end(s));
+    if has_new_end {
+        let known = worker.status.as_ref().and_then(last_end).unwrap_or(0);
+        worker.log_lapses(now, &status, known, log);
+    }
     let has_reject = !worker.starts.rejected().is_empty();
     worker.status_clock_ms = reply.clock_ms;
     worker.status = Some(status);
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -4,6 +4,8 @@
 use jobs::TaskRun;
 use jobs::report::{RejectKind, Rejected, StartOrder, WorkerStatus};
 
+use crate::provenance::{Conclusions, Proof, Source};
+
 /// How many runs are remembered after their outcome is known: more than a worker starts while a
 /// reply of the owner is on its way.
 const MAX_CONCLUDED: usize = 1024;
@@ -32,6 +34,7 @@
 #[derive(Clone, Debug)]
 struct OpenStart {
     order: StartOrder,
+    source: Source,
     progress: Progress,
     /// When the first call was made.
     sent_at: Option<Instant>,
@@ -80,6 +83,8 @@
     /// Runs that a status has shown, and starts whose rejection the owner has recorded: a
     /// redelivered order must not start them again.
     concluded: IndexSet<TaskRun>,
+    /// For the log.
+    pub(crate) conclusions: Conclusions,
 }
 
 impl Starts {
@@ -90,11 +95,12 @@
             stops: IndexMap::new(),
             rejected: IndexMap::new(),
             concluded: IndexSet::new(),
+            conclusions: Conclusions::default(),
         }
     }
 
     /// Adds an order to start, unless the run is known.
-    pub(crate) fn order(&mut self, now: Instant, order: StartOrder) {
+    pub(crate) fn order(&mut self, now: Instant, order: StartOrder, source: &Source) {
         let run = &order.run;
         let is_known = self.open.contains_key(run)
             || self.rejected.contains_key(run)
@@ -103,6 +109,7 @@
         if !is_known {
             let open = OpenStart {
                 order,
+                source: source.clone(),
                 progress: Progress::Due(now),
                 sent_at: None,
                 unanswered: 0,
@@ -112,15 +119,17 @@
         }
     }
 
-    /// Adds an order to stop.
-    pub(crate) fn order_stop(&mut self, now: Instant, run: TaskRun) {
+    /// Adds an order to stop; returns true unless one is in progress.
+    pub(crate) fn order_stop(&mut self, now: Instant, run: TaskRun) -> bool {
         if let Some(open) = self.open.get_mut(&run) {
             open.stopping.get_or_insert(RejectKind::Stopped);
         }
+        let is_new = !self.stops.contains_key(&run);
         let stop = self.stops.entry(run).or_insert(Stop::Due(now));
         if matches!(stop, Stop::Done(_)) {
             *stop = Stop::Due(now);
         }
+        is_new
     }
 
     /// Rejects the starts that are to be sent.
@@ -136,6 +145,9 @@
         let before = self.rejected.len();
         for run in unsent {
             self.reject(now, &run, why);
+            if self.rejected.contains_key(&run) {
+                self.conclusions.add(&run, Some(why), Proof::Unsent, 0);
+            }
         }
         self.rejected.len() > before
     }
@@ -145,12 +157,19 @@
     /// Retried under the new token they would take effect, although the owner that raised it does
     /// not expect them. Runs that did start under the old token show in the next status.
     pub(crate) fn drop_unanswered(&mut self) {
-        self.open
-            .retain(|_, open| matches!(open.progress, Progress::Accepted(_)));
+        let conclusions = &mut self.conclusions;
+        self.open.retain(|run, open| {
+            let is_accepted = matches!(open.progress, Progress::Accepted(_));
+            if !is_accepted {
+                conclusions.add(run, None, Proof::Fenced, open.unanswered);
+            }
+            is_accepted
+        });
     }
 
-    /// Returns the start that has been due for longest, and marks it as sent.
-    pub(crate) fn take_due(&mut self, now: Instant) -> Option<StartOrder> {
+    /// Returns the start that has been due for longest, and marks it as sent; with the first call, also
+    /// where the order came from.
+    pub(crate) fn take_due(&mut self, now: Instant) -> Option<(StartOrder, Option<Source>)> {
         let open = self.open.values_mut();
         let due = open.filter_map(|open| Some((open.due()?, open)));
         let (at, open) = due.min_by_key(|(at, _)| *at)?;
@@ -158,8 +177,9 @@
             return None;
         }
         open.progress = Progress::Sent;
+        let source = open.sent_at.is_none().then(|| open.source.clone());
         open.sent_at.get_or_insert(now);
-        Some(open.order.clone())
+        Some((open.order.clone(), source))
     }
 
     /// Returns the stop that has been due for longest, and marks it as sent.
@@ -268,6 +288,7 @@
         let has_finished = |run: &TaskRun| finished.contains(run);
         let mut never_started = Vec::new();
         let concluded = &mut self.concluded;
+        let conclusions = &mut self.conclusions;
         let stops = &self.stops;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
@@ -281,6 +302,12 @@
             {
                 // The run finished and was acknowledged before this companion saw it.
                 never_started.push((run.clone(), RejectKind::Old));
+                conclusions.add(
+                    run,
+                    Some(RejectKind::Old),
+                    Proof::Missing(at),
+                    open.unanswered,
+                );
                 return false;
             }
             true
@@ -297,11 +324,17 @@
             if may_be_stopping && !has_finished(run) {
                 return true;
             }
-            let why = open.shift_remove(run).and_then(|open| open.stopping);
+            let start = open.shift_remove(run);
             if has_finished(run) {
                 concluded.insert(run.clone());
-            } else {
-                never_started.push((run.clone(), why.unwrap_or(RejectKind::Stopped)));
+                return false;
+            }
+            let unanswered = start.as_ref().map_or(0, |open| open.unanswered);
+            let why = start.and_then(|open| open.stopping);
+            let why = why.unwrap_or(RejectKind::Stopped);
+            never_started.push((run.clone(), why));
+            if let Stop::Done(at) = *stop {
+                conclusions.add(run, Some(why), Proof::Stopped(at), unanswered);
             }
             false
         });
