Failing tests: a late leave of an earlier incarnation

A report that a companion's earlier process sent as its worker left can arrive after the next incarnation has been adopted, or at a new owner that has heard nothing of the VM. Neither the number of the report nor the processes that have ended tell, if this owner has not heard that process before. The owner then takes the leave for that of the current incarnation: it releases its runs, or ends the wait for the recorded one, and their tasks run twice.

Evidence: both tests fail on the current code, with each of two tasks running on "one" and on "two". The product is not changed here; the tests fail until it is.

--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -55,3 +55,54 @@
     assert_eq!(runs.len(), 2);
     assert!(runs.iter().all(|(_, run)| run.attempt == Attempt(1)));
 }
+
+/// Guards against a late leave of an earlier incarnation, from a companion process that this owner has
+/// not heard before: the current incarnation keeps its runs.
+#[test]
+fn late_leave_of_an_earlier_incarnation_releases_no_run() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 16);
+    harness.add_vm("two", 16);
+    harness.vm("one").incarnation = 5;
+    harness.vm("one").boot = 2;
+    harness.pass(Duration::from_secs(1), &["one"]);
+    harness.submit("job", job(vec![stage(2, 1)]));
+    harness.pass(Duration::from_secs(1), &["one", "two"]);
+    let before = harness.running();
+
+    report_late_leave(&mut harness, "one", 3);
+    harness.pass(Duration::from_secs(1), &["two"]);
+
+    assert_eq!(harness.running(), before);
+}
+
+/// Guards against a late leave of an earlier incarnation than the recorded one: a new owner waits for
+/// the recorded one, which may run any task.
+#[test]
+fn late_leave_of_an_earlier_incarnation_does_not_end_the_wait_of_a_new_owner() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 16);
+    harness.vm("one").incarnation = 5;
+    harness.vm("one").boot = 2;
+    harness.sync_all();
+    harness.submit("job", job(vec![stage(2, 1)]));
+    harness.sync_all();
+    let before = harness.running();
+    harness.add_vm("two", 16);
+
+    harness.take_over();
+    report_late_leave(&mut harness, "one", 3);
+    harness.pass(Duration::from_secs(1), &["two"]);
+
+    assert_eq!(harness.running(), before);
+}
+
+/// Delivers a report that the companion's first process sent as an earlier incarnation left.
+fn report_late_leave(harness: &mut Harness, name: &str, incarnation: u64) {
+    let current = harness.vm(name).clone();
+    let vm = harness.vm(name);
+    (vm.incarnation, vm.is_gone, vm.fence) = (incarnation, true, 0);
+    vm.running.clear();
+    harness.sync_late(name, 1, 99);
+    *harness.vm(name) = current;
+}
