--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -7,6 +7,7 @@
 use jobs::report::{RejectKind, SharedStatus, SyncReply, SyncReport};
 use slog::{info, warn};
 
+use crate::provenance::{Source, age_ms};
 use crate::state::{Action, AgentState};
 
 /// How many reports may be in flight: one that the owner holds open, and one with newer state.
@@ -35,6 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Syncs {
     pub(crate) owner: Option<(SocketAddr, Epoch)>,
+    owner_name: Name,
     /// Whether the state has changed since the last report.
     pub(crate) has_changes: bool,
     last_number: u64,
@@ -90,8 +92,11 @@
             return;
         }
         info!(self.log, "companion: new owner";
-            "owner" => %record.name, "epoch" => record.epoch.0);
+            "owner" => %record.name, "epoch" => record.epoch.0,
+            "before" => self.syncs.owner.map(|(_, epoch)| epoch.0), "replied" => self.epoch.0,
+            "fence" => self.worker.as_ref().map(|w| w.fence));
         self.syncs.owner = Some(owner);
+        self.syncs.owner_name = Arc::clone(&record.name);
         self.syncs.in_flight.clear();
         self.syncs.not_before = None;
         self.syncs.failures = 0;
@@ -119,6 +124,9 @@
         self.syncs.not_before = None;
         self.syncs.last_number += 1;
         let number = self.syncs.last_number;
+        if let Some(worker) = self.worker.as_mut() {
+            worker.log_unresponsive(now, &self.log);
+        }
         let worker = self.worker.as_ref();
         let sent = SentReport {
             sent_at: now,
@@ -155,6 +163,9 @@
     /// Handles the outcome of a report.
     pub fn synced(&mut self, now: Instant, number: u64, reply: Result<SyncReply>) {
         let Some(sent) = self.syncs.in_flight.swap_remove(&number) else {
+            if let Ok(reply) = &reply {
+                self.log_ignored(number, reply, "a later owner is known");
+            }
             return;
         };
         let reply = match reply {
@@ -174,6 +185,7 @@
             return;
         }
         if reply.epoch < self.epoch {
+            self.log_ignored(number, &reply, "the owner is an earlier one");
             return;
         }
         self.epoch = reply.epoch;
@@ -193,6 +205,12 @@
     /// Applies the owner's lease and orders, unless they are for another incarnation of the worker
     /// or made under a lower fencing token.
     fn apply_reply(&mut self, now: Instant, number: u64, sent: SentReport, reply: SyncReply) {
+        let source = Source {
+            owner: Arc::clone(&self.syncs.owner_name),
+            epoch: reply.epoch,
+            report: number,
+            sent_at: sent.sent_at,
+        };
         let throttles = {
             let Some(worker) = self.worker.as_mut() else {
                 return;
@@ -200,12 +218,19 @@
             if reply.incarnation != worker.heartbeat.incarnation
                 || sent.incarnation != worker.heartbeat.incarnation
             {
+                self.log_ignored(number, &reply, "they are for another incarnation");
                 return;
             }
             if reply.fence < worker.fence {
+                self.log_ignored(number, &reply, "the fencing token has risen");
                 return;
             }
             if reply.fence > worker.fence {
+                info!(self.log, "companion: fencing token raised";
+                    "owner" => %source.owner, "epoch" => source.epoch.0,
+                    "from" => worker.fence, "to" => reply.fence,
+                    "report" => number, "report_age_ms" => age_ms(now, source.sent_at),
+                    "born" => worker.heartbeat.incarnation.0);
                 worker.starts.drop_unanswered();
                 self.throttles.clear();
             }
@@ -217,26 +242,48 @@
             worker.stored_ends = worker.stored_ends.max(reply.stored_ends);
             if let (Some(clock_ms), Some(lease_ms)) = (sent.clock_ms, reply.lease_ms) {
                 let deadline = clock_ms.saturating_add(lease_ms);
-                worker.deadline_ms = Some(worker.deadline_ms.map_or(deadline, |d| d.max(deadline)));
+                if worker.deadline_ms.is_none_or(|known| known < deadline) {
+                    worker.deadline_ms = Some(deadline);
+                    worker.leased_by = Some(source.clone());
+                }
             }
             if number >= worker.starts_until_from {
                 let start_lease = reply.start_lease_ms.map(Duration::from_millis);
                 worker.starts_until = start_lease.map(|lease| sent.sent_at + lease);
+                let until_ms = sent.clock_ms.zip(reply.start_lease_ms);
+                worker.starts_until_ms = until_ms.map(|(at, lease)| at.saturating_add(lease));
                 worker.starts_until_from = number;
             }
             worker.starts.acknowledge_rejects(&reply.noted_rejects);
             self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
-                worker.starts.order(now, order);
+                worker.starts.order(now, order, &source);
             }
             if !sent.capacity.fits(&worker.heartbeat.capacity) {
                 worker.starts.reject_unsent(now, RejectKind::Room);
             }
             for run in reply.stops {
-                worker.starts.order_stop(now, run);
+                if worker.starts.order_stop(now, run.clone()) {
+                    info!(self.log, "companion: stop ordered"; "run" => %run,
+                        "owner" => %source.owner, "epoch" => source.epoch.0,
+                        "report" => number, "report_age_ms" => age_ms(now, source.sent_at),
+                        "born" => worker.heartbeat.incarnation.0, "fence" => worker.fence);
+                }
             }
             reply.throttles
         };
         self.throttles.extend(throttles);
     }
+
+    /// Logs that the orders of a reply are not carried out, if it has any.
+    fn log_ignored(&self, number: u64, reply: &SyncReply, reason: &str) {
+        let (starts, stops) = (reply.starts.len(), reply.stops.len());
+        if starts + stops > 0 {
+            warn!(self.log, "companion: orders ignored"; "reason" => reason,
+                "epoch" => reply.epoch.0, "known_epoch" => self.epoch.0,
+                "owner" => %self.syncs.owner_name, "fence" => reply.fence,
+                "born" => reply.incarnation.0, "report" => number,
+                "starts" => starts, "stops" => stops);
+        }
+    }
 }
