Failing test: late reports of an earlier incarnation, the last one its leave

A new owner that has heard nothing of a VM may get two late reports of a companion process that has ended: a plain one and the leave of the same earlier incarnation. The first becomes the last known report, so the leave agrees with it, though the record names a later incarnation that may run any task; the owner ends its wait and tasks run twice.

The product is not changed here; the test fails until it is.

--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -106,3 +106,35 @@
     harness.sync_late(name, 1, 99);
     *harness.vm(name) = current;
 }
+
+/// Guards against a plain report of an earlier incarnation that arrives late too, before its leave: the
+/// leave then agrees with the last report, but not with the record.
+#[test]
+fn late_reports_of_an_earlier_incarnation_do_not_end_the_wait_of_a_new_owner() {
+    let mut harness = Harness::new();
+    harness.add_vm("one", 16);
+    harness.vm("one").incarnation = 5;
+    harness.vm("one").boot = 2;
+    harness.sync_all();
+    harness.submit("job", job(vec![stage(2, 1)]));
+    harness.sync_all();
+    let before = harness.running();
+    harness.add_vm("two", 16);
+
+    harness.take_over();
+    report_late(&mut harness, "one", 98, false);
+    report_late(&mut harness, "one", 99, true);
+    harness.pass(Duration::from_secs(1), &["two"]);
+
+    assert_eq!(harness.running(), before);
+}
+
+/// Delivers a report that the companion's first process sent of the worker's third incarnation.
+fn report_late(harness: &mut Harness, name: &str, number: u64, is_gone: bool) {
+    let current = harness.vm(name).clone();
+    let vm = harness.vm(name);
+    (vm.incarnation, vm.is_gone, vm.fence, vm.epoch) = (3, is_gone, 0, Epoch(0));
+    vm.running.clear();
+    harness.sync_late(name, 1, number);
+    *harness.vm(name) = current;
+}
