A late report of an earlier incarnation releases no runs of the present one

What callers would see: tasks run twice. A companion's report that its worker has left can be held up on its way and arrive after another companion process and the next incarnation have come up, at an owner that has never heard the sender. The owner took it for the VM's present: it released the runs of the incarnation that lives, or, as a new owner, ended the wait for the one that the store names.

Cause: the order of arrival was taken as proof. Numbers order the reports of one process only, and births do not order lives.

Change: a report whose sender has had no reply of this ownership (its epoch tells) and that contradicts the known incarnation, or says that one has left which the store does not name, has no effect but a reply. A sender that still runs confirms it with its next report, one round trip later. A held-up one cannot. Tests of jobs, controller and agent pass.

--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -2,7 +2,8 @@
 //!
 //! An owner is fenced in three ways: its writes expect its own key in the store, its orders carry
 //! a fencing token that workers compare, and its leases expire by the workers' clocks. So an owner
-//! that lost ownership without noticing it can't change any state.
+//! that lost ownership without noticing it can't change any state that its successor knows. It must not
+//! conclude anything from silence either: a worker that it can't hear may report to the successor.
 
 mod adopt;
 mod advice;
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -36,8 +36,8 @@
             vm,
             boot,
             number,
+            epoch,
             worker: mut report,
-            ..
         } = report;
         let worker = self
             .workers
@@ -47,6 +47,17 @@
             self.effects.push(Effect::Sync(token, Box::default()));
             return;
         }
+        // Sent before its sender had a reply of this ownership, it may be about an earlier worker of the
+        // VM: a sender that still runs confirms it with its next report.
+        let is_unconfirmed = epoch < self.cfg.epoch;
+        let is_other = |r: &WorkerReport| worker.is_contradicted_by(r);
+        if is_unconfirmed && report.as_ref().is_some_and(is_other) {
+            info!(self.log, "owner: report has to be confirmed"; "vm" => %vm, "boot" => boot,
+                "report" => number, "epoch" => epoch.0);
+            self.stats.events.push(("report", "unconfirmed"));
+            self.reply_unknown(&vm, token);
+            return;
+        }
         if worker.processes.record(boot, number) {
             // The companion's previous process may have passed on orders whose outcome is unknown.
             // Raising the fencing token stops those that have not taken effect; the next status
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -295,6 +295,21 @@
             && recorded.is_some_and(|r| r.id != report.id && r.incarnation < report.incarnation)
     }
 
+    /// Returns true if a report would end the runs of the known incarnation: it is about another one, or
+    /// says that one has left which the store does not name.
+    pub(super) fn is_contradicted_by(&self, report: &WorkerReport) -> bool {
+        let is_other =
+            |last: &WorkerReport| last.id != report.id || last.incarnation != report.incarnation;
+        // The record of a draining worker names no incarnation.
+        let is_recorded = |r: &WorkerRecord| {
+            let any = Incarnation::default();
+            r.id == report.id && [any, report.incarnation].contains(&r.incarnation)
+        };
+        let recorded = self.stored_record.record.as_ref();
+        self.last_report.as_ref().is_some_and(is_other)
+            || (report.is_gone && !recorded.is_some_and(is_recorded))
+    }
+
     /// Returns true if the worker has reported recently and responds to its companion.
     pub(super) fn is_heard(&self, now: Instant) -> bool {
         let is_recent = self.parked.is_some()
--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -101,7 +101,7 @@
 fn report_late_leave(harness: &mut Harness, name: &str, incarnation: u64) {
     let current = harness.vm(name).clone();
     let vm = harness.vm(name);
-    (vm.incarnation, vm.is_gone, vm.fence) = (incarnation, true, 0);
+    (vm.incarnation, vm.is_gone, vm.fence, vm.epoch) = (incarnation, true, 0, Epoch(0));
     vm.running.clear();
     harness.sync_late(name, 1, 99);
     *harness.vm(name) = current;
