--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -45,6 +45,8 @@
     next_connection: AtomicU64,
     delay_micros: AtomicU64,
     hang: AtomicBool,
+    discard_to_server: AtomicBool,
+    discard_to_client: AtomicBool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +82,8 @@
             next_connection: AtomicU64::new(0),
             delay_micros: AtomicU64::new(0),
             hang: AtomicBool::new(false),
+            discard_to_server: AtomicBool::new(false),
+            discard_to_client: AtomicBool::new(false),
         });
         let acceptor = Arc::clone(&shared);
         thread::spawn(move || acceptor.accept_all(listener, addr));
@@ -110,6 +114,21 @@
         }
     }
 
+    /// Discards all bytes on open and new connections, or lets connections that open later work.
+    pub fn set_discarding(&self, direction: Direction, discarding: bool) {
+        if direction != Direction::ToClient {
+            let flag = &self.shared.discard_to_server;
+            flag.store(discarding, Ordering::SeqCst);
+        }
+        if direction != Direction::ToServer {
+            let flag = &self.shared.discard_to_client;
+            flag.store(discarding, Ordering::SeqCst);
+        }
+        if discarding {
+            self.discard_on_open_connections(direction);
+        }
+    }
+
     /// Sets the delay that is added in each direction.
     pub fn set_delay(&self, one_way: Duration) {
         let micros = u64::try_from(one_way.as_micros()).unwrap_or(u64::MAX);
@@ -229,14 +248,20 @@
         if server.set_nodelay(true).is_err() {
             return;
         }
-        let connection = Arc::new(Connection {
-            client,
-            server,
-            discard_to_server: AtomicBool::new(false),
-            discard_to_client: AtomicBool::new(false),
-        });
         let id = self.next_connection.fetch_add(1, Ordering::Relaxed);
-        self.connections.lock().insert(id, Arc::clone(&connection));
+        let connection = {
+            // Locked before the flags are read: a change of them reaches either them or the list.
+            let mut connections = self.connections.lock();
+            let copy = |flag: &AtomicBool| AtomicBool::new(flag.load(Ordering::SeqCst));
+            let connection = Arc::new(Connection {
+                client,
+                server,
+                discard_to_server: copy(&self.discard_to_server),
+                discard_to_client: copy(&self.discard_to_client),
+            });
+            connections.insert(id, Arc::clone(&connection));
+            connection
+        };
 
         let (shared, back) = (Arc::clone(self), Arc::clone(&connection));
         let backward = thread::spawn(move || {
--- a/crates/fakes/tests/target.rs
+++ b/crates/fakes/tests/target.rs
@@ -120,3 +120,19 @@
     wait_for_run(&target, "r-2");
     assert_eq!(target.counts().runs["r-2"], 1);
 }
+
+#[test]
+fn discarding_reaches_new_connections_until_it_ends() {
+    let target = TargetServer::start(TargetSettings::default());
+    let relay = Relay::start(target.addr());
+    let fresh = Agent::new_with_defaults;
+
+    relay.set_discarding(Direction::ToClient, true);
+    let lost = send(&fresh(), relay.addr(), "r-1", SHORT);
+    relay.set_discarding(Direction::ToClient, false);
+    let answered = send(&fresh(), relay.addr(), "r-2", LONG);
+
+    lost.unwrap_err();
+    wait_for_run(&target, "r-1");
+    assert_eq!(answered.unwrap(), "r-2");
+}
