Fault run: relays on the addresses of their VMs

A relay that refuses connections frees its port. Relays now listen on the address of their VM, which differs by play.

--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -1,7 +1,7 @@
 //! A TCP relay that can discard, delay and hold back bytes, and refuse connections.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
@@ -72,7 +72,19 @@
     ///
     /// Panics if the port cannot be bound.
     pub fn start(server: SocketAddr) -> Self {
-        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("bind a relay");
+        Self::start_at(Ipv4Addr::LOCALHOST.into(), server)
+    }
+
+    /// Starts a relay to `server` on a free port of `ip`, a loopback address.
+    ///
+    /// While a relay refuses connections its port is free, and on an address that others use too one
+    /// of them may take it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the port cannot be bound.
+    pub fn start_at(ip: IpAddr, server: SocketAddr) -> Self {
+        let listener = listen(SocketAddr::new(ip, 0)).expect("bind a relay");
         let addr = listener.local_addr().expect("a bound address");
         let shared = Arc::new(Shared {
             server: Mutex::new(server),
