--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -21,6 +21,7 @@
 mod owner_record;
 mod placement;
 mod processes;
+mod proof;
 mod ranking;
 mod recent_usage;
 mod run;
@@ -100,6 +101,8 @@
     Advise(AdviceRequest),
     /// The owner's key is missing in the store; this entry has to take it again or step down.
     KeyMissing,
+    /// Read the owner's key and pass when that was sent to [`Owner::ownership_proved`].
+    ProveOwnership,
     /// Another entry owns the jobs; this one has to step down for the given reason.
     StepDown(&'static str),
 }
@@ -155,6 +158,10 @@
     cordons: Option<Cordons>,
     /// What inherited tasks wait for.
     inherited: Inherited<TaskId>,
+    /// Until when no other entry is known to have owned the jobs.
+    proved: Option<Instant>,
+    /// Whether a lease has expired for which ownership is not proved.
+    awaits_proof: bool,
 }
 
 impl Owner {
@@ -187,6 +194,8 @@
             unexplained_crash: None,
             first_run: None,
             inherited: Inherited::default(),
+            proved: None,
+            awaits_proof: false,
         }
     }
 
