--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -149,23 +149,27 @@
     }
 
     /// Removes the runs of workers whose leases have expired.
+    ///
+    /// Silence alone proves nothing: another owner may have been elected and may have renewed the lease.
+    /// So the expiry counts only once ownership has been proved for a time after it.
     pub(super) fn expire_workers(&mut self, now: Instant) {
-        let expired: Vec<Name> = self
+        let due: Vec<(Name, bool)> = self
             .workers
             .iter()
-            .filter(|(_, w)| {
-                w.lease_expires_at(self.cfg.worker_lease)
-                    .is_some_and(|at| at <= now)
+            .filter_map(|(vm, w)| {
+                let at = w.lease_expires_at(self.cfg.worker_lease)?;
+                (at <= now).then(|| (Arc::clone(vm), self.is_proved(at)))
             })
-            .map(|(vm, _)| Arc::clone(vm))
             .collect();
-        for vm in expired {
-            self.expire(now, &vm);
+        let unproved = due.iter().filter(|(_, is_proved)| !is_proved).count();
+        self.await_proof(now, unproved);
+        for (vm, _) in due.iter().filter(|(_, is_proved)| *is_proved) {
+            self.expire(now, vm);
         }
     }
 
     fn expire(&mut self, now: Instant, vm: &Name) {
-        warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm);
+        self.log_lapse(now, vm);
         self.suspect_lost_runs(now, vm);
         if let Some(worker) = self.workers.get_mut(vm) {
             worker.lease_from = None;
@@ -177,6 +181,20 @@
         self.settle_inherited(vm);
         self.release_all(vm, "lease lapsed");
     }
+
+    fn log_lapse(&self, now: Instant, vm: &Name) {
+        let Some(worker) = self.workers.get(vm) else {
+            return;
+        };
+        let heard_ms_ago = worker.lease_from.map(|at| base::whole_ms(now - at));
+        let last_report = worker.last_report.as_ref();
+        warn!(self.log, "owner: worker lease lapsed"; "vm" => %vm,
+            "worker" => last_report.map(|l| l.id.to_string()),
+            "born" => last_report.map(|l| l.incarnation.0),
+            "heard_ms_ago" => heard_ms_ago, "is_inherited" => worker.inherited_until.is_some(),
+            "fence" => self.fence(vm), "proved_ms_ago" => self.proved_ms_ago(now),
+            "runs" => worker.runs.len());
+    }
 }
 
 /// Returns the record if a caller can have submitted its job; another writer may have left it.
