Test: an expired lease makes the owner read its key at once

The test fails without the handler of `Effect::ProveOwnership` (gap between reads 1.02 s, below 0.5 s expected). A long line is wrapped.

--- a/crates/agent/src/provenance.rs
+++ b/crates/agent/src/provenance.rs
@@ -106,7 +106,8 @@
         let is_unresponsive = self.is_unresponsive(now);
         if std::mem::replace(&mut self.was_unresponsive, is_unresponsive) != is_unresponsive {
             info!(log, "companion: renewal of the lease";
-                "ends" => is_unresponsive, "born" => self.heartbeat.incarnation.0, "silent_ms" => age_ms(now, self.answered_at), "refused" => self.is_refusing,
+                "ends" => is_unresponsive, "born" => self.heartbeat.incarnation.0,
+                "silent_ms" => age_ms(now, self.answered_at), "refused" => self.is_refusing,
                 "fence" => self.fence, "deadline_ms" => self.deadline_ms);
         }
     }
--- a/crates/controller/tests/between_owners.rs
+++ b/crates/controller/tests/between_owners.rs
@@ -5,7 +5,7 @@
 use controller::{Event, Node, NodeCfg, OwnerRecord, Ports, StoreToken};
 use fakes::store::MemStore;
 use host::{Actors, KeyUpdate};
-use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, Replacement};
+use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, Replacement, VM_PREFIX};
 use jobs::{JobReply, JobRequest, JobSpec, RouteTerms, StageSpec};
 use parking_lot::Mutex;
 use ports::store::{Expect, StoreCall, StoreReply};
@@ -15,6 +15,9 @@
 
 const JOB: &str = "00000000000000a1";
 
+/// The interval of an owner's renewals.
+const RENEWAL: Duration = Duration::from_millis(500);
+
 /// The time that is left to a caller.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -46,6 +49,8 @@
     calls: Arc<RecordedCalls>,
     store: MemStore,
     replies: Arc<Mutex<Vec<JobReply>>>,
+    /// When the owner's key was read.
+    key_reads: Vec<Duration>,
 }
 
 impl Entry {
@@ -78,6 +83,7 @@
             calls,
             store: MemStore::new(),
             replies: Arc::default(),
+            key_reads: Vec::new(),
         }
     }
 
@@ -122,22 +128,41 @@
                 return;
             }
             for (token, call) in calls {
+                if matches!(&call, StoreCall::Get { key } if &**key == OWNER_KEY) {
+                    self.key_reads.push(self.clock.elapsed());
+                }
                 let reply = self.store.call(self.clock.now(), &call);
                 self.node.deliver(Event::Store(token, reply));
             }
         }
     }
 
-    /// Lets the named entry take the owner's key, and shows it to this one.
-    fn elect_other(&mut self, name: &str) {
-        let now = self.clock.now();
+    /// Lets `time` pass while the store answers.
+    fn pass(&mut self, time: Duration) {
+        let step = Duration::from_millis(10);
+        let end = self.clock.now() + time;
+        while self.clock.now() < end {
+            self.advance(step);
+            self.settle();
+        }
+    }
+
+    fn write(&mut self, key: &str, value: &[u8]) {
         let write = StoreCall::Put {
-            key: OWNER_KEY.into(),
-            value: owner_record(name, 2).encode().expect("a record"),
+            key: key.into(),
+            value: value.into(),
             expect: Expect::Any,
             lease: None,
         };
+        let now = self.clock.now();
         self.store.call(now, &write).expect("the key is written");
+    }
+
+    /// Lets the named entry take the owner's key, and shows it to this one.
+    fn elect_other(&mut self, name: &str) {
+        let record = owner_record(name, 2).encode().expect("a record");
+        self.write(OWNER_KEY, &record);
+        let now = self.clock.now();
         let key = OWNER_KEY.into();
         let Ok(StoreReply::Got(found)) = self.store.call(now, &StoreCall::Get { key }) else {
             panic!("expected a key");
@@ -330,3 +355,19 @@
 
     assert_eq!(*entry.replies.lock(), [JobReply::Unsure]);
 }
+
+/// Guards against a lapse that waits for the owner's next renewal to be proved.
+#[test]
+fn expired_lease_makes_the_owner_read_its_key_at_once() {
+    let mut entry = Entry::without_owner();
+    entry.write(&format!("{VM_PREFIX}one"), b"any task may run there");
+
+    // The predecessor's grace and a lease of 4 s by the slowest clock end at 9.3 s.
+    entry.pass(Duration::from_secs(9));
+    let before = entry.key_reads.len();
+    entry.pass(Duration::from_millis(500));
+
+    let gaps = entry.key_reads[before - 1..].windows(2);
+    let gaps: Vec<Duration> = gaps.map(|at| at[1] - at[0]).collect();
+    assert!(gaps.iter().any(|gap| *gap < RENEWAL), "{gaps:?}");
+}
