review: the cases read once more as one who runs them

An unexpected error of a script now exits with 2, not 1: a traceback had counted as a broken rule. A worker that crashes closes its port and its channels, as a process that ends does.

--- a/review/lib-2/desk.py
+++ b/review/lib-2/desk.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -56,6 +57,28 @@
     allow_reuse_address = True
     request_queue_size = 128
 
+    def __init__(self, *args):
+        self.channels = set()
+        super().__init__(*args)
+
+    def process_request(self, request, client_address):
+        self.channels.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.channels.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """Closes the port and all channels, as when the process ends."""
+        self.shutdown()
+        self.server_close()
+        for channel in list(self.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, client_address):
         pass
 
@@ -326,6 +349,9 @@
         world.workers.append(self)
 
     def start(self):
+        if self.life:
+            host, port = self.addr.rsplit(":", 1)
+            self.server = serve((host, int(port)), self.handle)
         with self.world.lock:
             self.life += 1
             self.id = f"i-{self.name}-{self.life}"
@@ -339,7 +365,7 @@
         threading.Thread(target=self.beat_forever, args=(life,), daemon=True).start()
 
     def crash(self):
-        """Loses all runs and answers nothing until it starts again."""
+        """Loses all runs and its port until it starts again."""
         with self.world.lock:
             self.is_up = False
             runs, self.runs = list(self.runs.values()), {}
@@ -350,6 +376,7 @@
             for run in runs:
                 if run.spec.get("gang"):
                     self.world.break_gang(run)
+        self.server.end()
 
     def fail_all(self):
         """Fails all that it runs, as an unhealthy worker may."""
@@ -699,11 +726,11 @@
             record.add(f"BROKEN {text}")
             print(text)
         status = 1 if broken else 0
-    except CannotRun as e:
-        record.add(f"could not run: {e}")
-        print(f"could not run: {e}")
-    finally:
-        for d in opened:
-            d.close(os.environ.get("REVIEW_LOGS"))
-        record.add(f"ends with {status}")
+    except Exception as e:  # A mistake of the case is no broken rule.
+        record.add(f"could not run: {e!r}")
+        print(f"could not run: {e!r}")
+    for d in opened:
+        d.close(os.environ.get("REVIEW_LOGS"))
+    record.add(f"ends with {status}")
+    sys.stdout.flush()
     os._exit(status)
