Failures are judged from both sides: a hopeless job quarantines no worker

Cause: two failures in a row quarantined a worker, whatever had failed, and only a task that is done cleared it. The hopeless tasks were restarted at once, come first in the ranking, and so took each probe.

Change: blame::Outcomes records where the runs of a task and of a stage fail and succeed. What fails on more workers than it succeeds on is at fault; its failures do not count against workers, and it takes no probes. Failures of a single stage count only if that stage is sound elsewhere. A task that fails soon after its start waits before its next run, longer each time. Stalls are judged in the same way.

Ruled out: rounds used up by restarts; jobs that are not stored.

--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -1,13 +1,18 @@
-//! Decides which task is at fault for the crashes of workers.
+//! Decides whether a task or its workers are at fault.
 //!
-//! A crash is evidence against each run that the worker had, of a strength that depends on the others:
+//! [`Outcomes`] judges failed runs: a task that fails on several workers, against a worker that fails
+//! several tasks. The rest judges crashes of workers. A crash is evidence against each run that the worker had, of a strength that depends on the others:
 //! [`attribute`] weighs the runs of one crash against each other, [`assess`] all crashes under one task.
 //! Neither knows of time, workers or the network, so a new owner comes to the same verdict from the
 //! stored evidence.
 
+mod outcomes;
+
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
+pub use self::outcomes::Outcomes;
+
 /// How long a task without evidence may have run at a crash and still be a primary suspect: a task
 /// that crashes its worker mostly does so soon after its start.
 const FRESH_MS: u64 = 300;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -65,6 +65,10 @@
     pub evidence: Vec<Evidence>,
     /// It must not start before this time, since it is not known whether its last workers crashed.
     pub held_until: Option<Instant>,
+    /// How many of its runs in a row failed soon after their start.
+    pub prompt_failures: u32,
+    /// It must not start before this time, since it keeps failing.
+    pub retry_at: Option<Instant>,
 }
 
 impl Task {
@@ -87,7 +91,8 @@
 
     /// Returns true if the task must not start yet.
     pub(crate) fn is_held(&self, now: Instant) -> bool {
-        self.held_until.is_some_and(|until| now < until)
+        let is_before = |until: Instant| now < until;
+        self.held_until.is_some_and(is_before) || self.retry_at.is_some_and(is_before)
     }
 
     fn progress(&self) -> TaskProgress {
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -14,6 +14,7 @@
 mod cordons;
 mod crashes;
 mod doubts;
+mod faults;
 mod finished;
 mod gang;
 mod health;
@@ -49,6 +50,7 @@
 use self::callers::OWNERSHIP_ENDED;
 use self::colocation::ColocationModel;
 use self::commit::Commits;
+use self::faults::Faults;
 use self::look_ahead::LookAhead;
 use self::ranking::Throughput;
 use self::totals::StageKey;
@@ -147,6 +149,8 @@
     next_round: Option<Instant>,
     /// The stages that rounds have placed since the last one that reached all.
     placed_stages: IndexSet<StageKey>,
+    /// Who is at fault for failed runs.
+    faults: Faults,
     /// When runs were last checked for stalls.
     last_stall_check: Option<Instant>,
     /// Whether there may be evidence against a task of which it is not known whether the worker crashed.
@@ -189,6 +193,7 @@
             repeat_round: None,
             next_round: None,
             placed_stages: IndexSet::new(),
+            faults: Faults::default(),
             last_stall_check: None,
             // A previous owner may have left some.
             has_doubts: true,
@@ -215,6 +220,8 @@
     pub fn run(&mut self, now: Instant, unix_ms: u64) -> Vec<Effect> {
         self.expire_workers(now);
         self.find_stalled(now);
+        self.recheck_faults(now);
+        self.end_retry_delays(now);
         self.place_tasks(now, unix_ms);
         self.throttle_best_effort(now);
         self.reply_to_reports(now);
@@ -238,6 +245,7 @@
         for worker in self.workers.values() {
             due = due.min(worker.next_due(now, self.cfg.worker_lease));
         }
+        due = due.min(self.faults.next_retry().unwrap_or(due));
         due.min(self.commits.next_due().unwrap_or(due))
     }
 
@@ -294,6 +302,7 @@
         self.stop_all(id);
         self.colocation.get_mut().forget(id);
         self.advice.forget_job(id);
+        self.forget_faults(id);
         self.is_round_due = true;
     }
 
--- a/crates/jobs/src/owner/advice.rs
+++ b/crates/jobs/src/owner/advice.rs
@@ -7,7 +7,7 @@
 use base::prelude::*;
 use slog::{info, warn};
 
-use super::placement::{cost, is_eligible};
+use super::placement::cost;
 use super::{Effect, Owner};
 use crate::job::StageInstance;
 use crate::{AdviceTerms, Job};
@@ -172,10 +172,12 @@
             return;
         };
         let (stage_id, stage) = (StageId::of(job, instance), job.stage(instance));
+        let key = (id.clone(), instance.stage);
+        let is_at_fault = self.faults.is_stage_at_fault(&key);
         let mut candidates: Vec<(f64, WorkerId, Incarnation)> = self
             .workers
             .iter()
-            .filter(|(vm, w)| is_eligible(now, job, instance, stage, vm, w))
+            .filter(|(vm, w)| self.is_eligible(now, job, instance, vm, w, is_at_fault))
             .filter_map(|(_, w)| Some((cost(stage, w), w.last_report.as_ref()?)))
             .filter(|(_, last_report)| {
                 self.advice
--- a/crates/jobs/src/owner/finished.rs
+++ b/crates/jobs/src/owner/finished.rs
@@ -1,7 +1,7 @@
 //! Finished runs: completions, failures and interruptions.
 
 use base::prelude::*;
-use slog::{info, warn};
+use slog::info;
 
 use super::Owner;
 use crate::report::{EndKind, FinishedRun};
@@ -57,19 +57,18 @@
             self.learn_run_time(now, &row.run, run);
         }
         match row.how {
-            EndKind::Done => self.apply_done(vm, &row.run, unix_ms),
+            EndKind::Done => self.apply_done(now, vm, &row.run, unix_ms),
             EndKind::Failed if run.is_some() || is_inherited => {
-                self.apply_failure(now, unix_ms, vm, &row.run);
+                let ran = run.map_or(Duration::ZERO, |r| now.duration_since(r.since));
+                self.apply_failure(now, unix_ms, vm, &row.run, ran);
             }
             _ => self.apply_interruption(row),
         }
     }
 
     /// Marks a task as done; the first member of a gang that is done completes all members.
-    fn apply_done(&mut self, vm: &Name, run: &TaskRun, unix_ms: u64) {
-        if let Some(worker) = self.workers.get_mut(vm) {
-            worker.health.record_success();
-        }
+    fn apply_done(&mut self, now: Instant, vm: &Name, run: &TaskRun, unix_ms: u64) {
+        self.record_success(now, vm, run);
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
@@ -114,15 +113,16 @@
         }
     }
 
-    fn apply_failure(&mut self, now: Instant, unix_ms: u64, vm: &Name, run: &TaskRun) {
+    fn apply_failure(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+        vm: &Name,
+        run: &TaskRun,
+        ran: Duration,
+    ) {
         self.avoid(vm, run);
-        let is_newly_quarantined = self
-            .workers
-            .get_mut(vm)
-            .is_some_and(|w| w.health.record_failure(now));
-        if is_newly_quarantined {
-            warn!(self.log, "owner: worker quarantined"; "vm" => %vm, "why" => "failures in a row");
-        }
+        self.record_failure(now, vm, run, ran);
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -4,7 +4,7 @@
 use blame::Verdict;
 
 use super::Owner;
-use super::placement::{cost, is_eligible};
+use super::placement::cost;
 
 impl Owner {
     /// Places all tasks of a gang at once, or none.
@@ -71,13 +71,15 @@
         let instance = &job.instances[at];
         let stage = job.stage(instance);
         let is_suspect = job.tasks[instance.first].verdict() != Verdict::Clear;
+        let first = job.task_id(instance, instance.first);
+        let is_at_fault = self.faults.is_at_fault(&first);
         let demand = stage.charged();
         let mut candidates: Vec<(f64, &Name, Resources, u32)> = self
             .workers
             .iter()
             .filter(|(_, w)| rack.is_none_or(|r| w.rack() == Some(r)))
             .filter(|(_, w)| !w.is_reserved(now) && (!is_suspect || !w.has_trial()))
-            .filter(|(vm, w)| is_eligible(now, job, instance, stage, vm, w))
+            .filter(|(vm, w)| self.is_eligible(now, job, instance, vm, w, is_at_fault))
             .filter(|(vm, _)| self.is_allowed(now, job, instance, vm))
             .map(|(vm, w)| {
                 (
--- a/crates/jobs/src/owner/look_ahead.rs
+++ b/crates/jobs/src/owner/look_ahead.rs
@@ -9,7 +9,6 @@
 use lookahead::{Release, Reservations, Room};
 
 use super::Owner;
-use super::placement::{is_eligible, takes};
 use super::ranking::Urgency;
 use super::run_times::stage_key;
 use super::worker::{Phase, Run, Worker};
@@ -67,7 +66,9 @@
         look_ahead.uses.clear();
         look_ahead.rooms.get_mut().clear();
         look_ahead.reservations.retain(now, |vm, reservation| {
-            self.workers.get(vm).is_some_and(|w| w.takes_tasks(now))
+            self.workers
+                .get(vm)
+                .is_some_and(|w| self.takes_tasks(now, w))
                 && self.waits(&reservation.task)
                 && self
                     .jobs
@@ -85,7 +86,7 @@
 
     /// Returns true if under half of a pool's capacity is in use.
     fn has_room_to_spare(&self, now: Instant, pool: &PoolName) -> bool {
-        let workers = self.workers.values().filter(|w| w.takes_tasks(now));
+        let workers = self.workers.values().filter(|w| self.takes_tasks(now, w));
         let (mut free, mut all) = (Resources::ZERO, Resources::ZERO);
         for worker in workers.filter(|w| w.is_in(pool)) {
             free += worker.free_capacity();
@@ -156,17 +157,18 @@
             return;
         };
         let instance = &job.instances[at];
-        let stage = job.stage(instance);
         let key = (job.id.clone(), instance.stage);
+        let is_at_fault = self.faults.is_stage_at_fault(&key);
         let waits_for_starts = |(vm, worker): (&Name, &Worker)| {
-            !worker.takes_start(&key) && is_eligible(now, job, instance, stage, vm, worker)
+            !worker.takes_start(&key)
+                && self.is_eligible(now, job, instance, vm, worker, is_at_fault)
         };
         if self.workers.iter().any(waits_for_starts) {
             return;
         }
         let mut starts = Vec::new();
         for (vm, worker) in &self.workers {
-            if takes(now, job, instance, stage, vm, worker)
+            if self.takes(now, job, instance, vm, worker, is_at_fault)
                 && need.fits(&worker.capacity())
                 && let Some(at) = self.room(now, vm, worker).earliest(now, &need)
             {
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -6,6 +6,7 @@
 
 use super::Owner;
 use super::adopt::new_run;
+use super::ranking::Urgency;
 use super::totals::StageKey;
 use super::trials::trial_of;
 use super::worker::Worker;
@@ -92,35 +93,67 @@
             now + (ROUND_GAP * candidate_count.saturating_sub(UNDELAYED_STAGES)).min(MAX_ROUND_GAP),
         );
         let mut budget = Budget::default();
-        for (urgency, id, instance) in candidates {
-            if budget.looks >= MAX_LOOKS {
-                self.stats.events.push(("round", "cut"));
-                self.look_ahead.placing = None;
-                self.repeat_soon(now);
+        for (urgency, id, instance) in &candidates {
+            if !self.place_candidate(now, *urgency, id, *instance, &mut budget) {
                 return;
             }
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let stage = (id.clone(), job.instances[instance].stage);
-            let is_gang = job.stage(&job.instances[instance]).gang;
-            self.look_ahead.placing = Some(urgency);
-            if is_gang {
-                budget.looks += self.workers.len();
-                self.place_gang(now, &id, instance);
-            } else {
-                self.place_stage(now, &id, instance, &mut budget);
-            }
-            self.placed_stages.insert(stage);
-            self.request_advice(now, &id, instance);
-            if self.jobs.get_mut(&id).is_some_and(|j| j.update_idle(now)) {
-                self.repeat_soon(now + REPEAT_AFTER);
+        }
+        // What failed on a quarantined worker probes it only if nothing else does.
+        let to_probe = self.workers_to_probe(now);
+        if !to_probe.is_empty() {
+            self.faults.may_probe_again = true;
+            for (urgency, id, instance) in &candidates {
+                if self.has_failed_on(&to_probe, id, self.stage_at(id, *instance))
+                    && !self.place_candidate(now, *urgency, id, *instance, &mut budget)
+                {
+                    break;
+                }
             }
+            self.faults.may_probe_again = false;
         }
         self.placed_stages.clear();
         self.look_ahead.placing = None;
     }
 
+    fn stage_at(&self, id: &JobId, at: usize) -> u32 {
+        self.jobs.get(id).map_or(0, |j| j.instances[at].stage)
+    }
+
+    /// Places what fits of a candidate; returns false if the rest has to wait for the next round.
+    fn place_candidate(
+        &mut self,
+        now: Instant,
+        urgency: Urgency,
+        id: &JobId,
+        at: usize,
+        budget: &mut Budget,
+    ) -> bool {
+        if budget.looks >= MAX_LOOKS {
+            self.stats.events.push(("round", "cut"));
+            self.look_ahead.placing = None;
+            self.repeat_soon(now);
+            return false;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
+        let stage = (id.clone(), job.instances[at].stage);
+        let is_gang = job.stage(&job.instances[at]).gang;
+        self.look_ahead.placing = Some(urgency);
+        if is_gang {
+            budget.looks += self.workers.len();
+            self.place_gang(now, id, at);
+        } else {
+            self.place_stage(now, id, at, budget);
+        }
+        self.placed_stages.insert(stage);
+        self.request_advice(now, id, at);
+        if self.jobs.get_mut(id).is_some_and(|j| j.update_idle(now)) {
+            self.repeat_soon(now + REPEAT_AFTER);
+        }
+        true
+    }
+
     /// Makes a placement round due at a time, even without a change.
     pub(super) fn repeat_soon(&mut self, at: Instant) {
         self.repeat_round = Some(self.repeat_round.map_or(at, |due| due.min(at)));
@@ -253,10 +286,11 @@
             return None;
         }
         let key = (job.id.clone(), instance.stage);
+        let is_at_fault = self.faults.is_at_fault(&job.task_id(instance, position));
         let mut best: Option<(f64, &Name)> = None;
         for (vm, worker) in &self.workers {
             if !worker.takes_start(&key)
-                || !is_eligible(now, job, instance, stage, vm, worker)
+                || !self.is_eligible(now, job, instance, vm, worker, is_at_fault)
                 || !self.is_allowed(now, job, instance, vm)
                 || !self.is_unreserved(now, job, instance.stage, vm)
             {
@@ -293,6 +327,55 @@
         }
         best.map(|(_, vm)| Arc::clone(vm))
     }
+
+    /// Returns true if a task of a stage may be placed on a worker now.
+    pub(super) fn is_eligible(
+        &self,
+        now: Instant,
+        job: &Job,
+        instance: &StageInstance,
+        vm: &Name,
+        worker: &Worker,
+        is_at_fault: bool,
+    ) -> bool {
+        self.takes(now, job, instance, vm, worker, is_at_fault)
+            && job.stage(instance).charged().fits(&worker.free_capacity())
+    }
+
+    /// Returns true if a worker takes tasks of a stage, whether or not it has room for one;
+    /// `is_at_fault` tells whether failures of the task are its own fault.
+    pub(super) fn takes(
+        &self,
+        now: Instant,
+        job: &Job,
+        instance: &StageInstance,
+        vm: &Name,
+        worker: &Worker,
+        is_at_fault: bool,
+    ) -> bool {
+        let Some(last_report) = &worker.last_report else {
+            return false;
+        };
+        if last_report.pool != job.record.terms.pool
+            || !worker.is_available(now)
+            || !self.is_admitted(now, job, instance.stage, worker, is_at_fault)
+        {
+            return false;
+        }
+        let stage = job.stage(instance);
+        if stage
+            .label
+            .as_ref()
+            .is_some_and(|l| !last_report.labels.contains(l))
+        {
+            return false;
+        }
+        if stage.best_effort && worker.load_with(stage.cpu_milli()) > MAX_OVERCOMMIT {
+            return false;
+        }
+        let is_full = |max: u32| instance.tasks_on(vm) >= max;
+        !stage.max_per_worker.is_some_and(is_full)
+    }
 }
 
 /// What a round may still do.
@@ -324,47 +407,6 @@
         && worker.best_effort_load() <= FORCED_MAX_LOAD
 }
 
-/// Returns true if a task of a stage may be placed on a worker now.
-pub(super) fn is_eligible(
-    now: Instant,
-    job: &Job,
-    instance: &StageInstance,
-    stage: &StageSpec,
-    vm: &Name,
-    worker: &Worker,
-) -> bool {
-    takes(now, job, instance, stage, vm, worker) && stage.charged().fits(&worker.free_capacity())
-}
-
-/// Returns true if a worker takes tasks of a stage, whether or not it has room for one.
-pub(super) fn takes(
-    now: Instant,
-    job: &Job,
-    instance: &StageInstance,
-    stage: &StageSpec,
-    vm: &Name,
-    worker: &Worker,
-) -> bool {
-    let Some(last_report) = &worker.last_report else {
-        return false;
-    };
-    if last_report.pool != job.record.terms.pool || !worker.takes_tasks(now) {
-        return false;
-    }
-    if stage
-        .label
-        .as_ref()
-        .is_some_and(|l| !last_report.labels.contains(l))
-    {
-        return false;
-    }
-    if stage.best_effort && worker.load_with(stage.cpu_milli()) > MAX_OVERCOMMIT {
-        return false;
-    }
-    let is_full = |max: u32| instance.tasks_on(vm) >= max;
-    !stage.max_per_worker.is_some_and(is_full)
-}
-
 /// Returns the cost of placing a task of a stage on a worker, in units of load.
 pub(super) fn cost(stage: &StageSpec, worker: &Worker) -> f64 {
     let mut cost = worker.load_with(stage.demand_milli());
--- a/crates/jobs/src/owner/stall.rs
+++ b/crates/jobs/src/owner/stall.rs
@@ -15,7 +15,7 @@
 
 impl Owner {
     /// Stops tasks that make no progress so that they restart elsewhere, and counts each as a
-    /// failure of its worker.
+    /// failure.
     pub(super) fn find_stalled(&mut self, now: Instant) {
         let is_early = |at: Instant| now.saturating_duration_since(at) < CHECK_INTERVAL;
         if self.last_stall_check.is_some_and(is_early) {
@@ -44,9 +44,10 @@
             if let Some(worker) = self.workers.get_mut(&vm) {
                 // A best-effort task may stall because other tasks leave no processor time.
                 let is_best_effort = worker.runs.get(&id).is_some_and(|r| r.is_best_effort);
+                let since = worker.runs.get(&id).map_or(now, |r| r.since);
                 worker.stop_run(&id);
                 if !is_best_effort {
-                    worker.health.record_failure(now);
+                    self.record_failure(now, &vm, &id, now.duration_since(since));
                 }
             }
         }
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -150,6 +150,7 @@
             worker.finished = Default::default();
             worker.health = Default::default();
             worker.unknown_runs.clear();
+            self.faults.forget_worker(vm);
             self.is_round_due = true;
         }
         let was_draining = worker
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -326,15 +326,14 @@
         last_report.is_none_or(|l| l.draining_ms.is_some())
     }
 
-    /// Returns true if tasks may be placed here.
-    pub(super) fn takes_tasks(&self, now: Instant) -> bool {
+    /// Returns true if tasks may be placed here, unless a quarantine speaks against it.
+    pub(super) fn is_available(&self, now: Instant) -> bool {
         self.is_adopted
             && !self.has_unknown_runs
             && self.is_recorded()
             && !self.is_draining()
             && self.starts.is_open(now)
             && self.is_heard(now)
-            && self.health.takes_tasks(now, self.runs.values())
     }
 
     /// Advances the number up to which finished runs may be acknowledged.
