Only standing tasks wait between failed runs

Their attempts are limited, so their restarts end by themselves; the wait would only delay the verdict.

--- a/crates/jobs/src/owner/faults.rs
+++ b/crates/jobs/src/owner/faults.rs
@@ -17,13 +17,13 @@
 /// How often it is checked whether runs of a stage that is at fault have lasted meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A task that failed sooner waits before its next run, longer each time.
+/// A standing task that failed sooner waits before its next run, longer each time.
 const PROMPT: Duration = Duration::from_secs(1);
 
 /// The delay after the second prompt failure in a row; doubles with each further one.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// The maximum delay of a task that keeps failing.
+/// The maximum delay of a standing task that keeps failing.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The outcomes by task and by stage, and the tasks that wait after failures.
@@ -167,8 +167,9 @@
         }
     }
 
-    /// Lets a task that failed soon after its start wait before its next run. The first failure causes
-    /// no delay: the next run is on another worker, if there is one.
+    /// Lets a standing task that failed soon after its start wait before its next run; the attempts of
+    /// others are limited. The first failure causes no delay: the next run is on another worker, if there
+    /// is one.
     fn delay_retry(&mut self, now: Instant, task: &TaskId, ran: Duration) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -176,6 +177,9 @@
         let Some((_, position)) = job.find(task) else {
             return;
         };
+        if !job.stage_of(task).standing {
+            return;
+        }
         let task = &mut job.tasks[position];
         if ran >= PROMPT {
             task.prompt_failures = 0;
