Run numbers are reserved in the store: no owner uses a predecessor's

Cause: the numbers of an epoch began at 1,024 times the epochs before it, but nothing kept an owner within them. The successor ordered a run under a number that had been used, and the companion dropped the order as a repeated one.

Change: before a job's owner leaves the numbers of its epoch, it reserves more in the job's progress, fenced by the owner's key; a task waits if its next number is not reserved. Numbers are 64 bits wide, so that they do not end after four million epochs either.

Ruled out: a worker that the owner waits for (there is an order), quarantine, a rejection (there is none).

--- a/crates/agent/tests/model/owner.rs
+++ b/crates/agent/tests/model/owner.rs
@@ -23,7 +23,7 @@
     ordered: IndexSet<TaskRun>,
     stopping: IndexSet<TaskRun>,
     stored_ends: u64,
-    next_attempt: u32,
+    next_attempt: u64,
 }
 
 impl Owner {
@@ -112,7 +112,6 @@
     fn order(&mut self, rng: &mut ChaCha8Rng) {
         while self.ordered.len() < 6 && rng.random_ratio(1, 2) {
             self.next_attempt += 1;
-            let epoch = u32::try_from(self.epoch).unwrap_or(0);
             self.ordered.insert(TaskRun {
                 task: TaskId {
                     job: "0123456789abcdef".into(),
@@ -120,7 +119,7 @@
                     stage: 0,
                     index: rng.random_range(0..8),
                 },
-                attempt: Attempt(10_000 * epoch + self.next_attempt),
+                attempt: Attempt(10_000 * self.epoch + self.next_attempt),
             });
         }
     }
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -103,7 +103,7 @@
 
 number_types! {
     /// The number of times a task has been placed, starting at 1.
-    Attempt(u32);
+    Attempt(u64);
     /// The term of a shard owner; a higher epoch supersedes a lower one.
     Epoch(u64);
     /// The version of the configuration tables.
--- a/crates/entry/tests/outage.rs
+++ b/crates/entry/tests/outage.rs
@@ -495,7 +495,11 @@
     assert!(statuses.iter().any(|s| s.evictions == 1));
     // A task that restarted from scratch would still be running.
     assert!(statuses.iter().all(|s| s.phase == JobPhase::Finished));
-    assert!(statuses.iter().all(|s| s.attempts.0 == 1 + s.evictions));
+    assert!(
+        statuses
+            .iter()
+            .all(|s| s.attempts.0 == 1 + u64::from(s.evictions))
+    );
     assert!(sim.effects().into_values().all(|count| count == 1));
 }
 
--- a/crates/fakes/tests/worker.rs
+++ b/crates/fakes/tests/worker.rs
@@ -8,7 +8,7 @@
     Checkpoint, TaskReport, TaskStart, TaskState, Worker, WorkerCall, WorkerReply,
 };
 
-fn key(job: &str, attempt: u32) -> TaskKey {
+fn key(job: &str, attempt: u64) -> TaskKey {
     TaskKey {
         job: job.into(),
         attempt: Attempt(attempt),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,7 @@
 //! The in-memory state of a job: its tasks, and which of them may start.
 
 mod counts;
+mod run_numbers;
 
 use std::collections::BTreeSet;
 
@@ -9,6 +10,7 @@
 use ports::store::Revision;
 use serde::{Deserialize, Serialize};
 
+use self::run_numbers::RunNumbers;
 use crate::{Faults, JobRecord, Progress, StageSpec, TaskId, TaskProgress};
 
 /// The state of a job.
@@ -158,6 +160,7 @@
     /// Why it failed.
     pub(crate) cause: Option<Name>,
     pub(crate) stored: Stored,
+    run_numbers: RunNumbers,
     /// The stage instances with waiting tasks.
     open: BTreeSet<usize>,
     /// How many stage instances are done.
@@ -223,6 +226,7 @@
             ended_unix_ms: None,
             cause: None,
             stored: Stored::default(),
+            run_numbers: RunNumbers::default(),
             open: BTreeSet::new(),
             done_instances: 0,
             runs: 0,
@@ -240,6 +244,7 @@
         self.ended_unix_ms = progress.ended_unix_ms;
         self.stored.progress = revision;
         self.cause = progress.faults.cause;
+        self.run_numbers = RunNumbers::after(progress.last_run);
         for (position, evidence) in progress.faults.evidence {
             if let Some(task) = self.tasks.get_mut(position as usize) {
                 task.evidence = evidence;
@@ -272,6 +277,7 @@
                 evidence: self.evidence(),
                 cause: self.cause.clone(),
             },
+            last_run: self.run_numbers.reserved(),
         }
     }
 
--- a/crates/jobs/src/owner/commit/replies.rs
+++ b/crates/jobs/src/owner/commit/replies.rs
@@ -113,6 +113,8 @@
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.stored.in_flight = false;
                     job.stored.progress = revision;
+                    // Tasks may wait for run numbers that this write reserves.
+                    self.is_round_due |= job.reserves_run_numbers_in(change.version);
                     job.stored.stored_version = change.version;
                     if job.stored.version > change.version {
                         self.commits.mark_progress(id);
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -39,10 +39,9 @@
             return;
         };
         let range = instance.range();
-        let highest = job.tasks[range.clone()]
-            .iter()
-            .max_by_key(|t| t.last_attempt);
-        let Some(attempt) = highest.map(|t| self.next_attempt(t)) else {
+        let members_last = job.tasks[range.clone()].iter().map(|t| t.last_attempt);
+        let last = members_last.max().unwrap_or_default();
+        let Some(attempt) = self.next_attempt(id, last) else {
             return;
         };
         for (position, vm) in range.zip(members) {
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -13,10 +13,6 @@
 use crate::job::StageInstance;
 use crate::{Job, StageSpec, TaskRun};
 
-/// How many runs of a task an epoch may order before its attempt numbers overlap with those of the
-/// next epoch.
-const RUNS_PER_EPOCH: u64 = 1024;
-
 /// The maximum processors that all tasks of a worker may want, over its capacity: throttled
 /// best-effort tasks leave theirs to others.
 const MAX_OVERCOMMIT: f64 = 1.3;
@@ -197,7 +193,10 @@
                     self.reserve(now, id, at);
                     break;
                 };
-                let attempt = self.next_attempt(&job.tasks[position]);
+                let last = job.tasks[position].last_attempt;
+                let Some(attempt) = self.next_attempt(id, last) else {
+                    continue;
+                };
                 if is_suspect && !self.prepare_trial(now, &vm) {
                     continue;
                 }
@@ -228,12 +227,19 @@
         waiting.find(may_start).copied()
     }
 
-    /// Returns the attempt number of a task's next run, higher than any that a previous owner may
-    /// have used.
-    pub(super) fn next_attempt(&self, task: &crate::Task) -> Attempt {
-        let base = (self.cfg.epoch.0.saturating_sub(1)) * RUNS_PER_EPOCH;
-        let base = Attempt(u32::try_from(base).unwrap_or(u32::MAX));
-        task.last_attempt.max(base).next()
+    /// Returns the number of the next run after `last`, which no owner has used; `None` until the store
+    /// has reserved more.
+    pub(super) fn next_attempt(&mut self, id: &JobId, last: Attempt) -> Option<Attempt> {
+        let epoch = self.cfg.epoch;
+        let job = self.jobs.get_mut(id)?;
+        let next = job.next_run_number(epoch, last);
+        if job.reserve_run_numbers(epoch, last) {
+            info!(self.log, "owner: run numbers reserved"; "job" => %id, "after" => %last,
+                "is_waiting" => next.is_none());
+            self.stats.events.push(("run_numbers", "reserved"));
+            self.commits.mark_progress(id);
+        }
+        next
     }
 
     /// Orders a run of a task.
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -29,8 +29,11 @@
     pub tasks: Vec<(u32, TaskProgress)>,
     /// When it ended, in milliseconds since the Unix epoch.
     pub ended_unix_ms: Option<u64>,
-    /// What is missing in records of earlier versions.
+    /// Missing in the first version's records.
     pub faults: Faults,
+    /// The highest number that is reserved for runs of its tasks, besides those of its owners' epochs;
+    /// missing in earlier versions' records.
+    pub last_run: Attempt,
 }
 
 /// The crashes of workers under a job's tasks, and why the job failed.
@@ -84,8 +87,8 @@
     })
 }
 
-/// Decodes a job's progress; records of earlier versions end before [`Progress::faults`], and earlier
-/// versions ignore what follows.
+/// Decodes a job's progress; records of earlier versions end before [`Progress::last_run`] or
+/// [`Progress::faults`], and earlier versions ignore what follows.
 pub(crate) fn decode_progress(key: &str, bytes: &[u8]) -> Result<Progress> {
     #[derive(Deserialize)]
     struct WithoutFaults {
@@ -93,13 +96,24 @@
         tasks: Vec<(u32, TaskProgress)>,
         ended_unix_ms: Option<u64>,
     }
+    #[derive(Deserialize)]
+    struct WithoutLastRun {
+        before: WithoutFaults,
+        faults: Faults,
+    }
+    let first_version = |_| {
+        let before: WithoutFaults = decode(key, bytes)?;
+        let faults = Faults::default();
+        Ok(WithoutLastRun { before, faults })
+    };
     decode(key, bytes).or_else(|_| {
-        let record: WithoutFaults = decode(key, bytes)?;
+        let WithoutLastRun { before, faults } = decode(key, bytes).or_else(first_version)?;
         Ok(Progress {
-            state: record.state,
-            tasks: record.tasks,
-            ended_unix_ms: record.ended_unix_ms,
-            faults: Faults::default(),
+            state: before.state,
+            tasks: before.tasks,
+            ended_unix_ms: before.ended_unix_ms,
+            faults,
+            last_run: Attempt::default(),
         })
     })
 }
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -159,7 +159,10 @@
 
     /// Replaces the owner by one of the next epoch; workers keep running.
     pub fn take_over(&mut self) {
-        let epoch = self.owner.epoch().0 + 1;
+        self.take_over_as(self.owner.epoch().0 + 1);
+    }
+
+    pub fn take_over_as(&mut self, epoch: u64) {
         self.reporting.clear();
         let began = processor_time();
         (self.owner, self.revision) = elect(&mut self.store, self.now, epoch, self.cordon_bound);
--- a/crates/journal/tests/state.rs
+++ b/crates/journal/tests/state.rs
@@ -8,14 +8,14 @@
 
 use harness::submitted;
 
-fn key(attempt: u32) -> TaskKey {
+fn key(attempt: u64) -> TaskKey {
     TaskKey {
         job: "a".into(),
         attempt: Attempt(attempt),
     }
 }
 
-fn assigned(attempt: u32) -> Change {
+fn assigned(attempt: u64) -> Change {
     Change::Assigned {
         key: key(attempt),
         worker: format!("worker-{attempt}").into(),
@@ -23,7 +23,7 @@
     }
 }
 
-fn finished(attempt: u32) -> Change {
+fn finished(attempt: u64) -> Change {
     Change::Ended {
         key: key(attempt),
         end: TaskEnd::Finished,
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -23,7 +23,7 @@
     pub requests: IndexMap<String, PlacementRequest>,
     pub evicted: Vec<(TaskKey, EvictReason)>,
     pub throttled: Vec<(TaskKey, f64)>,
-    attempts: u32,
+    attempts: u64,
 }
 
 impl Harness {
--- a/crates/place/tests/ledger.rs
+++ b/crates/place/tests/ledger.rs
@@ -113,7 +113,7 @@
     pending: IndexMap<JobId, (WorkerId, Resources)>,
     running: IndexMap<TaskKey, PlacedTask>,
     accepts_tasks: [bool; WORKERS],
-    attempts: u32,
+    attempts: u64,
 }
 
 impl Subject {
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -4,7 +4,7 @@
 use fakes::worker::{Run, WorkerRecord};
 use soak::{RunAudit, Violation};
 
-fn run(start: Instant, job: &str, attempt: u32, from: u64, to: Option<u64>) -> Run {
+fn run(start: Instant, job: &str, attempt: u64, from: u64, to: Option<u64>) -> Run {
     Run {
         key: TaskKey {
             job: job.into(),
--- a/examples/decisions.rs
+++ b/examples/decisions.rs
@@ -40,7 +40,7 @@
     requests: IndexMap<base::JobId, PlacementRequest>,
     running: IndexMap<TaskKey, PlacedTask>,
     jobs: usize,
-    attempts: u32,
+    attempts: u64,
 }
 
 fn main() {
--- a/examples/placement/simulation.rs
+++ b/examples/placement/simulation.rs
@@ -101,7 +101,7 @@
     jobs: Vec<Job>,
     /// The work done and the attempts so far, by job.
     done: Vec<Duration>,
-    attempts: Vec<u32>,
+    attempts: Vec<u64>,
     by_id: IndexMap<base::JobId, usize>,
     arrived: usize,
     true_interference: Vec<TrueInterference>,
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -18,7 +18,7 @@
 }
 
 fn change() -> impl Strategy<Value = Change> {
-    let key = ("[a-z]{0,8}", any::<u32>()).prop_map(|(job, attempt)| TaskKey {
+    let key = ("[a-z]{0,8}", any::<u64>()).prop_map(|(job, attempt)| TaskKey {
         job: job.into(),
         attempt: Attempt(attempt),
     });
