A companion answers repeated orders for concluded runs

Cause: the companion drops an order for a run that it has concluded, so that a redelivered one does not start it twice, and told nobody. An owner that does not know the outcome resends the order and waits.

Change: the rejection is repeated, or the status tells, or the order is rejected as old once statuses have lacked the run for longer than a stop takes. Concluded runs are remembered for 5 s in place of the last 1,024: a late copy of an order may come after more than that.

Ruled out: orders for another incarnation or token (they are logged), lost replies (they are resent).

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -260,7 +260,7 @@
     record_listed(worker, now, &status);
     worker
         .starts
-        .reconcile(&status, reply.clock_ms, reply.is_partial);
+        .reconcile(now, &status, reply.clock_ms, reply.is_partial);
     status.is_settled =
         !reply.is_partial && worker.starts.is_settled(first_status_ms, reply.clock_ms);
     let last_end = |s: &WorkerStatus| s.finished.iter().map(|e| e.number).max();
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -6,9 +6,9 @@
 
 use crate::provenance::{Conclusions, Proof, Source};
 
-/// How many runs are remembered after their outcome is known: more than a worker starts while a
-/// reply of the owner is on its way.
-const MAX_CONCLUDED: usize = 1024;
+/// How long a run is remembered after its outcome is known: longer than a reply of the owner is on its
+/// way.
+const CONCLUDED_FOR: Duration = Duration::from_secs(5);
 
 /// Delay before a start or stop without a reply is retried.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
@@ -59,6 +59,26 @@
     }
 }
 
+/// The outcome of a start order, for orders that arrive again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Conclusion {
+    /// A status has shown the run.
+    Listed,
+    /// It was rejected, and the owner has recorded that.
+    Rejected(RejectKind),
+}
+
+/// What becomes of an order to start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ordered {
+    /// It is carried out.
+    New,
+    /// It is in progress or rejected already, as the next report tells.
+    InProgress,
+    /// It was concluded before and is not carried out; a report will tell the outcome again.
+    Repeated,
+}
+
 /// The progress of a stop order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stop {
@@ -80,9 +100,12 @@
     stops: IndexMap<TaskRun, Stop>,
     /// Starts that will never take effect and whose rejection the owner has not recorded.
     rejected: IndexMap<TaskRun, RejectKind>,
-    /// Runs that a status has shown, and starts whose rejection the owner has recorded: a
-    /// redelivered order must not start them again.
-    concluded: IndexSet<TaskRun>,
+    /// Runs that a status has shown, and starts whose rejection the owner has recorded, with when that
+    /// was: a redelivered order must not start them again.
+    concluded: IndexMap<TaskRun, (Conclusion, Instant)>,
+    /// Runs that were shown before and ordered again, with the worker's clock in the first status since, in
+    /// milliseconds: one that statuses lack for long has ended.
+    repeated: IndexMap<TaskRun, Option<u64>>,
     /// For the log.
     pub(crate) conclusions: Conclusions,
 }
@@ -94,29 +117,43 @@
             open: IndexMap::new(),
             stops: IndexMap::new(),
             rejected: IndexMap::new(),
-            concluded: IndexSet::new(),
+            concluded: IndexMap::new(),
+            repeated: IndexMap::new(),
             conclusions: Conclusions::default(),
         }
     }
 
-    /// Adds an order to start, unless the run is known.
-    pub(crate) fn order(&mut self, now: Instant, order: StartOrder, source: &Source) {
+    /// Adds an order to start, unless the run is known. The owner waits for an answer to each order, so
+    /// one that is concluded is answered again.
+    pub(crate) fn order(&mut self, now: Instant, order: StartOrder, source: &Source) -> Ordered {
         let run = &order.run;
-        let is_known = self.open.contains_key(run)
+        if self.open.contains_key(run)
             || self.rejected.contains_key(run)
-            || self.concluded.contains(run)
-            || self.stops.contains_key(run);
-        if !is_known {
-            let open = OpenStart {
-                order,
-                source: source.clone(),
-                progress: Progress::Due(now),
-                sent_at: None,
-                unanswered: 0,
-                stopping: None,
-            };
-            self.open.insert(open.order.run.clone(), open);
+            || self.stops.contains_key(run)
+        {
+            return Ordered::InProgress;
+        }
+        match self.concluded.get(run) {
+            Some((Conclusion::Rejected(why), _)) => {
+                self.rejected.insert(run.clone(), *why);
+                return Ordered::Repeated;
+            }
+            Some((Conclusion::Listed, _)) => {
+                self.repeated.entry(run.clone()).or_insert(None);
+                return Ordered::Repeated;
+            }
+            None => {}
         }
+        let open = OpenStart {
+            order,
+            source: source.clone(),
+            progress: Progress::Due(now),
+            sent_at: None,
+            unanswered: 0,
+            stopping: None,
+        };
+        self.open.insert(open.order.run.clone(), open);
+        Ordered::New
     }
 
     /// Adds an order to stop; returns true unless one is in progress.
@@ -278,8 +315,14 @@
 
     /// Completes starts and stops whose outcome shows in a status made at `clock_ms` of the
     /// worker's clock; the absence of a run from a partial status shows nothing.
-    pub(crate) fn reconcile(&mut self, status: &WorkerStatus, clock_ms: u64, is_partial: bool) {
-        if self.open.is_empty() && self.stops.is_empty() {
+    pub(crate) fn reconcile(
+        &mut self,
+        now: Instant,
+        status: &WorkerStatus,
+        clock_ms: u64,
+        is_partial: bool,
+    ) {
+        if self.open.is_empty() && self.stops.is_empty() && self.repeated.is_empty() {
             return;
         }
         let running: IndexSet<&TaskRun> = status.running.iter().map(|row| &row.run).collect();
@@ -287,12 +330,29 @@
         let is_running = |run: &TaskRun| running.contains(run);
         let has_finished = |run: &TaskRun| finished.contains(run);
         let mut never_started = Vec::new();
+        let stops = &self.stops;
+        self.repeated.retain(|run, since| {
+            // The outcome of a stop tells the same.
+            if is_running(run) || has_finished(run) || stops.contains_key(run) {
+                return false;
+            }
+            if is_partial {
+                return true;
+            }
+            // A run that is being stopped may be in neither list.
+            let since = *since.get_or_insert(clock_ms);
+            let has_ended = clock_ms > since.saturating_add(MAX_STATUS_LAG_MS);
+            if has_ended {
+                never_started.push((run.clone(), RejectKind::Old));
+            }
+            !has_ended
+        });
+        let listed = (Conclusion::Listed, now);
         let concluded = &mut self.concluded;
         let conclusions = &mut self.conclusions;
-        let stops = &self.stops;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
-                concluded.insert(run.clone());
+                concluded.insert(run.clone(), listed);
                 return false;
             }
             if let Progress::Accepted(at) = open.progress
@@ -326,7 +386,7 @@
             }
             let start = open.shift_remove(run);
             if has_finished(run) {
-                concluded.insert(run.clone());
+                concluded.insert(run.clone(), listed);
                 return false;
             }
             let unanswered = start.as_ref().map_or(0, |open| open.unanswered);
@@ -339,21 +399,24 @@
             false
         });
         self.rejected.extend(never_started);
-        self.forget_oldest();
+        self.forget_concluded(now);
     }
 
     /// Drops rejected starts that the owner has recorded, but remembers their runs.
-    pub(crate) fn acknowledge_rejects(&mut self, runs: &[TaskRun]) {
+    pub(crate) fn acknowledge_rejects(&mut self, now: Instant, runs: &[TaskRun]) {
         for run in runs {
-            if self.rejected.shift_remove(run).is_some() {
-                self.concluded.insert(run.clone());
+            if let Some(why) = self.rejected.shift_remove(run) {
+                let conclusion = (Conclusion::Rejected(why), now);
+                self.concluded.insert(run.clone(), conclusion);
             }
         }
-        self.forget_oldest();
+        self.forget_concluded(now);
     }
 
-    fn forget_oldest(&mut self) {
-        let surplus = self.concluded.len().saturating_sub(MAX_CONCLUDED);
+    fn forget_concluded(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= CONCLUDED_FOR;
+        let rows = self.concluded.values();
+        let surplus = rows.take_while(|(_, at)| is_old(*at)).count();
         self.concluded.drain(..surplus);
     }
 
--- a/crates/agent/src/sync.rs
+++ b/crates/agent/src/sync.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 
 use crate::provenance::{Source, age_ms};
+use crate::starts::Ordered;
 use crate::state::{Action, AgentState};
 
 /// How many reports may be in flight: one that the owner holds open, and one with newer state.
@@ -254,10 +255,16 @@
                 worker.starts_until_ms = until_ms.map(|(at, lease)| at.saturating_add(lease));
                 worker.starts_until_from = number;
             }
-            worker.starts.acknowledge_rejects(&reply.noted_rejects);
+            worker.starts.acknowledge_rejects(now, &reply.noted_rejects);
             self.crashes.acknowledge(&reply.noted_crashes);
             for order in reply.starts {
-                worker.starts.order(now, order, &source);
+                let run = order.run.clone();
+                if worker.starts.order(now, order, &source) == Ordered::Repeated {
+                    info!(self.log, "companion: order repeated"; "run" => %run,
+                        "owner" => %source.owner, "epoch" => source.epoch.0,
+                        "report" => number, "born" => worker.heartbeat.incarnation.0);
+                    self.syncs.has_changes = true;
+                }
             }
             if !sent.capacity.fits(&worker.heartbeat.capacity) {
                 worker.starts.reject_unsent(now, RejectKind::Room);
