Starts that a worker rejects wait, longer each time

Cause: a rejection released the task, and the next round ordered it on the same worker at once, if no other may run it.

Change: a task waits for a part of the time since the first rejection before its next start on that worker. Companions report whether the worker sheds load; then it gets one start at a time, for whatever task. A start that it takes ends both.

--- a/crates/agent/src/incarnation.rs
+++ b/crates/agent/src/incarnation.rs
@@ -74,6 +74,8 @@
     pub(crate) refused_since: Option<Instant>,
     /// Whether connections have been refused for [`REFUSED_AFTER`].
     pub(crate) is_refusing: bool,
+    /// Whether the worker has turned away its last start because it sheds load.
+    pub(crate) is_shedding: bool,
     /// Whether the worker was unresponsive in the last report; for the log.
     pub(crate) was_unresponsive: bool,
 }
@@ -103,6 +105,7 @@
             listed_since: IndexMap::new(),
             refused_since: None,
             is_refusing: false,
+            is_shedding: false,
             was_unresponsive: false,
             is_confirmed: true,
             is_long_polling: false,
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -57,6 +57,7 @@
         match reply {
             Ok(StartReply::Started { clock_ms }) => {
                 worker.clock = Some(WorkerClock::new(clock_ms, now));
+                worker.is_shedding = false;
                 worker.starts.accepted(run, clock_ms);
             }
             // An earlier call may have started the run although its reply was lost; the next
@@ -81,6 +82,7 @@
                 warn!(self.log, "companion: start failed";
                     "run" => %run, "error" => %e, "unanswered" => worker.starts.unanswered(run));
                 if e.kind() == ErrorKind::Overloaded {
+                    worker.is_shedding = true;
                     worker.starts.reject(now, run, RejectKind::Room);
                     self.syncs.has_changes = true;
                 } else {
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -248,6 +248,7 @@
             draining_ms: heartbeat.draining.map(base::whole_ms),
             is_gone: worker.is_gone,
             is_unresponsive: worker.is_unresponsive(now),
+            is_shedding: worker.is_shedding,
             status: worker.status.clone(),
             changes: None,
             open: worker.starts.open_runs(),
--- a/crates/controller/tests/partitions/vm.rs
+++ b/crates/controller/tests/partitions/vm.rs
@@ -275,6 +275,7 @@
             draining_ms: self.is_draining.then_some(1000),
             is_gone: self.is_gone,
             is_unresponsive: false,
+            is_shedding: false,
             status,
             changes: None,
             open: Vec::new(),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,7 @@
 //! The in-memory state of a job: its tasks, and which of them may start.
 
 mod counts;
+mod rejections;
 mod run_numbers;
 
 use std::collections::BTreeSet;
@@ -10,6 +11,7 @@
 use ports::store::Revision;
 use serde::{Deserialize, Serialize};
 
+pub(crate) use self::rejections::Rejections;
 use self::run_numbers::RunNumbers;
 use crate::{Faults, JobRecord, Progress, StageSpec, TaskId, TaskProgress};
 
@@ -71,6 +73,8 @@
     pub prompt_failures: u32,
     /// It must not start before this time, since it keeps failing.
     pub retry_at: Option<Instant>,
+    /// The VMs whose workers rejected its last starts.
+    pub(crate) rejected_by: IndexMap<Name, Rejections>,
 }
 
 impl Task {
@@ -97,6 +101,12 @@
         self.held_until.is_some_and(is_before) || self.retry_at.is_some_and(is_before)
     }
 
+    /// Returns true if it must not start on a VM yet, whose worker has rejected it.
+    pub(crate) fn is_rejected_by(&self, vm: &Name, now: Instant) -> bool {
+        let rejections = self.rejected_by.get(vm);
+        rejections.is_some_and(|r| now < r.until())
+    }
+
     fn progress(&self) -> TaskProgress {
         TaskProgress {
             is_done: self.is_done,
--- a/crates/jobs/src/owner/adopt.rs
+++ b/crates/jobs/src/owner/adopt.rs
@@ -6,6 +6,7 @@
 use super::Owner;
 use super::trials::trial_of;
 use super::worker::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
+use crate::job::Rejections;
 use crate::report::{RejectKind, Rejected, RunningRow, WorkerStatus};
 use crate::{JobState, StageSpec, Task, TaskRun};
 
@@ -96,7 +97,8 @@
         }
         run.gauge = row.gauge;
         if has_started {
-            self.is_round_due |= worker.waits_for_starts();
+            self.is_round_due |= worker.waits_for_starts() || worker.shed.is_some();
+            worker.shed = None;
             worker.set_phase(&row.run, Phase::Running);
         }
         if let Some(job) = self.jobs.get_mut(&row.run.task.job)
@@ -105,6 +107,9 @@
             if job.state == JobState::Queued {
                 job.state = JobState::Running;
             }
+            if has_started {
+                job.tasks[position].rejected_by.clear();
+            }
             if row.checkpoint.is_some() {
                 job.update(instance, position, |task| {
                     task.checkpoint = row.checkpoint.clone()
@@ -270,9 +275,40 @@
         if matches!(rejected.why, RejectKind::Room | RejectKind::Invalid) {
             self.avoid(vm, &rejected.run);
         }
+        // These two end with the run or the worker.
+        if !matches!(rejected.why, RejectKind::Stopped | RejectKind::Draining) {
+            self.delay_after_rejection(now, vm, rejected);
+        }
         self.release(vm, &rejected.run);
     }
 
+    /// Lets a task wait before its next start on a worker that has rejected it, and all tasks if the
+    /// worker sheds load.
+    fn delay_after_rejection(&mut self, now: Instant, vm: &Name, rejected: &Rejected) {
+        let Some(worker) = self.workers.get_mut(vm) else {
+            return;
+        };
+        let is_shedding = worker.last_report.as_ref().is_some_and(|l| l.is_shedding);
+        if is_shedding && rejected.why == RejectKind::Room {
+            let shed = Rejections::add(worker.shed, now);
+            if worker.shed.is_none() {
+                info!(self.log, "owner: worker sheds load"; "vm" => %vm, "run" => %rejected.run);
+                self.stats.events.push(("worker", "shedding"));
+            }
+            worker.shed = Some(shed);
+            self.faults.wake_at(shed.until());
+        }
+        let Some(job) = self.jobs.get_mut(&rejected.run.task.job) else {
+            return;
+        };
+        if let Some((_, position)) = job.find(&rejected.run.task) {
+            let rejected_by = &mut job.tasks[position].rejected_by;
+            let rejections = Rejections::add(rejected_by.get(vm).copied(), now);
+            rejected_by.insert(Arc::clone(vm), rejections);
+            self.faults.wake_at(rejections.until());
+        }
+    }
+
     /// Makes a task avoid a worker where it failed, stalled or was rejected.
     pub(super) fn avoid(&mut self, vm: &Name, run: &TaskRun) {
         if let Some(job) = self.jobs.get_mut(&run.task.job)
--- a/crates/jobs/src/owner/gang.rs
+++ b/crates/jobs/src/owner/gang.rs
@@ -72,6 +72,7 @@
         let is_suspect = job.tasks[instance.first].verdict() != Verdict::Clear;
         let first = job.task_id(instance, instance.first);
         let is_at_fault = self.faults.is_at_fault(&first);
+        let members_tasks = &job.tasks[instance.range()];
         let demand = stage.charged();
         let mut candidates: Vec<(f64, &Name, Resources, u32)> = self
             .workers
@@ -80,6 +81,7 @@
             .filter(|(_, w)| !w.is_reserved(now) && (!is_suspect || !w.has_trial()))
             .filter(|(vm, w)| self.is_eligible(now, job, instance, vm, w, is_at_fault))
             .filter(|(vm, _)| self.is_allowed(now, job, instance, vm))
+            .filter(|(vm, _)| !members_tasks.iter().any(|t| t.is_rejected_by(vm, now)))
             .map(|(vm, w)| {
                 (
                     cost(stage, w),
--- a/crates/jobs/src/owner/placement.rs
+++ b/crates/jobs/src/owner/placement.rs
@@ -299,6 +299,7 @@
                 || !self.is_eligible(now, job, instance, vm, worker, is_at_fault)
                 || !self.is_allowed(now, job, instance, vm)
                 || !self.is_unreserved(now, job, instance.stage, vm)
+                || job.tasks[position].is_rejected_by(vm, now)
             {
                 continue;
             }
--- a/crates/jobs/src/owner/sync.rs
+++ b/crates/jobs/src/owner/sync.rs
@@ -149,6 +149,7 @@
             worker.is_unused = worker.is_recorded_as_earlier(report);
             worker.finished = Default::default();
             worker.health = Default::default();
+            worker.shed = None;
             worker.unknown_runs.clear();
             self.faults.forget_worker(vm);
             self.is_round_due = true;
--- a/crates/jobs/src/owner/worker.rs
+++ b/crates/jobs/src/owner/worker.rs
@@ -17,6 +17,7 @@
 pub(super) use super::run::{FULL_SPEED, Phase, Run, SPEED_UNKNOWN};
 use super::service_load::Backlogged;
 use super::totals::Totals;
+use crate::job::Rejections;
 use crate::report::{SharedStatus, WorkerReport};
 use crate::{TaskRun, WorkerRecord};
 
@@ -103,6 +104,8 @@
     pub(super) parked: Option<Parked>,
     pub(super) stored_record: StoredWorkerRecord,
     pub(super) health: Health,
+    /// Set while it sheds load: the starts that it has turned away in a row.
+    pub(super) shed: Option<Rejections>,
     pub(super) throttled_at: Option<Instant>,
     pub(super) throttle_level: usize,
     /// Increases whenever a run is added or removed.
@@ -158,6 +161,7 @@
             parked: None,
             stored_record: StoredWorkerRecord::default(),
             health: Health::default(),
+            shed: None,
             throttled_at: None,
             throttle_level: 0,
             version: 0,
@@ -334,6 +338,13 @@
             && !self.is_draining()
             && self.starts.is_open(now)
             && self.is_heard(now)
+            && self.may_start_after_shedding(now)
+    }
+
+    /// Returns true unless it sheds load; while it does, it gets one start at a time after each wait.
+    fn may_start_after_shedding(&self, now: Instant) -> bool {
+        let may_try = |shed: Rejections| now >= shed.until() && self.totals.starting == 0;
+        self.shed.is_none_or(may_try)
     }
 
     /// Advances the number up to which finished runs may be acknowledged.
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -49,6 +49,9 @@
     /// Whether it has not responded for so long that its lease is no longer renewed.
     #[serde(rename = "is_silent")]
     pub is_unresponsive: bool,
+    /// Whether it has turned away its last start because it sheds load, whatever the start needs.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_shedding: bool,
     /// Its latest status report, if there is one.
     #[serde(rename = "listing")]
     pub status: Option<WorkerStatus>,
@@ -77,6 +80,7 @@
             draining_ms: self.draining_ms,
             is_gone: self.is_gone,
             is_unresponsive: self.is_unresponsive,
+            is_shedding: self.is_shedding,
             status: None,
             changes: None,
             open: Vec::new(),
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -9,8 +9,8 @@
 use fakes::timing::processor_time;
 use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
 use jobs::report::{
-    Crash, CrashedRun, EndKind, FinishedRun, Rejected, RunningRow, SharedStatus, StartOrder,
-    SyncReply, SyncReport, WorkerReport, WorkerStatus,
+    Crash, CrashedRun, EndKind, FinishedRun, RejectKind, Rejected, RunningRow, SharedStatus,
+    StartOrder, SyncReply, SyncReport, WorkerReport, WorkerStatus,
 };
 use jobs::{
     Effect, JobReply, JobRequest, JobSpec, Owner, OwnerCfg, RouteTerms, StageSpec, TaskRun, Token,
@@ -75,6 +75,12 @@
     pub open: Vec<TaskRun>,
     /// Whether its starts stay open: the worker begins none.
     pub holds_starts: bool,
+    /// Why its worker rejects all starts, if it does.
+    pub rejects: Option<RejectKind>,
+    /// Whether that is because it sheds load.
+    pub is_shedding: bool,
+    /// The runs that it was ordered to start.
+    pub ordered: IndexSet<TaskRun>,
     pub stored_ends: u64,
     pub throttles: IndexMap<TaskRun, u32>,
     /// The tickets of the start orders.
@@ -197,6 +203,9 @@
             crashes: Vec::new(),
             open: Vec::new(),
             holds_starts: false,
+            rejects: None,
+            is_shedding: false,
+            ordered: IndexSet::new(),
             stored_ends: 0,
             throttles: IndexMap::new(),
             tickets: IndexMap::new(),
@@ -495,6 +504,7 @@
                 draining_ms: self.draining.then_some(1000),
                 is_gone: self.is_gone,
                 is_unresponsive: self.is_unresponsive,
+                is_shedding: self.is_shedding,
                 status,
                 changes: None,
                 open: self.open.clone(),
@@ -531,7 +541,13 @@
         if let Some(ticket) = &order.ticket {
             self.tickets.insert(order.run.clone(), Arc::clone(ticket));
         }
-        if self.holds_starts && !self.open.contains(&order.run) {
+        self.ordered.insert(order.run.clone());
+        if let Some(why) = self.rejects {
+            self.rejected.push(Rejected {
+                run: order.run.clone(),
+                why,
+            });
+        } else if self.holds_starts && !self.open.contains(&order.run) {
             self.open.push(order.run.clone());
         } else if !is_known && !self.holds_starts {
             self.running.push(RunningRow {
--- a/crates/jobs/tests/reports.rs
+++ b/crates/jobs/tests/reports.rs
@@ -65,6 +65,7 @@
         draining_ms: None,
         is_gone: false,
         is_unresponsive: false,
+        is_shedding: false,
         status: Some(status),
         changes: None,
         open: Vec::new(),
