A task that stands still again gets more time

Cause: each run of a task had the same 2 s without progress, whatever its earlier runs on other workers had shown.

Evidence: in the tests on the code before, each run ends 2 s after its start, on one VM after the other.

Change: the limit doubles with each run of the task that has stood still, from the second on. The members of a gang count once.

Tests: jobs/tests/stalled_tasks.rs; task_that_reports_progress_rarely_is_done and gang_that_reports_progress_rarely_is_done fail on the code before, worker_on_which_tasks_stand_still_is_quarantined and task_on_two_sick_workers_in_turn_is_done pass before and after.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -73,6 +73,8 @@
     pub prompt_failures: u32,
     /// It must not start before this time, since it keeps failing.
     pub retry_at: Option<Instant>,
+    /// How many of its runs stood still, and the last of them.
+    pub(crate) stalls: (u32, Attempt),
     /// The VMs whose workers rejected its last starts.
     pub(crate) rejected_by: IndexMap<Name, Rejections>,
 }
