--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod app;
 mod candidates;
+mod concluded;
 mod crashes;
 mod event;
 mod heartbeats;
--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -4,19 +4,16 @@
 use jobs::TaskRun;
 use jobs::report::{RejectKind, Rejected, StartOrder, WorkerStatus};
 
+use crate::concluded::{Concluded, Conclusion};
 use crate::provenance::{Conclusions, Proof, Source};
 
-/// How long a run is remembered after its outcome is known: longer than a reply of the owner is on its
-/// way.
-const CONCLUDED_FOR: Duration = Duration::from_secs(5);
-
 /// Delay before a start or stop without a reply is retried.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 
 /// How long an accepted run may be missing from the worker's status, in milliseconds of its clock.
 ///
 /// The worker may reply to a start before its status shows the run.
-const MAX_STATUS_LAG_MS: u64 = 1000;
+pub(crate) const MAX_STATUS_LAG_MS: u64 = 1000;
 
 /// The progress of a start order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,15 +56,6 @@
     }
 }
 
-/// The outcome of a start order, for orders that arrive again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Conclusion {
-    /// A status has shown the run.
-    Listed,
-    /// It was rejected, and the owner has recorded that.
-    Rejected(RejectKind),
-}
-
 /// What becomes of an order to start a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Ordered {
@@ -100,12 +88,8 @@
     stops: IndexMap<TaskRun, Stop>,
     /// Starts that will never take effect and whose rejection the owner has not recorded.
     rejected: IndexMap<TaskRun, RejectKind>,
-    /// Runs that a status has shown, and starts whose rejection the owner has recorded, with when that
-    /// was: a redelivered order must not start them again.
-    concluded: IndexMap<TaskRun, (Conclusion, Instant)>,
-    /// Runs that were shown before and ordered again, with the worker's clock in the first status since, in
-    /// milliseconds: one that statuses lack for long has ended.
-    repeated: IndexMap<TaskRun, Option<u64>>,
+    /// Runs that a status has shown, and starts whose rejection the owner has recorded.
+    concluded: Concluded,
     /// For the log.
     pub(crate) conclusions: Conclusions,
 }
@@ -117,8 +101,7 @@
             open: IndexMap::new(),
             stops: IndexMap::new(),
             rejected: IndexMap::new(),
-            concluded: IndexMap::new(),
-            repeated: IndexMap::new(),
+            concluded: Concluded::default(),
             conclusions: Conclusions::default(),
         }
     }
@@ -134,12 +117,12 @@
             return Ordered::InProgress;
         }
         match self.concluded.get(run) {
-            Some((Conclusion::Rejected(why), _)) => {
-                self.rejected.insert(run.clone(), *why);
+            Some(Conclusion::Rejected(why)) => {
+                self.rejected.insert(run.clone(), why);
                 return Ordered::Repeated;
             }
-            Some((Conclusion::Listed, _)) => {
-                self.repeated.entry(run.clone()).or_insert(None);
+            Some(Conclusion::Listed) => {
+                self.concluded.repeat(run);
                 return Ordered::Repeated;
             }
             None => {}
@@ -322,7 +305,7 @@
         clock_ms: u64,
         is_partial: bool,
     ) {
-        if self.open.is_empty() && self.stops.is_empty() && self.repeated.is_empty() {
+        if self.open.is_empty() && self.stops.is_empty() && !self.concluded.awaits_status() {
             return;
         }
         let running: IndexSet<&TaskRun> = status.running.iter().map(|row| &row.run).collect();
@@ -331,28 +314,18 @@
         let has_finished = |run: &TaskRun| finished.contains(run);
         let mut never_started = Vec::new();
         let stops = &self.stops;
-        self.repeated.retain(|run, since| {
-            // The outcome of a stop tells the same.
-            if is_running(run) || has_finished(run) || stops.contains_key(run) {
-                return false;
-            }
-            if is_partial {
-                return true;
-            }
-            // A run that is being stopped may be in neither list.
-            let since = *since.get_or_insert(clock_ms);
-            let has_ended = clock_ms > since.saturating_add(MAX_STATUS_LAG_MS);
-            if has_ended {
-                never_started.push((run.clone(), RejectKind::Old));
-            }
-            !has_ended
-        });
-        let listed = (Conclusion::Listed, now);
+        let is_answered =
+            |run: &TaskRun| is_running(run) || has_finished(run) || stops.contains_key(run);
+        let ended = self.concluded.take_ended(clock_ms, is_partial, is_answered);
+        for run in ended {
+            never_started.push((run, RejectKind::Old));
+        }
+        let listed = Conclusion::Listed;
         let concluded = &mut self.concluded;
         let conclusions = &mut self.conclusions;
         self.open.retain(|run, open| {
             if is_running(run) || has_finished(run) {
-                concluded.insert(run.clone(), listed);
+                concluded.insert(now, run.clone(), listed);
                 return false;
             }
             if let Progress::Accepted(at) = open.progress
@@ -386,7 +359,7 @@
             }
             let start = open.shift_remove(run);
             if has_finished(run) {
-                concluded.insert(run.clone(), listed);
+                concluded.insert(now, run.clone(), listed);
                 return false;
             }
             let unanswered = start.as_ref().map_or(0, |open| open.unanswered);
@@ -399,25 +372,18 @@
             false
         });
         self.rejected.extend(never_started);
-        self.forget_concluded(now);
+        self.concluded.forget_old(now);
     }
 
     /// Drops rejected starts that the owner has recorded, but remembers their runs.
     pub(crate) fn acknowledge_rejects(&mut self, now: Instant, runs: &[TaskRun]) {
         for run in runs {
             if let Some(why) = self.rejected.shift_remove(run) {
-                let conclusion = (Conclusion::Rejected(why), now);
-                self.concluded.insert(run.clone(), conclusion);
+                let conclusion = Conclusion::Rejected(why);
+                self.concluded.insert(now, run.clone(), conclusion);
             }
         }
-        self.forget_concluded(now);
-    }
-
-    fn forget_concluded(&mut self, now: Instant) {
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= CONCLUDED_FOR;
-        let rows = self.concluded.values();
-        let surplus = rows.take_while(|(_, at)| is_old(*at)).count();
-        self.concluded.drain(..surplus);
+        self.concluded.forget_old(now);
     }
 
     pub(crate) fn open_runs(&self) -> Vec<TaskRun> {
