--- a/crates/agent/src/starts.rs
+++ b/crates/agent/src/starts.rs
@@ -7,9 +7,12 @@
 use crate::concluded::{Concluded, Conclusion};
 use crate::provenance::{Conclusions, Proof, Source};
 
-/// Delay before a start or stop without a reply is retried.
+/// Delay before a start or stop without a reply is retried; that of a start doubles with each retry.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 
+/// The maximum delay before a start is retried.
+const MAX_START_RETRY: Duration = Duration::from_millis(480);
+
 /// How long an accepted run may be missing from the worker's status, in milliseconds of its clock.
 ///
 /// The worker may reply to a start before its status shows the run.
@@ -35,6 +38,8 @@
     progress: Progress,
     /// When the first call was made.
     sent_at: Option<Instant>,
+    /// How often the call was to be retried.
+    retries: u32,
     /// Calls without a reply: the worker may still carry them out, also after later calls.
     unanswered: u32,
     /// Set once the run is to be stopped; the reason to report if it proves not to have started.
@@ -132,6 +137,7 @@
             source: source.clone(),
             progress: Progress::Due(now),
             sent_at: None,
+            retries: 0,
             unanswered: 0,
             stopping: None,
         };
@@ -266,10 +272,12 @@
         self.open.get(run).map_or(0, |open| open.unanswered)
     }
 
-    /// Schedules a retry of a start whose outcome is not known.
+    /// Schedules a retry of a start whose outcome is not known, later each time.
     pub(crate) fn retry(&mut self, now: Instant, run: &TaskRun) {
         if let Some(open) = self.open.get_mut(run) {
-            open.progress = Progress::Due(now + RETRY_AFTER);
+            let delay = RETRY_AFTER.saturating_mul(2_u32.saturating_pow(open.retries));
+            open.retries = open.retries.saturating_add(1);
+            open.progress = Progress::Due(now + delay.min(MAX_START_RETRY));
         }
     }
 
