--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -1,7 +1,9 @@
 //! Decides whether a task or its workers are at fault.
 //!
 //! [`Outcomes`] judges failed runs: a task that fails on several workers, against a worker that fails
-//! several tasks. The rest judges crashes of workers. A crash is evidence against each run that the worker had, of a strength that depends on the others:
+//! several tasks. The rest judges crashes of workers.
+//!
+//! A crash is evidence against each run that the worker had, of a strength that depends on the others:
 //! [`attribute`] weighs the runs of one crash against each other, [`assess`] all crashes under one task.
 //! Neither knows of time, workers or the network, so a new owner comes to the same verdict from the
 //! stored evidence.
--- a/crates/jobs/src/owner/faults.rs
+++ b/crates/jobs/src/owner/faults.rs
@@ -274,6 +274,9 @@
     /// Forgets the outcomes of a job that will not run again. Failures that were its own fault are no
     /// longer held against workers.
     pub(super) fn forget_faults(&mut self, id: &JobId) {
+        if !self.faults.stages.keys().any(|(job, _)| job == id) {
+            return;
+        }
         let faults = &self.faults;
         for worker in self.workers.values_mut() {
             let is_own = |task: &TaskId| task.job == *id && faults.is_at_fault(task);
@@ -317,7 +320,7 @@
     /// Returns the workers that wait for a probe.
     pub(super) fn workers_to_probe(&self, now: Instant) -> Vec<Name> {
         let is_due =
-            |w: &Worker| w.is_available(now) && self.access(now, w, false) == Access::Probe;
+            |w: &Worker| self.access(now, w, false) == Access::Probe && w.is_available(now);
         let workers = self.workers.iter().filter(|(_, w)| is_due(w));
         workers.map(|(vm, _)| Arc::clone(vm)).collect()
     }
