--- /dev/null
+++ b/review/lib-3/runner.py
@@ -0,0 +1,305 @@
+"""A stand-in for a runner, as PROTOCOL.md describes it: one process is one life of it.
+
+The first argument is its settings as JSON. What it is told and what it runs is appended to the
+file `log`, a JSON object a line, with the time of the steady clock.
+
+A submission's `spec` is JSON: `ms` is the duration of a task by step, `gang` the number of the
+members of a gang by step, `saves` says that tasks save their progress, `lasts` that they run until
+they are stopped.
+"""
+
+import http.client
+import json
+import os
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from store import Server
+
+CFG = json.loads(sys.argv[1])
+if CFG["waits"]:
+    # Starts once told, so that its start takes no time.
+    sys.stdin.readline()
+BORN = int(time.time() * 1000)
+START = time.monotonic()
+LOCK = threading.Condition()
+RUNS = {}  # (task, run) -> dict
+FINISHED = []  # [n, task, run, how, saved]
+LAST = {}  # task -> highest run ended or stopped here
+STATE = {"fence": 0, "deadline": 0, "next": 1, "seq": 0, "leased": False}
+LOG = open(CFG["log"], "a", buffering=1)
+
+
+def log(event, **fields):
+    row = {"t": round(time.monotonic(), 4), "runner": CFG["id"], "born": BORN, "event": event}
+    LOG.write(json.dumps({**row, **fields}) + "\n")
+
+
+def clock_ms():
+    return int((time.monotonic() - START) * 1000)
+
+
+def end(key, how):
+    run = RUNS.pop(key)
+    task, number = key
+    saved = "" if how == "done" else run["saved"]
+    FINISHED.append([STATE["next"], task, number, how, saved])
+    STATE["next"] += 1
+    LAST[task] = max(LAST.get(task, 0), number)
+    leave_gang(run)
+    log("end", task=task, run=number, how=how, saved=saved, n=STATE["next"] - 1)
+    LOCK.notify_all()
+
+
+# Members of a gang find each other through files: one for each member that is present, touched
+# while its runner lives.
+
+
+def gang_path(run):
+    return os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.{run['index']}")
+
+
+def join_gang(run):
+    with open(gang_path(run), "w") as f:
+        f.write(run["began_with"])
+
+
+def leave_gang(run):
+    if run["gang"]:
+        try:
+            os.unlink(gang_path(run))
+        except FileNotFoundError:
+            pass
+
+
+def present(run):
+    """Returns the members of the run that are alive and work from the same saved value."""
+    members = 0
+    for index in range(run["gang"]):
+        path = os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.{index}")
+        try:
+            age = time.time() - os.stat(path).st_mtime
+            with open(path) as f:
+                same = f.read() == run["began_with"]
+        except OSError:
+            continue
+        members += age < 0.4 and same
+    return members
+
+
+def work():
+    """Advances all runs."""
+    last = time.monotonic()
+    while True:
+        time.sleep(0.02)
+        now = time.monotonic()
+        passed, last = (now - last) * 1000, now
+        with LOCK:
+            if clock_ms() > STATE["deadline"]:
+                if STATE["leased"]:
+                    STATE["leased"] = False
+                    log("lease ended")
+                for key in list(RUNS):
+                    end(key, "lapsed")
+            for key, run in list(RUNS.items()):
+                advance(key, run, now, passed)
+
+
+def advance(key, run, now, passed):
+    if run["stop_at"] is not None:
+        if now >= run["stop_at"]:
+            save(run)
+            end(key, "stopped")
+        return
+    if run["gang"]:
+        os.utime(gang_path(run))
+        members = present(run)
+        if not run["together"]:
+            run["together"] = members == run["gang"]
+            if not run["together"]:
+                if now - run["began"] > CFG["gangMs"] / 1000:
+                    end(key, "alone")
+                return
+            log("together", task=key[0], run=key[1])
+        elif done_elsewhere(run):
+            end(key, "done")
+            return
+        elif members < run["gang"]:
+            end(key, "broken")
+            return
+    run["did"] += passed
+    if run["lasts"]:
+        return
+    if run["saves"] and run["did"] // CFG["saveMs"] > run["saved_at"] // CFG["saveMs"]:
+        save(run)
+    if run["did"] >= run["ms"]:
+        if run["gang"]:
+            open(os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.done"), "w").close()
+        end(key, "done")
+
+
+def done_elsewhere(run):
+    return os.path.exists(os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.done"))
+
+
+def save(run):
+    """Saves the progress; the members of a gang make the same steps, and so the same values."""
+    if run["saves"]:
+        run["saved_at"] = run["did"]
+        did = run["did"]
+        if run["gang"]:
+            did = did // CFG["saveMs"] * CFG["saveMs"]
+        run["saved"] = f"{int(did):016x}" if did >= 1 else ""
+
+
+def hold(body):
+    with LOCK:
+        if not accepts(body):
+            return 409, {"reason": "fence"}
+        extend(body)
+        cursor = body.get("ackCursor", 0)
+        acked = [row[0] for row in FINISHED if row[0] <= cursor]
+        if acked:
+            log("acked", upto=cursor)
+        FINISHED[:] = [row for row in FINISHED if row[0] > cursor]
+        until = time.monotonic() + body.get("waitMs", 0) / 1000
+        while not FINISHED and time.monotonic() < until:
+            LOCK.wait(until - time.monotonic())
+        running = [
+            [key[0], key[1], run["saved"], percent(run), run["gauge"]] for key, run in RUNS.items()
+            if run["stop_at"] is None
+        ]
+        return 200, {"running": running, "finished": FINISHED[:500]}
+
+
+def percent(run):
+    if run["lasts"]:
+        return 100 if run["did"] > 200 else 0
+    return min(99, int(run["did"] * 100 / run["ms"]))
+
+
+def accepts(body):
+    if body.get("fence", 0) < STATE["fence"]:
+        return False
+    STATE["fence"] = body.get("fence", 0)
+    return True
+
+
+def extend(body):
+    if "deadlineMs" in body:
+        allowed = min(body["deadlineMs"], clock_ms() + CFG["holdMaxMs"])
+        STATE["deadline"] = max(STATE["deadline"], allowed)
+        STATE["leased"] = clock_ms() <= STATE["deadline"]
+
+
+def start(body):
+    task, number = body["task"], body["run"]
+    with LOCK:
+        if not accepts(body):
+            return 409, {"reason": "fence"}
+        extend(body)
+        if (task, number) in RUNS:
+            return 200, {}
+        if LAST.get(task, 0) >= number:
+            return 409, {"reason": "old"}
+        if clock_ms() > STATE["deadline"]:
+            return 409, {"reason": "late"}
+        spec = json.loads(body["spec"])
+        _, _, step, index = task.split(".")
+        saved = body.get("saved", "")
+        did = int(saved, 16) if saved else 0
+        run = {
+            "ms": spec["ms"][int(step)], "lasts": spec.get("lasts", False),
+            "saves": spec.get("saves", False), "gang": spec.get("gang", {}).get(step, 0),
+            "step": task.rsplit(".", 1)[0], "index": int(index), "number": number,
+            "began": time.monotonic(), "did": did, "saved": saved, "saved_at": did,
+            "began_with": saved, "stop_at": None, "together": False, "gauge": 1000,
+        }
+        if run["gang"]:
+            join_gang(run)
+        RUNS[(task, number)] = run
+        log("start", task=task, run=number, saved=saved, fence=body.get("fence", 0))
+        return 200, {}
+
+
+def stop(body):
+    task, number = body["task"], body["run"]
+    with LOCK:
+        if not accepts(body):
+            return 409, {"reason": "fence"}
+        LAST[task] = max(LAST.get(task, 0), number)
+        run = RUNS.get((task, number))
+        if run is not None and run["stop_at"] is None:
+            log("stop", task=task, run=number)
+            run["stop_at"] = time.monotonic() + CFG["stopMs"] / 2000
+        return 200, {}
+
+
+def pace(body):
+    with LOCK:
+        return (200, {}) if accepts(body) else (409, {"reason": "fence"})
+
+
+CALLS = {"/v1/hold": hold, "/v1/run-start": start, "/v1/run-stop": stop, "/v1/pace": pace}
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers.get("Content-Length") or 0)) or b"{}")
+        expected = self.headers.get("X-Expect-Instance")
+        if expected not in (None, CFG["id"]):
+            status, reply = 421, {}
+        else:
+            status, reply = CALLS[self.path](body)
+        data = json.dumps({**reply, "clockMs": clock_ms(), "born": BORN}).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+        self.wfile.flush()
+
+    def log_message(self, *args):
+        pass
+
+
+def beat():
+    """Sends heartbeats."""
+    while True:
+        STATE["seq"] += 1
+        body = {
+            "service": CFG["service"], "addr": CFG["addr"], "zone": CFG["zone"], "version": "v1",
+            "slots": 8, "state": "ready", "coldMs": 0, "capacity": CFG["capacity"],
+            "labels": CFG["labels"], "clockMs": clock_ms(), "seq": STATE["seq"], "born": BORN,
+        }
+        pause = CFG["heartbeatMs"] / 1000
+        try:
+            ip, port = CFG["control"].split(":")
+            connection = http.client.HTTPConnection(ip, int(port), timeout=1)
+            path = f"/v1/instances/{CFG['id']}/heartbeat"
+            connection.request("POST", path, json.dumps(body), {"Content-Type": "application/json"})
+            if connection.getresponse().status != 200:
+                pause = 0.1
+            connection.close()
+        except OSError:
+            pause = 0.1
+        time.sleep(pause)
+
+
+def main():
+    ip, port = CFG["addr"].split(":")
+    server = Server((ip, int(port)), Handler)
+    log("up")
+    threading.Thread(target=work, daemon=True).start()
+    threading.Thread(target=beat, daemon=True).start()
+    server.serve_forever()
+
+
+main()
