--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,8 +1,10 @@
-"""One runner crashes under a member of each of several gangs that save their progress."""
+"""An entry freezes; submissions sent to it get no answer in time and are cancelled at another."""
 
+import base64
 import os
 import signal
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -10,9 +12,9 @@
 from world import BOUNDS, SERVICE, run_case
 
 HOST, PREFIX = "desk.example", "/batch/"
-GANGS = 6
-CRASHED = "side-0"
-DOWN_S = 1.0
+CLIENTS = 4
+FROZEN_S = 4.0
+LIMIT_S = 3.0
 CONFIG = {
     "version": 1,
     "routes": [{"name": "r-batch", "host": HOST, "prefix": PREFIX, "kind": "unsafe",
@@ -22,53 +24,67 @@
                   "tls": False, "enforcesCapacity": False, "spare": False}],
     "limits": {"headerBytes": 16384, "bodyBytes": 262144, "headerMs": 3000, "idleMs": 15000},
 }
-GANG = {
-    "spec": '{"ms":[9000],"gang":{"0":3},"saves":true}',
-    "steps": [{"count": 3, "cpu": 1000, "memMb": 1000, "estMs": 9000, "gang": True,
-               "savesProgress": True, "maxPerServer": 1}],
+JOB = {
+    "spec": '{"ms":[6000,500]}',
+    "steps": [{"count": 1, "cpu": 1000, "memMb": 1000, "estMs": 6000},
+              {"count": 1, "cpu": 1000, "memMb": 1000, "estMs": 500, "after": [0]}],
 }
 
 
+def owner(world):
+    """Returns the entry that the programs' own key names."""
+    value = base64.b64decode(world.store.items["mt/owner"]["value"])
+    return next(name for name in world.entries if name.encode() in value)
+
+
+def client(world, number, frozen, acks):
+    """Submits, and cancels at another entry after no answer within the time limit."""
+    others = [name for name in world.entries if name != frozen]
+    job = f"5c0e7a21d94b36{number:02x}"
+    status, _ = world.client(frozen, "POST", HOST, PREFIX + job, JOB, LIMIT_S)
+    if status not in (None, 502, 504):
+        return
+    for n in range(10):
+        entry = others[(number + n) % 2]
+        status, _ = world.client(entry, "DELETE", HOST, PREFIX + job, None, LIMIT_S)
+        if status in (200, 410):
+            acks[job] = (status, time.monotonic())
+            return
+        time.sleep(0.3)
+
+
 def case(world):
     world.put_config(CONFIG)
     world.start_all()
-    time.sleep(3)
-    ids = [f"5c0e7a21d94b36{n:02x}" for n in range(GANGS)]
-    for gang in ids:
-        assert world.submit(HOST, PREFIX + gang, GANG), "the submission is not accepted"
-        time.sleep(0.12)
     time.sleep(4)
+    frozen = next(name for name in world.entries if name != owner(world))
+    world.record(f"the owner is {owner(world)}, the entry to freeze {frozen}")
     if world.trouble:
-        world.signal(f"runner {CRASHED}", signal.SIGKILL)
-    crashed = time.monotonic()
-    time.sleep(DOWN_S)
+        world.signal(frozen, signal.SIGSTOP)
+    acks = {}
+    threads = [threading.Thread(target=client, args=(world, n, frozen, acks))
+               for n in range(CLIENTS)]
+    began = time.monotonic()
+    for thread in threads:
+        thread.start()
+    time.sleep(max(0, began + FROZEN_S - time.monotonic()))
     if world.trouble:
-        world.start_runner(CRASHED)
-    states = {}
-    until = time.monotonic() + 45
-    while time.monotonic() < until and any(states.get(g) != "completed" for g in ids):
-        time.sleep(1)
-        for n, gang in enumerate(ids):
-            if states.get(gang) != "completed":
-                entry = world.entries[n % 3]
-                states[gang] = world.client(entry, "GET", HOST, PREFIX + gang)[1].get("state")
-    # No disruption is near an end that comes this long after the crash: the runner was back after
-    # a second, and a run that began before its return has waited its time.
-    calm = crashed + DOWN_S + (BOUNDS["stableWindowMs"] + 2 * BOUNDS["gangMs"]) / 1000
-    events = world.events()
-    alone = [e for e in events if e["event"] == "end" and e["how"] == "alone" and e["t"] > calm]
-    if alone:
-        runs = {}
-        for e in events:
-            if e["event"] == "start":
-                key = (e["task"].rsplit(".", 1)[0], e["run"])
-                runs.setdefault(key, {})[e["task"].rsplit(".", 1)[1]] = e["saved"] or "(none)"
-        last = alone[-1]
-        values = runs[(last["task"].rsplit(".", 1)[0], last["run"])]
-        unfinished = [g for g in ids if states.get(g) != "completed"]
-        return (f"GANG: {len(alone)} runs ended alone with no disruption near; the members of the "
-                f"last were started with {values}; never completed: {unfinished}")
+        world.signal(frozen, signal.SIGCONT)
+    for thread in threads:
+        thread.join()
+    time.sleep(10)
+    late = []
+    for e in world.events():
+        if e["event"] == "start":
+            job = e["task"].split(".")[0]
+            status, acked = acks.get(job, (None, None))
+            calm = began + FROZEN_S + BOUNDS["stableWindowMs"] / 1000
+            if acked is not None and e["t"] > max(acked + BOUNDS["cancel_ms"] / 1000, calm):
+                late.append(f"{e['task']} {e['t'] - acked:.1f} s after the {status}")
+    world.record(f"cancels acknowledged: { {j: s for j, (s, _) in acks.items()} }")
+    if late:
+        return f"UNASKED: started after the cancel was acknowledged: {late}"
     return ""
 
 
-run_case(case, FOLDER, entries=3, workers=7)
+run_case(case, FOLDER, entries=3, workers=3)
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -155,7 +155,7 @@
             "saveMs": BOUNDS["checkpointIntervalS"] * 1000, "waits": waits,
             "fd": self.socket_of(name),
         }
-        command = [sys.executable, os.path.join(HERE, "runner.py"), json.dumps(cfg)]
+        command = [sys.executable, "-B", os.path.join(HERE, "runner.py"), json.dumps(cfg)]
         self.spawn(f"runner {name}", command, None, subprocess.DEVNULL, waits)
 
     def socket_of(self, name):
