Review 3: scripts end with 2 on any failure of their own, and in time

An unexpected error of a script ended with 1 before, which says that the rule was broken; there was no limit to its time, and a signal left its processes. What no case uses is gone from the stand-ins.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,7 +13,7 @@
 
 HOST, PREFIX = "desk.example", "/batch/"
 CLIENTS = 4
-FROZEN_S = 4.0
+FROZEN_S = 3.6
 LIMIT_S = 3.0
 CONFIG = {
     "version": 1,
@@ -38,12 +38,12 @@
 
 
 def client(world, number, frozen, acks):
-    """Submits, and cancels at another entry after no answer within the time limit."""
+    """Submits, and cancels at another entry once its time limit has passed."""
     others = [name for name in world.entries if name != frozen]
     job = f"5c0e7a21d94b36{number:02x}"
-    status, _ = world.client(frozen, "POST", HOST, PREFIX + job, JOB, LIMIT_S)
-    if status not in (None, 502, 504):
-        return
+    began = time.monotonic()
+    world.client(frozen, "POST", HOST, PREFIX + job, JOB, LIMIT_S)
+    time.sleep(max(0, began + LIMIT_S - time.monotonic()))
     for n in range(10):
         entry = others[(number + n) % 2]
         status, _ = world.client(entry, "DELETE", HOST, PREFIX + job, None, LIMIT_S)
@@ -59,12 +59,12 @@
     time.sleep(4)
     frozen = next(name for name in world.entries if name != owner(world))
     world.record(f"the owner is {owner(world)}, the entry to freeze {frozen}")
+    began = time.monotonic()
     if world.trouble:
         world.signal(frozen, signal.SIGSTOP)
     acks = {}
     threads = [threading.Thread(target=client, args=(world, n, frozen, acks))
                for n in range(CLIENTS)]
-    began = time.monotonic()
     for thread in threads:
         thread.start()
     time.sleep(max(0, began + FROZEN_S - time.monotonic()))
@@ -73,12 +73,13 @@
     for thread in threads:
         thread.join()
     time.sleep(10)
+    assert len(acks) == CLIENTS, "a cancel is not answered"
+    calm = began + FROZEN_S + BOUNDS["stableWindowMs"] / 1000
     late = []
     for e in world.events():
         if e["event"] == "start":
             job = e["task"].split(".")[0]
             status, acked = acks.get(job, (None, None))
-            calm = began + FROZEN_S + BOUNDS["stableWindowMs"] / 1000
             if acked is not None and e["t"] > max(acked + BOUNDS["cancel_ms"] / 1000, calm):
                 late.append(f"{e['task']} {e['t'] - acked:.1f} s after the {status}")
     world.record(f"cancels acknowledged: { {j: s for j, (s, _) in acks.items()} }")
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -35,6 +35,8 @@
     for job in (KEPT, CANCELLED):
         assert world.submit(HOST, PREFIX + job, WATCHER), "the submission is not accepted"
     time.sleep(3)
+    started = {e["task"].split(".")[0] for e in world.events() if e["event"] == "start"}
+    assert started == {KEPT, CANCELLED}, "a watcher has not started"
     # Without the disruption the new version only changes a time-out.
     world.put_config(config(2, "r-style-watch" if world.trouble else "r-watch", 2500))
     time.sleep((BOUNDS["applyMs"] + BOUNDS["visible_ms"]) / 1000 + 1)
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -3,9 +3,8 @@
 The first argument is its settings as JSON. What it is told and what it runs is appended to the
 file `log`, a JSON object a line, with the time of the steady clock.
 
-A submission's `spec` is JSON: `ms` is the duration of a task by step, `gang` the number of the
-members of a gang by step, `saves` says that tasks save their progress, `lasts` that they run until
-they are stopped.
+A submission's `spec` is JSON: `ms` is the duration of a task by step, `lasts` says that tasks run until
+they are stopped. Gangs, saved progress, filling tasks and tickets are not played.
 """
 
 import http.client
@@ -29,6 +28,7 @@
 LOCK = threading.Condition()
 RUNS = {}  # (task, run) -> dict
 FINISHED = []  # [n, task, run, how, saved]
+CPU_GAUGE = 1000
 LAST = {}  # task -> highest run ended or stopped here
 STATE = {"fence": 0, "deadline": 0, "next": 1, "seq": 0, "leased": False}
 LOG = open(CFG["log"], "a", buffering=1)
@@ -44,53 +44,15 @@
 
 
 def end(key, how):
-    run = RUNS.pop(key)
+    del RUNS[key]
     task, number = key
-    saved = "" if how == "done" else run["saved"]
-    FINISHED.append([STATE["next"], task, number, how, saved])
+    FINISHED.append([STATE["next"], task, number, how, ""])
     STATE["next"] += 1
     LAST[task] = max(LAST.get(task, 0), number)
-    leave_gang(run)
-    log("end", task=task, run=number, how=how, saved=saved, n=STATE["next"] - 1)
+    log("end", task=task, run=number, how=how, n=STATE["next"] - 1)
     LOCK.notify_all()
 
 
-# Members of a gang find each other through files: one for each member that is present, touched
-# while its runner lives.
-
-
-def gang_path(run):
-    return os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.{run['index']}")
-
-
-def join_gang(run):
-    with open(gang_path(run), "w") as f:
-        f.write(run["began_with"])
-
-
-def leave_gang(run):
-    if run["gang"]:
-        try:
-            os.unlink(gang_path(run))
-        except FileNotFoundError:
-            pass
-
-
-def present(run):
-    """Returns the members of the run that are alive and work from the same saved value."""
-    members = 0
-    for index in range(run["gang"]):
-        path = os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.{index}")
-        try:
-            age = time.time() - os.stat(path).st_mtime
-            with open(path) as f:
-                same = f.read() == run["began_with"]
-        except OSError:
-            continue
-        members += age < 0.4 and same
-    return members
-
-
 def work():
     """Advances all runs."""
     last = time.monotonic()
@@ -112,50 +74,13 @@
 def advance(key, run, now, passed):
     if run["stop_at"] is not None:
         if now >= run["stop_at"]:
-            save(run)
             end(key, "stopped")
         return
-    if run["gang"]:
-        os.utime(gang_path(run))
-        members = present(run)
-        if not run["together"]:
-            run["together"] = members == run["gang"]
-            if not run["together"]:
-                if now - run["began"] > CFG["gangMs"] / 1000:
-                    end(key, "alone")
-                return
-            log("together", task=key[0], run=key[1])
-        elif done_elsewhere(run):
-            end(key, "done")
-            return
-        elif members < run["gang"]:
-            end(key, "broken")
-            return
     run["did"] += passed
-    if run["lasts"]:
-        return
-    if run["saves"] and run["did"] // CFG["saveMs"] > run["saved_at"] // CFG["saveMs"]:
-        save(run)
-    if run["did"] >= run["ms"]:
-        if run["gang"]:
-            open(os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.done"), "w").close()
+    if not run["lasts"] and run["did"] >= run["ms"]:
         end(key, "done")
 
 
-def done_elsewhere(run):
-    return os.path.exists(os.path.join(CFG["gangs"], f"{run['step']}.{run['number']}.done"))
-
-
-def save(run):
-    """Saves the progress; the members of a gang make the same steps, and so the same values."""
-    if run["saves"]:
-        run["saved_at"] = run["did"]
-        did = run["did"]
-        if run["gang"]:
-            did = did // CFG["saveMs"] * CFG["saveMs"]
-        run["saved"] = f"{int(did):016x}" if did >= 1 else ""
-
-
 def hold(body):
     with LOCK:
         if not accepts(body):
@@ -167,7 +92,7 @@
             LOCK.wait(until - time.monotonic())
         forget(body)
         running = [
-            [key[0], key[1], run["saved"], percent(run), run["gauge"]] for key, run in RUNS.items()
+            [key[0], key[1], "", percent(run), CPU_GAUGE] for key, run in RUNS.items()
             if run["stop_at"] is None
         ]
         return 200, {"running": running, "finished": FINISHED[:500]}
@@ -214,20 +139,10 @@
         if clock_ms() > STATE["deadline"]:
             return 409, {"reason": "late"}
         spec = json.loads(body["spec"])
-        _, _, step, index = task.split(".")
-        saved = body.get("saved", "")
-        did = int(saved, 16) if saved else 0
-        run = {
-            "ms": spec["ms"][int(step)], "lasts": spec.get("lasts", False),
-            "saves": spec.get("saves", False), "gang": spec.get("gang", {}).get(step, 0),
-            "step": task.rsplit(".", 1)[0], "index": int(index), "number": number,
-            "began": time.monotonic(), "did": did, "saved": saved, "saved_at": did,
-            "began_with": saved, "stop_at": None, "together": False, "gauge": 1000,
-        }
-        if run["gang"]:
-            join_gang(run)
+        step = int(task.split(".")[2])
+        run = {"ms": spec["ms"][step], "lasts": spec.get("lasts", False), "did": 0.0, "stop_at": None}
         RUNS[(task, number)] = run
-        log("start", task=task, run=number, saved=saved, fence=body.get("fence", 0))
+        log("start", task=task, run=number, fence=body.get("fence", 0))
         return 200, {}
 
 
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -31,6 +31,9 @@
 }
 HEARTBEAT_MS = 1500
 
+# A script may take 120 s.
+TIME_LIMIT_S = 112
+
 
 class CannotRun(Exception):
     """The case could not run."""
@@ -39,10 +42,9 @@
 class World:
     """The processes of a deployment; each VM has a loopback address of its own."""
 
-    def __init__(self, folder, entries=3, workers=3, labels=None, keeps_sockets=False):
+    def __init__(self, folder, entries=3, workers=3, keeps_sockets=False):
         self.folder = folder
         self.tmp = tempfile.mkdtemp(prefix="review-3-")
-        os.mkdir(os.path.join(self.tmp, "gangs"))
         self.log_path = os.path.join(self.tmp, "runners.log")
         open(self.log_path, "w").close()
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -55,9 +57,7 @@
         self.store_addr = self.store.serve(self.ip(0))
         self.entries = [f"entry-{n}" for n in range(entries)]
         self.workers = [f"side-{n}" for n in range(workers)]
-        self.labels = labels or {}
         self.running = {}  # name -> Popen
-        self.lives = {}
         # The listening sockets of runners that restart behind an open socket.
         self.sockets = {}
         self.keeps_sockets = keeps_sockets
@@ -137,23 +137,19 @@
         out = open(os.path.join(self.tmp, f"{name}.out"), "ab")
         self.spawn(name, [program, "site"], env, out)
 
-    def start_runner(self, name, runner_id=None):
+    def start_runner(self, name):
         """Starts a new life of a VM's runner."""
-        self.prepare_runner(name, runner_id, waits=False)
+        self.prepare_runner(name, waits=False)
 
-    def prepare_runner(self, name, runner_id=None, waits=True):
+    def prepare_runner(self, name, waits=True):
         """Starts the process of a new life, which begins when it is told so."""
         ip = self.vm_ip(name)
-        self.lives[name] = self.lives.get(name, 0) + 1
         cfg = {
-            "id": runner_id or f"i-{name}", "addr": f"{ip}:{APP}", "control": f"{ip}:{CONTROL}",
+            "id": f"i-{name}", "addr": f"{ip}:{APP}", "control": f"{ip}:{CONTROL}",
             "service": SERVICE, "zone": "zone-a", "heartbeatMs": HEARTBEAT_MS,
             "capacity": {"cpu": 16000, "memMb": 64000, "gpu": 0},
-            "labels": self.labels.get(name, ["a", "r1-1"]), "log": self.log_path,
-            "gangs": os.path.join(self.tmp, "gangs"), "gangMs": BOUNDS["gangMs"],
-            "stopMs": BOUNDS["stopMs"], "holdMaxMs": BOUNDS["holdMaxMs"],
-            "saveMs": BOUNDS["checkpointIntervalS"] * 1000, "waits": waits,
-            "fd": self.socket_of(name),
+            "labels": ["a", "r1-1"], "log": self.log_path, "stopMs": BOUNDS["stopMs"],
+            "holdMaxMs": BOUNDS["holdMaxMs"], "waits": waits, "fd": self.socket_of(name),
         }
         command = [sys.executable, "-B", os.path.join(HERE, "runner.py"), json.dumps(cfg)]
         self.spawn(f"runner {name}", command, None, subprocess.DEVNULL, waits)
@@ -206,15 +202,12 @@
                 time.sleep(0.1)
 
     def end(self):
-        for process in self.processes:
+        """Ends all processes and removes the temporary folder."""
+        for process in list(self.processes):
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in self.processes:
+        for process in list(self.processes):
             process.wait()
-        keep = os.environ.get("KEEP")
-        if keep:
-            shutil.copytree(self.tmp, keep, dirs_exist_ok=True)
         shutil.rmtree(self.tmp, ignore_errors=True)
 
     # Clients
@@ -274,26 +267,37 @@
                 self.record_file.write(f"{at:8.3f} runner: {row['event']} {text}\n")
 
 
+def end_on(world, why):
+    """Ends a case that could not run to its end: all processes, and this one with status 2."""
+    world.record(f"the case could not run: {why}")
+    print(f"the case could not run: {why}", flush=True)
+    world.end()
+    os._exit(2)
+
+
 def run_case(case, folder, **world_args):
     """Runs a case; it returns what broke the rule, or an empty string if it held.
 
     The exit status is 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
-    world = None
     try:
         world = World(folder, **world_args)
+    except (CannotRun, OSError) as e:
+        print(f"the case could not run: {e!r}")
+        sys.exit(2)
+    watchdog = threading.Timer(TIME_LIMIT_S, end_on, (world, f"{TIME_LIMIT_S} s have passed"))
+    watchdog.daemon = True
+    watchdog.start()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, _frame: end_on(world, f"signal {number}"))
+    try:
         broken = case(world)
+        watchdog.cancel()
         world.write_events()
-        world.record(f"BROKEN: {broken}" if broken else "the rule held")
-        print(f"BROKEN: {broken}" if broken else "the rule held")
-        status = 1 if broken else 0
-    except (CannotRun, AssertionError, OSError) as e:
-        print(f"the case could not run: {e!r}")
-        if world:
-            world.write_events()
-            world.record(f"the case could not run: {e!r}")
-        status = 2
-    finally:
-        if world:
-            world.end()
-    sys.exit(status)
+    except Exception as e:  # Whatever it is, it isn't a broken rule.
+        end_on(world, repr(e))
+    verdict = f"BROKEN: {broken}" if broken else "the rule held"
+    world.record(verdict)
+    print(verdict, flush=True)
+    world.end()
+    sys.exit(1 if broken else 0)
