Owner: log requests for jobs of another route and cancels of unknown jobs

Both are a line now, with the job and the routes compared, and replies to requests of another route are counted (`other_route` `gone`).

--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -105,7 +105,7 @@
             return;
         };
         if job.record.terms.route != *route {
-            self.reply(token, JobReply::Gone);
+            self.reply_other_route(token, &id, route);
         } else if job.stored.record.is_none() {
             self.refuse(token, &id, "the job is being stored", STORING_RETRY);
         } else if job.state.has_ended() && !job.is_stored() {
@@ -124,11 +124,12 @@
 
     fn cancel(&mut self, now: Instant, unix_ms: u64, token: Token, id: JobId, route: &RouteName) {
         let Some(job) = self.jobs.get(&id) else {
+            info!(self.log, "owner: cancellation of an unknown job"; "job" => %id, "route" => %route);
             self.effects.push(Effect::Lookup(token, id));
             return;
         };
         if job.record.terms.route != *route {
-            self.reply(token, JobReply::Gone);
+            self.reply_other_route(token, &id, route);
             return;
         }
         if job.stored.record.is_none() {
@@ -161,6 +162,15 @@
         }
     }
 
+    /// Replies to a request for a job of another route, which is none of its caller's.
+    fn reply_other_route(&mut self, token: Token, id: &JobId, route: &RouteName) {
+        let owned_by = self.jobs.get(id).map(|job| &job.record.terms.route);
+        info!(self.log, "owner: job of another route";
+            "job" => %id, "route" => %route, "job_route" => owned_by.map(RouteName::as_str));
+        self.stats.events.push(("other_route", "gone"));
+        self.reply(token, JobReply::Gone);
+    }
+
     fn waiting(&mut self, token: Token, route: &RouteName) {
         let is_waiting = |id: &&JobId| {
             self.jobs.get(*id).is_some_and(|job| {
