Jobs are known by the address of their route, not by its name

Cause: the owner compared the name of the route that a request matched with the name that the job was accepted under. Callers send neither; they know a route by host and path prefix.

Change: requests and records carry the route's address, and status, cancel, the count of waiting jobs and learned run times go by it. Records of earlier versions, which have none, are still known by the name.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -89,6 +89,9 @@
     RackName;
     /// The id of a request, unique across the system.
     RequestId;
+    /// Where callers reach a route: the host and the path prefix that their requests name. Unlike the
+    /// route's name, it stays the same when operators rename the route.
+    RouteAddress;
     /// The name of a route in the routes table.
     RouteName;
     /// A back end that serves requests.
@@ -101,6 +104,13 @@
     ZoneName;
 }
 
+impl RouteAddress {
+    /// Creates the address of the route that serves a path prefix of a host; hosts are equal in any case.
+    pub fn of(host: &str, prefix: &str) -> Self {
+        Self(format!("{}{prefix}", host.to_ascii_lowercase()).into())
+    }
+}
+
 number_types! {
     /// The number of times a task has been placed, starting at 1.
     Attempt(u64);
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,8 +12,8 @@
 pub use error::{Error, ErrorKind, Result};
 pub use id::{
     Attempt, ClassName, DeskName, EntryId, Epoch, Generation, Incarnation, JobId, JobKey, Name,
-    Nonce, PoolName, RackName, RequestId, RouteName, Seq, ShardId, TargetId, TaskKey, TeamName,
-    WorkerId, ZoneName,
+    Nonce, PoolName, RackName, RequestId, RouteAddress, RouteName, Seq, ShardId, TargetId, TaskKey,
+    TeamName, WorkerId, ZoneName,
 };
 pub use promise::{Promise, PromiseCounts};
 pub use resources::Resources;
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -8,5 +8,5 @@
 pub use crate::{
     Attempt, ClassName, Clock, DeskName, EntryId, Epoch, Error, ErrorKind, Generation, Incarnation,
     JobId, JobKey, Name, Nonce, PoolName, Promise, RackName, RequestId, Resources, Result,
-    RouteName, Seq, ShardId, TargetId, TaskKey, TeamName, WorkerId, ZoneName,
+    RouteAddress, RouteName, Seq, ShardId, TargetId, TaskKey, TeamName, WorkerId, ZoneName,
 };
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -149,7 +149,7 @@
         found: &RouteMatch,
         body: &[u8],
     ) -> Result<JobRequest, CallerResponse> {
-        let route = found.terms.route.clone();
+        let route = found.route();
         if found.rest.is_empty() && head.verb == Some(Verb::Read) {
             return Ok(JobRequest::Waiting { route });
         }
@@ -166,6 +166,7 @@
                 let spec = spec.map_err(|e| malformed(&e.to_string()))?;
                 Ok(JobRequest::Submit {
                     job,
+                    address: found.address.clone(),
                     spec: Box::new(spec),
                     terms: Box::new(found.terms.clone()),
                 })
--- a/crates/controller/tests/between_owners.rs
+++ b/crates/controller/tests/between_owners.rs
@@ -15,6 +15,8 @@
 
 const JOB: &str = "00000000000000a1";
 
+const ADDRESS: &str = "desk.example/checks/";
+
 /// The interval of an owner's renewals.
 const RENEWAL: Duration = Duration::from_millis(500);
 
@@ -210,6 +212,7 @@
     };
     JobRequest::Submit {
         job: JOB.into(),
+        address: ADDRESS.into(),
         spec: Box::new(JobSpec {
             payload: "payload".into(),
             stages: vec![stage],
--- a/crates/controller/tests/burst.rs
+++ b/crates/controller/tests/burst.rs
@@ -193,6 +193,7 @@
         let replies = Arc::clone(replies);
         let request = JobRequest::Submit {
             job: id.into(),
+            address: "desk.example/checks/".into(),
             spec: Box::new(JobSpec {
                 payload: "payload".into(),
                 stages: vec![StageSpec {
--- a/crates/controller/tests/partitions/play/trouble.rs
+++ b/crates/controller/tests/partitions/play/trouble.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use controller::Event;
 use jobs::owner::OWNER_KEY;
-use jobs::{JobReply, JobRequest, JobSpec, RouteTerms, StageSpec, TaskId};
+use jobs::{JobReply, JobRequest, JobSpec, RouteRef, RouteTerms, StageSpec, TaskId};
 use ports::store::{Expect, StoreCall};
 use rand::Rng;
 use wire::Responder;
@@ -17,6 +17,8 @@
 
 const ROUTE: &str = "checks";
 
+const ADDRESS: &str = "desk.example/checks/";
+
 const SITES: usize = FIRST_VM + VMS;
 
 /// How long a caller waits.
@@ -47,6 +49,7 @@
         };
         let request = JobRequest::Submit {
             job: id.clone(),
+            address: ADDRESS.into(),
             spec: Box::new(JobSpec {
                 payload: "payload".into(),
                 stages: vec![stage],
@@ -136,7 +139,10 @@
         self.jobs[at] = 0;
         let request = JobRequest::Cancel {
             job: job_id(at).as_str().into(),
-            route: ROUTE.into(),
+            route: RouteRef {
+                name: ROUTE.into(),
+                address: ADDRESS.into(),
+            },
         };
         self.note(None, format!("job {at} is cancelled"));
         let entry = self.rng.random_range(0..ENTRIES);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use job::{Job, JobState, Task};
 pub use messages::{JobReply, JobRequest};
-pub use model::{AdviceTerms, JobSpec, RouteTerms, Schedule, StageSpec, TaskId, TaskRun};
+pub use model::{AdviceTerms, JobSpec, RouteRef, RouteTerms, Schedule, StageSpec, TaskId, TaskRun};
 pub use owner::{Effect, Owner, OwnerCfg, Stats, Token};
 pub use progress::{Faults, JobRecord, Progress, TaskProgress, WorkerRecord};
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, JobState, RouteTerms};
+use crate::{JobSpec, JobState, RouteRef, RouteTerms};
 
 /// A caller's request to the owner of the jobs.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +13,8 @@
     Submit {
         /// The caller's id of the job.
         job: JobId,
+        /// The address of its route.
+        address: RouteAddress,
         /// The job.
         spec: Box<JobSpec>,
         /// The terms of its route.
@@ -23,19 +25,19 @@
         /// The job.
         job: JobId,
         /// The route of the request.
-        route: RouteName,
+        route: RouteRef,
     },
     /// Cancel a job.
     Cancel {
         /// The job.
         job: JobId,
         /// The route of the request.
-        route: RouteName,
+        route: RouteRef,
     },
     /// Count the accepted jobs of a route that have not started.
     Waiting {
         /// The route.
-        route: RouteName,
+        route: RouteRef,
     },
 }
 
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -135,6 +135,16 @@
     pub advice: Option<AdviceTerms>,
 }
 
+/// The route that a caller's request names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RouteRef {
+    /// Its name in the tables in force.
+    pub name: RouteName,
+    /// What the request itself names.
+    pub address: RouteAddress,
+}
+
 /// The timing of a route's placement advisor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -5,7 +5,7 @@
 
 use super::ranking::objective_ms;
 use super::{Effect, Owner, Token};
-use crate::{Job, JobRecord, JobReply, JobRequest, JobSpec, JobState, RouteTerms};
+use crate::{Job, JobRecord, JobReply, JobRequest, JobSpec, JobState, RouteRef};
 
 /// The reason for refusing jobs while the store does not respond to the owner.
 pub const STORE_UNAVAILABLE: &str = "the store is out of reach";
@@ -33,8 +33,19 @@
         request: JobRequest,
     ) {
         match request {
-            JobRequest::Submit { job, spec, terms } => {
-                self.submit(now, unix_ms, token, job, *spec, *terms);
+            JobRequest::Submit {
+                job,
+                address,
+                spec,
+                terms,
+            } => {
+                let record = JobRecord {
+                    spec: *spec,
+                    terms: *terms,
+                    accepted_unix_ms: unix_ms,
+                    address: Some(address),
+                };
+                self.submit(now, token, job, record);
             }
             JobRequest::Status { job, route } => self.status(token, job, &route),
             JobRequest::Cancel { job, route } => self.cancel(now, unix_ms, token, job, &route),
@@ -42,15 +53,7 @@
         }
     }
 
-    fn submit(
-        &mut self,
-        now: Instant,
-        unix_ms: u64,
-        token: Token,
-        id: JobId,
-        spec: JobSpec,
-        terms: RouteTerms,
-    ) {
+    fn submit(&mut self, now: Instant, token: Token, id: JobId, record: JobRecord) {
         if let Some(job) = self.jobs.get(&id) {
             if job.stored.record.is_some() {
                 self.reply(token, JobReply::Accepted);
@@ -59,7 +62,7 @@
             }
             return;
         }
-        if let Err(reason) = validate(&spec) {
+        if let Err(reason) = validate(&record.spec) {
             info!(self.log, "owner: job invalid"; "job" => %id, "reason" => reason);
             let reason = reason.into();
             self.reply(token, JobReply::Invalid { reason });
@@ -69,11 +72,6 @@
             self.refuse(token, &id, STORE_UNAVAILABLE, STORE_UNAVAILABLE_RETRY);
             return;
         }
-        let record = JobRecord {
-            spec,
-            terms,
-            accepted_unix_ms: unix_ms,
-        };
         self.jobs
             .insert(id.clone(), Job::new(id.clone(), record, now));
         self.active.insert(id.clone());
@@ -99,12 +97,12 @@
         self.is_round_due = true;
     }
 
-    fn status(&mut self, token: Token, id: JobId, route: &RouteName) {
+    fn status(&mut self, token: Token, id: JobId, route: &RouteRef) {
         let Some(job) = self.jobs.get(&id) else {
             self.effects.push(Effect::Lookup(token, id));
             return;
         };
-        if job.record.terms.route != *route {
+        if !job.record.is_of(route) {
             self.reply_other_route(token, &id, route);
         } else if job.stored.record.is_none() {
             self.refuse(token, &id, "the job is being stored", STORING_RETRY);
@@ -122,13 +120,14 @@
         }
     }
 
-    fn cancel(&mut self, now: Instant, unix_ms: u64, token: Token, id: JobId, route: &RouteName) {
+    fn cancel(&mut self, now: Instant, unix_ms: u64, token: Token, id: JobId, route: &RouteRef) {
         let Some(job) = self.jobs.get(&id) else {
-            info!(self.log, "owner: cancellation of an unknown job"; "job" => %id, "route" => %route);
+            info!(self.log, "owner: cancellation of an unknown job";
+                "job" => %id, "address" => %route.address);
             self.effects.push(Effect::Lookup(token, id));
             return;
         };
-        if job.record.terms.route != *route {
+        if !job.record.is_of(route) {
             self.reply_other_route(token, &id, route);
             return;
         }
@@ -163,20 +162,20 @@
     }
 
     /// Replies to a request for a job of another route, which is none of its caller's.
-    fn reply_other_route(&mut self, token: Token, id: &JobId, route: &RouteName) {
-        let owned_by = self.jobs.get(id).map(|job| &job.record.terms.route);
-        info!(self.log, "owner: job of another route";
-            "job" => %id, "route" => %route, "job_route" => owned_by.map(RouteName::as_str));
+    fn reply_other_route(&mut self, token: Token, id: &JobId, route: &RouteRef) {
+        let job_address = self.jobs.get(id).and_then(|j| j.record.address.as_ref());
+        info!(self.log, "owner: job of another route"; "job" => %id, "address" => %route.address,
+            "job_address" => job_address.map(RouteAddress::as_str));
         self.stats.events.push(("other_route", "gone"));
         self.reply(token, JobReply::Gone);
     }
 
-    fn waiting(&mut self, token: Token, route: &RouteName) {
+    fn waiting(&mut self, token: Token, route: &RouteRef) {
         let is_waiting = |id: &&JobId| {
             self.jobs.get(*id).is_some_and(|job| {
                 job.state == JobState::Queued
                     && job.stored.record.is_some()
-                    && job.record.terms.route == *route
+                    && job.record.is_of(route)
             })
         };
         let waiting = self.active.iter().filter(is_waiting).count();
--- a/crates/jobs/src/owner/run_times.rs
+++ b/crates/jobs/src/owner/run_times.rs
@@ -35,7 +35,7 @@
 /// Returns the key of a job's stage in [`RunTimes`].
 pub(super) fn stage_key(job: &Job, stage: u32) -> StageKey {
     StageKey {
-        route: job.record.terms.route.clone(),
+        route: job.record.address_or_name(),
         stage,
     }
 }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -5,7 +5,7 @@
 use inherit::Holding;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, JobState, RouteTerms, TaskId};
+use crate::{JobSpec, JobState, RouteRef, RouteTerms, TaskId};
 
 /// An accepted job; immutable.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,6 +17,25 @@
     pub terms: RouteTerms,
     /// When it was accepted, in milliseconds since the Unix epoch.
     pub accepted_unix_ms: u64,
+    /// The address of its route; missing in records of earlier versions.
+    pub address: Option<RouteAddress>,
+}
+
+impl JobRecord {
+    /// Returns true if requests for `route` can name the job: callers know a route by its address,
+    /// whatever name operators give it. Jobs of earlier versions are known by the route's name only.
+    pub fn is_of(&self, route: &RouteRef) -> bool {
+        match &self.address {
+            Some(address) => *address == route.address,
+            None => self.terms.route == route.name,
+        }
+    }
+
+    /// Returns the address of its route, or the route's name in its place in records of earlier versions.
+    pub fn address_or_name(&self) -> RouteAddress {
+        let name = || RouteAddress::from(self.terms.route.as_str());
+        self.address.clone().unwrap_or_else(name)
+    }
 }
 
 /// The progress of a job.
@@ -87,6 +106,26 @@
     })
 }
 
+/// Decodes a job's record; records of earlier versions end before [`JobRecord::address`], and earlier
+/// versions ignore what follows.
+pub(crate) fn decode_record(key: &str, bytes: &[u8]) -> Result<JobRecord> {
+    #[derive(Deserialize)]
+    struct WithoutAddress {
+        spec: JobSpec,
+        terms: RouteTerms,
+        accepted_unix_ms: u64,
+    }
+    decode(key, bytes).or_else(|_| {
+        let record: WithoutAddress = decode(key, bytes)?;
+        Ok(JobRecord {
+            spec: record.spec,
+            terms: record.terms,
+            accepted_unix_ms: record.accepted_unix_ms,
+            address: None,
+        })
+    })
+}
+
 /// Decodes a job's progress; records of earlier versions end before [`Progress::last_run`] or
 /// [`Progress::faults`], and earlier versions ignore what follows.
 pub(crate) fn decode_progress(key: &str, bytes: &[u8]) -> Result<Progress> {
--- a/crates/jobs/tests/cluster/simulation.rs
+++ b/crates/jobs/tests/cluster/simulation.rs
@@ -422,7 +422,7 @@
             };
             let token = self.harness.request(JobRequest::Status {
                 job: id.as_str().into(),
-                route: route.into(),
+                route: crate::harness::route(route),
             });
             let state = self.harness.replies.swap_remove(&token);
             if matches!(state, Some(JobReply::Status(JobState::Completed))) {
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -13,7 +13,8 @@
     StartOrder, SyncReply, SyncReport, WorkerReport, WorkerStatus,
 };
 use jobs::{
-    Effect, JobReply, JobRequest, JobSpec, Owner, OwnerCfg, RouteTerms, StageSpec, TaskRun, Token,
+    Effect, JobReply, JobRequest, JobSpec, Owner, OwnerCfg, RouteRef, RouteTerms, StageSpec,
+    TaskRun, Token,
 };
 use ports::store::{Expect, KeyWrite, Revision, StoreCall, StoreReply};
 use slog::{Logger, o};
@@ -241,26 +242,47 @@
     }
 
     pub fn submit_under(&mut self, id: &str, spec: JobSpec, terms: RouteTerms) -> u64 {
+        let address = route(terms.route.as_str()).address;
+        self.submit_at(id, spec, terms, address)
+    }
+
+    pub fn submit_at(
+        &mut self,
+        id: &str,
+        spec: JobSpec,
+        terms: RouteTerms,
+        address: RouteAddress,
+    ) -> u64 {
         self.request(JobRequest::Submit {
             job: id.into(),
+            address,
             spec: Box::new(spec),
             terms: Box::new(terms),
         })
     }
 
     pub fn status(&mut self, id: &str) -> Option<JobReply> {
-        let token = self.request(JobRequest::Status {
-            job: id.into(),
-            route: ROUTE.into(),
-        });
+        self.status_on(id, route(ROUTE))
+    }
+
+    pub fn status_on(&mut self, id: &str, route: RouteRef) -> Option<JobReply> {
+        let job = id.into();
+        let token = self.request(JobRequest::Status { job, route });
         self.replies.get(&token).cloned()
     }
 
     pub fn cancel(&mut self, id: &str) -> u64 {
-        self.request(JobRequest::Cancel {
-            job: id.into(),
-            route: ROUTE.into(),
-        })
+        self.cancel_on(id, route(ROUTE))
+    }
+
+    pub fn cancel_on(&mut self, id: &str, route: RouteRef) -> u64 {
+        let job = id.into();
+        self.request(JobRequest::Cancel { job, route })
+    }
+
+    pub fn waiting_on(&mut self, route: RouteRef) -> Option<JobReply> {
+        let token = self.request(JobRequest::Waiting { route });
+        self.replies.get(&token).cloned()
     }
 
     /// Runs the owner and its store calls until no effect is left at the current time.
@@ -644,6 +666,14 @@
     (owner, revision)
 }
 
+/// Returns the route that has the name and an address of its own.
+pub fn route(name: &str) -> RouteRef {
+    RouteRef {
+        name: name.into(),
+        address: RouteAddress::of("desk.example", &format!("/{name}/")),
+    }
+}
+
 pub fn terms(priority: u32) -> RouteTerms {
     RouteTerms {
         route: ROUTE.into(),
--- a/crates/jobs/tests/odd_records.rs
+++ b/crates/jobs/tests/odd_records.rs
@@ -38,6 +38,7 @@
         spec,
         terms: terms(0),
         accepted_unix_ms: u64::MAX,
+        address: None,
     };
     postcard::to_stdvec(&record).expect("encodable")
 }
--- a/crates/jobs/tests/run_times.rs
+++ b/crates/jobs/tests/run_times.rs
@@ -7,7 +7,7 @@
 use jobs::report::EndKind;
 use runtimes::StageKey;
 
-use harness::{Harness, ROUTE, job, stage};
+use harness::{Harness, ROUTE, job, route, stage};
 
 /// The run time of a task in these tests; its declared time is one second.
 const RUN_TIME: Duration = Duration::from_secs(4);
@@ -28,7 +28,7 @@
 /// Returns whether the stage is predicted to run longer than declared.
 fn has_learned(harness: &Harness) -> bool {
     let key = StageKey {
-        route: ROUTE.into(),
+        route: route(ROUTE).address,
         stage: 0,
     };
     let declared = Duration::from_secs(1);
--- a/crates/runtimes/src/lib.rs
+++ b/crates/runtimes/src/lib.rs
@@ -45,8 +45,8 @@
 /// The tasks of a stage in all jobs of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StageKey {
-    /// The route.
-    pub route: RouteName,
+    /// The route, whatever its name.
+    pub route: RouteAddress,
     /// The stage, from 0.
     pub stage: u32,
 }
