An acknowledged cancel of an unknown job refuses its late submission

What callers saw: submissions to a suspended entry got no answer in time and were cancelled at another entry, which answered 410.

Cause: a 410 to a cancel said only that there was no such job at that moment; nothing kept it true.

Evidence: the one owner logs "cancellation of an unknown job" at 13:59:27.966, tells Gone, and logs "job accepted" for the same id 0.6 s later, 8 ms before the resumed entry answers its caller, who is gone.

Change: a cancel of a job that its route does not have is answered once a tombstone is stored, under the owner's key; later owners load tombstones before they accept anything, and a submission that has one is refused with 503. They are grouped, bounded, shared among routes, and kept as long as ended jobs. A cancel of an ended job that will soon be forgotten leaves one as well.

--- a/crates/controller/src/load.rs
+++ b/crates/controller/src/load.rs
@@ -1,11 +1,11 @@
 //! The initial load: what a new owner reads from the store before it serves requests.
 
 use base::prelude::*;
-use jobs::owner::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
+use jobs::owner::{JOB_PREFIX, PROGRESS_PREFIX, TOMBSTONE_PREFIX, VM_PREFIX};
 use ports::store::{KeyValue, Revision, StoreCall, StoreReply};
 
 /// The prefixes to read, one at a time, so that the lists do not compete for a slow link.
-const PREFIXES: [&str; 3] = [JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX];
+const PREFIXES: [&str; 4] = [JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX, TOMBSTONE_PREFIX];
 
 /// The number of consecutive failures after which this entry steps down, so that an entry with a
 /// better connection can take over.
@@ -35,8 +35,8 @@
     GiveUp,
 }
 
-/// The keys and values read: of jobs, of their progress and of VMs.
-pub type Loaded = [Vec<KeyValue>; 3];
+/// The keys and values read: of jobs, of their progress, of VMs and of tombstones.
+pub type Loaded = [Vec<KeyValue>; 4];
 
 impl Load {
     /// Creates a load that has read nothing yet.
--- a/crates/controller/src/node/ownership.rs
+++ b/crates/controller/src/node/ownership.rs
@@ -101,8 +101,8 @@
             cordon_bound: self.cfg.cordon.as_ref().map(|cordon| cordon.bound),
         };
         let mut owner = Owner::new(cfg, self.log.clone());
-        let [jobs, progress, vms] = load.into_parts();
-        owner.load(cx.now(), &jobs, &progress, &vms);
+        let [jobs, progress, vms, tombstones] = load.into_parts();
+        owner.load(cx.now(), &jobs, &progress, &vms, &tombstones);
         if let Some(latest) = self.cordons.as_ref().and_then(CordonReader::latest) {
             owner.observe_cordons(cx.now(), latest);
         }
--- a/crates/controller/src/node/stats.rs
+++ b/crates/controller/src/node/stats.rs
@@ -38,6 +38,8 @@
         self.operation_metrics.set_level("active_jobs", jobs);
         self.operation_metrics.set_level("runs", runs);
         self.operation_metrics.set_level("workers", workers);
+        let tombstones = owner.tombstones();
+        self.operation_metrics.set_level("tombstones", tombstones);
         let cordoned = owner.cordoned_zones();
         self.operation_metrics.set_level("cordoned_zones", cordoned);
     }
--- a/crates/controller/tests/load.rs
+++ b/crates/controller/tests/load.rs
@@ -32,12 +32,14 @@
     prefixes.push(prefix(&load));
     assert_eq!(load.handle_reply(listed("b")), LoadStep::Next);
     prefixes.push(prefix(&load));
-    assert_eq!(load.handle_reply(listed("c")), LoadStep::Done);
+    assert_eq!(load.handle_reply(listed("c")), LoadStep::Next);
+    prefixes.push(prefix(&load));
+    assert_eq!(load.handle_reply(listed("d")), LoadStep::Done);
 
     let prefixes: IndexSet<Name> = prefixes.into_iter().collect();
-    assert_eq!(prefixes.len(), 3);
+    assert_eq!(prefixes.len(), 4);
     let keys = load.into_parts().map(|items| items[0].key.to_string());
-    assert_eq!(keys, ["a", "b", "c"]);
+    assert_eq!(keys, ["a", "b", "c", "d"]);
 }
 
 #[test]
--- a/crates/jobs/src/owner.rs
+++ b/crates/jobs/src/owner.rs
@@ -33,6 +33,7 @@
 mod sync;
 mod takeover;
 mod throttle;
+mod tombstones;
 mod totals;
 mod trials;
 mod worker;
@@ -53,6 +54,7 @@
 use self::faults::Faults;
 use self::look_ahead::LookAhead;
 use self::ranking::Throughput;
+use self::tombstones::Cancellations;
 use self::totals::StageKey;
 use self::worker::Worker;
 use crate::report::SyncReply;
@@ -63,6 +65,7 @@
 pub use self::owner_record::{EPOCH_KEY, OWNER_KEY, OwnerRecord, Replacement};
 pub use self::ranking::{DeadlineClass, Urgency};
 pub use self::takeover::{JOB_PREFIX, PROGRESS_PREFIX, VM_PREFIX};
+pub use self::tombstones::TOMBSTONE_PREFIX;
 
 /// Matches a reply to the pending call that it is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -125,6 +128,8 @@
     cfg: OwnerCfg,
     log: Logger,
     jobs: IndexMap<JobId, Job>,
+    /// The jobs whose stored records could not be decoded.
+    unreadable: IndexSet<JobId>,
     /// Ids of the jobs that have not ended.
     active: IndexSet<JobId>,
     workers: IndexMap<Name, Worker>,
@@ -139,6 +144,8 @@
     pending_accepts: IndexMap<JobId, Vec<Token>>,
     /// Callers waiting until a cancellation is stored.
     pending_cancels: IndexMap<JobId, Vec<Token>>,
+    /// The cancellations of jobs that are not among `jobs`.
+    cancellations: Cancellations,
     effects: Vec<Effect>,
     stats: Stats,
     /// Whether a change since the last placement round may let a task start.
@@ -174,9 +181,11 @@
     pub fn new(cfg: OwnerCfg, log: Logger) -> Self {
         Self {
             cordons: cfg.cordon_bound.map(Cordons::new),
+            cancellations: Cancellations::new(&cfg),
             cfg,
             log,
             jobs: IndexMap::new(),
+            unreadable: IndexSet::new(),
             active: IndexSet::new(),
             workers: IndexMap::new(),
             commits: Commits::default(),
@@ -267,7 +276,8 @@
             .pending_accepts
             .drain(..)
             .chain(self.pending_cancels.drain(..));
-        for token in waiting.flat_map(|(_, tokens)| tokens) {
+        let waiting = waiting.flat_map(|(_, tokens)| tokens);
+        for token in waiting.chain(self.cancellations.drain_waiting()) {
             self.effects.push(Effect::Reply(token, JobReply::Unsure));
         }
         self.release_parked_reports();
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -17,6 +17,9 @@
 /// The reason for refusing jobs that were not sent to the store when ownership ended.
 pub(super) const OWNERSHIP_ENDED: &str = "the owner has been replaced";
 
+/// The reason for refusing a submission that arrives after its cancellation was acknowledged.
+const CANCELLED_BEFORE: &str = "the job was cancelled before it was submitted";
+
 /// The retry delay for callers of a job whose record is being written.
 const STORING_RETRY: Duration = Duration::from_secs(1);
 
@@ -43,9 +46,9 @@
                     spec: *spec,
                     terms: *terms,
                     accepted_unix_ms: unix_ms,
-                    address: Some(address),
+                    address: Some(address.clone()),
                 };
-                self.submit(now, token, job, record);
+                self.submit(now, token, job, &address, record);
             }
             JobRequest::Status { job, route } => self.status(token, job, &route),
             JobRequest::Cancel { job, route } => self.cancel(now, unix_ms, token, job, &route),
@@ -53,7 +56,14 @@
         }
     }
 
-    fn submit(&mut self, now: Instant, token: Token, id: JobId, record: JobRecord) {
+    fn submit(
+        &mut self,
+        now: Instant,
+        token: Token,
+        id: JobId,
+        address: &RouteAddress,
+        record: JobRecord,
+    ) {
         if let Some(job) = self.jobs.get(&id) {
             if job.stored.record.is_some() {
                 self.reply(token, JobReply::Accepted);
@@ -62,6 +72,11 @@
             }
             return;
         }
+        let unix_ms = record.accepted_unix_ms;
+        if let Some(remaining) = self.cancelled_before(now, unix_ms, address, &id) {
+            self.refuse(token, &id, CANCELLED_BEFORE, remaining);
+            return;
+        }
         if let Err(reason) = validate(&record.spec) {
             info!(self.log, "owner: job invalid"; "job" => %id, "reason" => reason);
             let reason = reason.into();
@@ -121,16 +136,11 @@
     }
 
     fn cancel(&mut self, now: Instant, unix_ms: u64, token: Token, id: JobId, route: &RouteRef) {
-        let Some(job) = self.jobs.get(&id) else {
-            info!(self.log, "owner: cancellation of an unknown job";
-                "job" => %id, "address" => %route.address);
-            self.effects.push(Effect::Lookup(token, id));
+        let job = self.jobs.get(&id).filter(|job| job.record.is_of(route));
+        let Some(job) = job else {
+            self.cancel_unknown(now, unix_ms, token, id, route);
             return;
         };
-        if !job.record.is_of(route) {
-            self.reply_other_route(token, &id, route);
-            return;
-        }
         if job.stored.record.is_none() {
             self.refuse(token, &id, "the job is being stored", STORING_RETRY);
             return;
@@ -142,14 +152,40 @@
             }
             self.end_job(&id, JobState::Cancelled, unix_ms);
         }
-        let is_stored = self.jobs.get(&id).is_some_and(Job::is_stored);
-        if is_stored {
-            self.reply(token, JobReply::Cancelled);
-        } else {
+        let clock = self.retention_clock(now, unix_ms);
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let since_end = clock.saturating_sub(job.ended_unix_ms.unwrap_or(clock));
+        if !job.is_stored() {
             self.pending_cancels.entry(id).or_default().push(token);
+        } else if since_end > base::whole_ms(self.cfg.retention) / 2 {
+            // The job will be forgotten soon, and a late submission would not be known as its repetition.
+            let (address, reply) = (&route.address, JobReply::Cancelled);
+            self.reply_after_tombstone(now, unix_ms, token, &id, address, reply);
+        } else {
+            self.reply(token, JobReply::Cancelled);
         }
     }
 
+    /// Cancels a job that the route does not have: its submission may arrive later.
+    fn cancel_unknown(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+        token: Token,
+        id: JobId,
+        route: &RouteRef,
+    ) {
+        if self.unreadable.contains(&id) {
+            self.effects.push(Effect::Lookup(token, id));
+            return;
+        }
+        info!(self.log, "owner: cancellation of an unknown job"; "job" => %id,
+            "address" => %route.address, "is_of_another_route" => self.jobs.contains_key(&id));
+        self.reply_after_tombstone(now, unix_ms, token, &id, &route.address, JobReply::Gone);
+    }
+
     /// Replies to callers of a cancellation once the job's progress has been stored.
     pub(super) fn on_progress_stored(&mut self, id: &JobId) {
         if !self.jobs.get(id).is_some_and(Job::is_stored) {
@@ -199,11 +235,17 @@
         self.reply(token, JobReply::refused(reason, retry_after));
     }
 
-    /// Forgets jobs that ended longer ago than the retention time.
-    pub(super) fn forget_ended(&mut self, now: Instant, unix_ms: u64) {
+    /// Returns the wall time by which retention counts: later steps of the clock don't age anything.
+    pub(super) fn retention_clock(&mut self, now: Instant, unix_ms: u64) -> u64 {
         let (first_run, first_unix_ms) = *self.first_run.get_or_insert((now, unix_ms));
         let elapsed = base::whole_ms(now.duration_since(first_run));
-        let unix_ms = unix_ms.min(first_unix_ms + elapsed);
+        unix_ms.min(first_unix_ms + elapsed)
+    }
+
+    /// Forgets jobs that ended longer ago than the retention time, and the tombstones of others.
+    pub(super) fn forget_ended(&mut self, now: Instant, unix_ms: u64) {
+        let unix_ms = self.retention_clock(now, unix_ms);
+        self.forget_tombstones(unix_ms);
         let retention = base::whole_ms(self.cfg.retention);
         // Jobs are ordered by arrival, so scanning the oldest ones suffices.
         let old = self.jobs.values().take(FORGET_SCAN).filter(|job| {
--- a/crates/jobs/src/owner/commit.rs
+++ b/crates/jobs/src/owner/commit.rs
@@ -28,22 +28,24 @@
 
 /// A key that has to be written or deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Dirty {
+pub(super) enum Dirty {
     Record(JobId),
     Progress(JobId),
     Vm(Name),
     Forget(JobId),
+    /// A segment of tombstones.
+    Tombstones(u64),
 }
 
 /// A pending write or deletion of one key.
 #[derive(Clone, Debug)]
-struct Change {
+pub(super) struct Change {
     dirty: Dirty,
     key: Name,
     expect: Expect,
-    value: Option<Arc<[u8]>>,
-    /// The version of the job's progress in `value`.
-    version: u64,
+    pub(super) value: Option<Arc<[u8]>>,
+    /// The version of the job's progress in `value`, or the number of tombstones.
+    pub(super) version: u64,
     /// The worker record in `value`.
     vm_record: Option<WorkerRecord>,
     /// Another key that is deleted in the same transaction.
@@ -52,7 +54,12 @@
 
 impl Change {
     /// Creates a change of one key; without a value, the key is deleted.
-    fn new(dirty: &Dirty, key: String, expect: Expect, value: Option<Arc<[u8]>>) -> Self {
+    pub(super) fn new(
+        dirty: &Dirty,
+        key: String,
+        expect: Expect,
+        value: Option<Arc<[u8]>>,
+    ) -> Self {
         Self {
             dirty: dirty.clone(),
             key: key.into(),
@@ -113,13 +120,22 @@
         self.dirty.insert(Dirty::Forget(id.clone()));
     }
 
+    pub(super) fn mark_tombstones(&mut self, segment: u64) {
+        self.dirty.insert(Dirty::Tombstones(segment));
+    }
+
     pub(super) fn next_due(&self) -> Option<Instant> {
         let retries = self.batches.values().filter_map(|b| b.retry_at);
         let rejected = self.retry_after.filter(|_| !self.dirty.is_empty());
         retries.chain(rejected).chain(self.next_write).min()
     }
 
-    fn wait_until(&mut self, at: Instant) {
+    /// Returns the number of the transaction that is collected next, or now.
+    pub(super) fn next_transaction(&self) -> u64 {
+        self.next
+    }
+
+    pub(super) fn wait_until(&mut self, at: Instant) {
         self.next_write = Some(self.next_write.map_or(at, |due| due.min(at)));
     }
 
@@ -276,7 +292,7 @@
     }
 }
 
-fn expect_revision(revision: Revision) -> Expect {
+pub(super) fn expect_revision(revision: Revision) -> Expect {
     if revision == 0 {
         Expect::Absent
     } else {
--- a/crates/jobs/src/owner/commit/changes.rs
+++ b/crates/jobs/src/owner/commit/changes.rs
@@ -22,6 +22,7 @@
             Dirty::Progress(id) => self.progress_change(now, dirty, id),
             Dirty::Vm(vm) => self.vm_change(dirty, vm),
             Dirty::Forget(id) => Ok(self.forget_change(dirty, id)),
+            Dirty::Tombstones(segment) => self.tombstones_change(now, dirty, *segment),
         }
     }
 
--- a/crates/jobs/src/owner/commit/replies.rs
+++ b/crates/jobs/src/owner/commit/replies.rs
@@ -134,6 +134,7 @@
             Dirty::Forget(id) => {
                 self.jobs.swap_remove(id);
             }
+            Dirty::Tombstones(segment) => self.on_tombstones_stored(*segment, change, revision),
         }
     }
 
@@ -151,6 +152,7 @@
                     worker.stored_record.in_flight = false;
                 }
             }
+            Dirty::Tombstones(segment) => self.on_tombstones_not_stored(*segment, None),
         }
     }
 
@@ -173,6 +175,9 @@
                     worker.stored_record.revision = revision;
                 }
             }
+            Dirty::Tombstones(segment) => {
+                self.on_tombstones_not_stored(*segment, Some(revision));
+            }
         }
     }
 
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -30,12 +30,17 @@
         jobs: &[KeyValue],
         progress: &[KeyValue],
         vms: &[KeyValue],
+        tombstones: &[KeyValue],
     ) {
+        self.load_tombstones(tombstones);
         for item in jobs {
             match decode_record(&item.key, &item.value).and_then(|record| valid(&item.key, record))
             {
                 Ok(record) => self.load_job(now, item, record),
-                Err(e) => warn!(self.log, "owner: record ignored"; "error" => %e),
+                Err(e) => {
+                    warn!(self.log, "owner: record ignored"; "error" => %e);
+                    self.unreadable.insert(job_id(&item.key, JOB_PREFIX));
+                }
             }
         }
         for item in progress {
@@ -44,8 +49,7 @@
                 Err(e) => {
                     // What has run is not known, so nothing of the job may start again.
                     warn!(self.log, "owner: progress unreadable"; "error" => %e);
-                    let id = item.key.strip_prefix(PROGRESS_PREFIX).unwrap_or(&item.key);
-                    self.active.swap_remove(&JobId::from(id));
+                    self.active.swap_remove(&job_id(&item.key, PROGRESS_PREFIX));
                 }
             }
         }
@@ -58,11 +62,12 @@
         }
         info!(self.log, "owner: took over";
             "epoch" => self.cfg.epoch.0, "jobs" => self.jobs.len(),
-            "active" => self.active.len(), "workers" => self.workers.len());
+            "active" => self.active.len(), "workers" => self.workers.len(),
+            "tombstones" => self.tombstones());
     }
 
     fn load_job(&mut self, now: Instant, item: &KeyValue, record: JobRecord) {
-        let id = JobId::from(item.key.strip_prefix(JOB_PREFIX).unwrap_or(&item.key));
+        let id = job_id(&item.key, JOB_PREFIX);
         let mut job = Job::new(id.clone(), record, now);
         job.is_inherited = true;
         job.stored.record = Some(item.revision);
@@ -71,7 +76,7 @@
     }
 
     fn load_progress(&mut self, item: &KeyValue, progress: Progress) {
-        let id = JobId::from(item.key.strip_prefix(PROGRESS_PREFIX).unwrap_or(&item.key));
+        let id = job_id(&item.key, PROGRESS_PREFIX);
         let Some(job) = self.jobs.get_mut(&id) else {
             warn!(self.log, "owner: progress without a job ignored"; "job" => %id);
             return;
@@ -198,6 +203,11 @@
     }
 }
 
+/// Returns the id of the job that a key below `prefix` belongs to.
+fn job_id(key: &str, prefix: &str) -> JobId {
+    JobId::from(key.strip_prefix(prefix).unwrap_or(key))
+}
+
 /// Returns the record if a caller can have submitted its job; another writer may have left it.
 fn valid(key: &Name, record: JobRecord) -> Result<JobRecord> {
     let invalid = |reason| Error::new(ErrorKind::Malformed, "load job", Arc::clone(key), reason);
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -7,7 +7,9 @@
 use base::prelude::*;
 use fakes::store::MemStore;
 use fakes::timing::processor_time;
-use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, VM_PREFIX};
+use jobs::owner::{
+    AdviceRequest, JOB_PREFIX, OWNER_KEY, PROGRESS_PREFIX, TOMBSTONE_PREFIX, VM_PREFIX,
+};
 use jobs::report::{
     Crash, CrashedRun, EndKind, FinishedRun, RejectKind, Rejected, RunningRow, SharedStatus,
     StartOrder, SyncReply, SyncReport, WorkerReport, WorkerStatus,
@@ -662,7 +664,8 @@
         }
     };
     let (jobs, progress, vms) = (list(JOB_PREFIX), list(PROGRESS_PREFIX), list(VM_PREFIX));
-    owner.load(now, &jobs, &progress, &vms);
+    let tombstones = list(TOMBSTONE_PREFIX);
+    owner.load(now, &jobs, &progress, &vms, &tombstones);
     (owner, revision)
 }
 
