A submission whose id a job of another route has is rejected

What callers would see: a submission with the id of another route's job was answered 200 and not stored; queries of it were answered 410 (LOST).

Cause: the owner took any submission with a known id for a repetition, and the read of the store after a lost reply took any record under the id for the submission's own. Neither compared the route.

Change: both compare the address; the submission is rejected as invalid, since workers know tasks by the id alone.

Not run with real processes.

--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -4,7 +4,7 @@
 use host::KeyUpdate;
 use jobs::owner::{Replacement, StageId, Ticket};
 use jobs::report::{SyncReply, SyncReport};
-use jobs::{JobReply, JobRequest};
+use jobs::{JobReply, JobRequest, RouteRef};
 use ports::store::StoreReply;
 use wire::Responder;
 
@@ -31,7 +31,7 @@
     /// A request from a caller of another entry, which forwarded it.
     Forwarded(Box<JobRequest>, Responder<JobReply>),
     /// A submission that the owner may have stored, though its reply was lost.
-    Unanswered(JobId, Responder<JobReply>),
+    Unanswered(JobId, RouteRef, Responder<JobReply>),
     /// A companion's report.
     Sync(Box<SyncReport>, Responder<SyncReply>),
     /// The owner's key as read from the store.
--- a/crates/controller/src/forward.rs
+++ b/crates/controller/src/forward.rs
@@ -6,7 +6,7 @@
 use crossbeam_channel::Sender;
 use host::spawn_workers;
 use jobs::owner::{Replacement, STORE_UNAVAILABLE};
-use jobs::{JobReply, JobRequest};
+use jobs::{JobReply, JobRequest, RouteRef};
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use wire::{OwnerClient, Responder};
@@ -71,9 +71,19 @@
                 drop(events.send(Event::OwnerWithoutStore(forwarded.epoch)));
             }
             match (forwarded.request, reply) {
-                (JobRequest::Submit { job, .. }, JobReply::Unsure) => {
+                (
+                    JobRequest::Submit {
+                        job,
+                        address,
+                        terms,
+                        ..
+                    },
+                    JobReply::Unsure,
+                ) => {
+                    let name = terms.route;
+                    let route = RouteRef { name, address };
                     // An error means that the actor has ended, and with it the process.
-                    drop(events.send(Event::Unanswered(job, forwarded.responder)));
+                    drop(events.send(Event::Unanswered(job, route, forwarded.responder)));
                 }
                 (_, reply) => forwarded.responder.send(reply),
             }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -12,7 +12,7 @@
 use host::KeyUpdate;
 use jobs::owner::{AdviceRequest, OwnerRecord, Replacement};
 use jobs::report::{SyncReply, SyncReport};
-use jobs::{Effect, JobReply, JobRequest, Owner, Token};
+use jobs::{Effect, JobReply, JobRequest, Owner, RouteRef, Token};
 use ports::store::{KeyValue, StoreCall, StoreReply};
 use rand::Rng;
 use rand::SeedableRng;
@@ -87,8 +87,8 @@
     /// The latest report of each VM that arrived while the jobs were being loaded.
     early_reports: IndexMap<Name, (SyncReport, Responder<SyncReply>)>,
     lookups: IndexMap<u64, Token>,
-    /// The callers whose submission is looked up because the owner's reply was lost.
-    unanswered: IndexSet<Token>,
+    /// The callers whose submission is looked up because the owner's reply was lost, with its route.
+    unanswered: IndexMap<Token, RouteRef>,
     next: u64,
     timer: FixedTimerKey,
     /// Whether [`Controller::run`] is queued behind events that were delivered together.
@@ -125,7 +125,7 @@
             companions: IndexMap::new(),
             early_reports: IndexMap::new(),
             lookups: IndexMap::new(),
-            unanswered: IndexSet::new(),
+            unanswered: IndexMap::new(),
             next: 0,
             timer: FixedTimerKey::default(),
             is_run_queued: true,
@@ -196,7 +196,9 @@
             Event::Forwarded(request, responder) => {
                 self.serve_owned(now, None, *request, responder);
             }
-            Event::Unanswered(job, responder) => self.look_up_unanswered(&job, responder),
+            Event::Unanswered(job, route, responder) => {
+                self.look_up_unanswered(&job, route, responder);
+            }
             Event::Sync(report, responder) => self.sync(now, *report, responder),
             Event::OwnerKey(KeyUpdate::Current(kv)) => self.key_seen(cx, kv.as_ref()),
             Event::OwnerKey(KeyUpdate::Unreachable(e)) => {
--- a/crates/controller/src/node/lookups.rs
+++ b/crates/controller/src/node/lookups.rs
@@ -3,7 +3,7 @@
 
 use base::prelude::*;
 use jobs::owner::JOB_PREFIX;
-use jobs::{JobReply, Token};
+use jobs::{JobRecord, JobReply, RouteRef, Token};
 use ports::store::{StoreCall, StoreReply};
 use slog::warn;
 use wire::Responder;
@@ -22,14 +22,19 @@
     }
 
     /// Reads from the store whether a submission was stored before the owner's reply to it was lost.
-    pub(super) fn look_up_unanswered(&mut self, job: &JobId, responder: Responder<JobReply>) {
+    pub(super) fn look_up_unanswered(
+        &mut self,
+        job: &JobId,
+        route: RouteRef,
+        responder: Responder<JobReply>,
+    ) {
         if self.elector.is_store_failing() {
             responder.send(JobReply::Unsure);
             return;
         }
         let token = self.token();
         self.callers.insert(token, responder);
-        self.unanswered.insert(token);
+        self.unanswered.insert(token, route);
         self.look_up(token, job);
     }
 
@@ -38,11 +43,11 @@
         let Some(token) = self.lookups.swap_remove(&id) else {
             return;
         };
-        let is_unanswered = self.unanswered.swap_remove(&token);
+        if let Some(route) = self.unanswered.swap_remove(&token) {
+            self.reply_to_caller(token, outcome_of_submission(&route, reply));
+            return;
+        }
         let reply = match reply {
-            Ok(StoreReply::Got(Some(_))) if is_unanswered => JobReply::Accepted,
-            // A write may still be on its way.
-            _ if is_unanswered => JobReply::Unsure,
             Ok(StoreReply::Got(None)) => JobReply::Gone,
             Ok(_) => JobReply::refused("the job is not loaded", ELECTION_RETRY),
             Err(e) => {
@@ -53,3 +58,16 @@
         self.reply_to_caller(token, reply);
     }
 }
+
+/// Returns what the store tells of a submission on `route` that got no answer from the owner.
+fn outcome_of_submission(route: &RouteRef, reply: Result<StoreReply>) -> JobReply {
+    let Ok(StoreReply::Got(Some(item))) = reply else {
+        // A write may still be on its way.
+        return JobReply::Unsure;
+    };
+    match JobRecord::decode(&item.key, &item.value) {
+        Ok(record) if record.is_of(route) => JobReply::Accepted,
+        Ok(_) => JobReply::id_taken(),
+        Err(_) => JobReply::Unsure,
+    }
+}
--- a/crates/controller/tests/between_owners.rs
+++ b/crates/controller/tests/between_owners.rs
@@ -6,7 +6,7 @@
 use fakes::store::MemStore;
 use host::{Actors, KeyUpdate};
 use jobs::owner::{AdviceRequest, JOB_PREFIX, OWNER_KEY, Replacement, VM_PREFIX};
-use jobs::{JobReply, JobRequest, JobSpec, RouteTerms, StageSpec};
+use jobs::{JobReply, JobRequest, JobSpec, RouteRef, RouteTerms, StageSpec};
 use parking_lot::Mutex;
 use ports::store::{Expect, StoreCall, StoreReply};
 use report::OperationMetrics;
@@ -178,6 +178,17 @@
         self.deliver(Event::Caller(Box::new(submission()), deadline, responder));
     }
 
+    /// Asks what became of a submission at an address, whose owner has been lost.
+    fn look_up_submission(&mut self, address: &str) {
+        let route = RouteRef {
+            name: "checks".into(),
+            address: address.into(),
+        };
+        let responder = self.responder();
+        self.deliver(Event::Unanswered(JOB.into(), route, responder));
+        self.settle();
+    }
+
     fn responder(&self) -> Responder<JobReply> {
         let replies = Arc::clone(&self.replies);
         Responder::new(move |reply| replies.lock().push(reply))
@@ -341,20 +352,29 @@
     entry.settle();
     entry.replies.lock().clear();
 
-    let responder = entry.responder();
-    entry.deliver(Event::Unanswered(JOB.into(), responder));
-    entry.settle();
+    entry.look_up_submission(ADDRESS);
 
     assert_eq!(*entry.replies.lock(), [JobReply::Accepted]);
 }
 
+/// Guards against a lost reply that is taken for the acceptance of another route's job.
+#[test]
+fn submission_whose_id_another_route_has_stored_is_not_accepted() {
+    let mut entry = Entry::elected();
+    entry.submit(TIMEOUT);
+    entry.settle();
+    entry.replies.lock().clear();
+
+    entry.look_up_submission("desk.example/settlements/");
+
+    assert_eq!(*entry.replies.lock(), [JobReply::id_taken()]);
+}
+
 #[test]
 fn submission_that_the_lost_owner_may_still_store_is_unsure() {
     let mut entry = Entry::elected();
-    let responder = entry.responder();
 
-    entry.deliver(Event::Unanswered(JOB.into(), responder));
-    entry.settle();
+    entry.look_up_submission(ADDRESS);
 
     assert_eq!(*entry.replies.lock(), [JobReply::Unsure]);
 }
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Creates the rejection of a submission whose id a job of another route has: workers know tasks by the
+    /// id alone, so the two can't both run.
+    pub fn id_taken() -> Self {
+        Self::Invalid {
+            reason: "a job of another route has this id".into(),
+        }
+    }
+
     /// Creates a refusal.
     pub fn refused(reason: &str, retry_after: Duration) -> Self {
         Self::Refused {
--- a/crates/jobs/src/owner/callers.rs
+++ b/crates/jobs/src/owner/callers.rs
@@ -48,7 +48,11 @@
                     accepted_unix_ms: unix_ms,
                     address: Some(address.clone()),
                 };
-                self.submit(now, token, job, &address, record);
+                let route = RouteRef {
+                    name: record.terms.route.clone(),
+                    address,
+                };
+                self.submit(now, token, job, &route, record);
             }
             JobRequest::Status { job, route } => self.status(token, job, &route),
             JobRequest::Cancel { job, route } => self.cancel(now, unix_ms, token, job, &route),
@@ -61,10 +65,11 @@
         now: Instant,
         token: Token,
         id: JobId,
-        address: &RouteAddress,
+        route: &RouteRef,
         record: JobRecord,
     ) {
-        if let Some(job) = self.jobs.get(&id) {
+        let job = self.jobs.get(&id);
+        if let Some(job) = job.filter(|job| job.record.is_of(route)) {
             if job.stored.record.is_some() {
                 self.reply(token, JobReply::Accepted);
             } else {
@@ -73,10 +78,15 @@
             return;
         }
         let unix_ms = record.accepted_unix_ms;
-        if let Some(remaining) = self.cancelled_before(now, unix_ms, address, &id) {
+        if let Some(remaining) = self.cancelled_before(now, unix_ms, &route.address, &id) {
             self.refuse(token, &id, CANCELLED_BEFORE, remaining);
             return;
         }
+        if self.jobs.contains_key(&id) {
+            info!(self.log, "owner: job id taken"; "job" => %id, "address" => %route.address);
+            self.reply(token, JobReply::id_taken());
+            return;
+        }
         if let Err(reason) = validate(&record.spec) {
             info!(self.log, "owner: job invalid"; "job" => %id, "reason" => reason);
             let reason = reason.into();
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -9,7 +9,7 @@
 use super::callers::validate;
 use super::worker::{Worker, lease_bound};
 use crate::job::StageInstance;
-use crate::progress::{decode_progress, decode_record, decode_worker};
+use crate::progress::{decode_progress, decode_worker};
 use crate::{Job, JobRecord, JobState, Progress, TaskId, WorkerRecord};
 
 /// The key prefix of job records.
@@ -34,7 +34,8 @@
     ) {
         self.load_tombstones(tombstones);
         for item in jobs {
-            match decode_record(&item.key, &item.value).and_then(|record| valid(&item.key, record))
+            match JobRecord::decode(&item.key, &item.value)
+                .and_then(|record| valid(&item.key, record))
             {
                 Ok(record) => self.load_job(now, item, record),
                 Err(e) => {
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -22,6 +22,30 @@
 }
 
 impl JobRecord {
+    /// Decodes a record; those of earlier versions end before [`JobRecord::address`], and earlier versions
+    /// ignore what follows.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Malformed`] with the key if the bytes are not a record.
+    pub fn decode(key: &str, bytes: &[u8]) -> Result<Self> {
+        #[derive(Deserialize)]
+        struct WithoutAddress {
+            spec: JobSpec,
+            terms: RouteTerms,
+            accepted_unix_ms: u64,
+        }
+        decode(key, bytes).or_else(|_| {
+            let record: WithoutAddress = decode(key, bytes)?;
+            Ok(Self {
+                spec: record.spec,
+                terms: record.terms,
+                accepted_unix_ms: record.accepted_unix_ms,
+                address: None,
+            })
+        })
+    }
+
     /// Returns true if requests for `route` can name the job: callers know a route by its address,
     /// whatever name operators give it. Jobs of earlier versions are known by the route's name only.
     pub fn is_of(&self, route: &RouteRef) -> bool {
@@ -106,26 +130,6 @@
     })
 }
 
-/// Decodes a job's record; records of earlier versions end before [`JobRecord::address`], and earlier
-/// versions ignore what follows.
-pub(crate) fn decode_record(key: &str, bytes: &[u8]) -> Result<JobRecord> {
-    #[derive(Deserialize)]
-    struct WithoutAddress {
-        spec: JobSpec,
-        terms: RouteTerms,
-        accepted_unix_ms: u64,
-    }
-    decode(key, bytes).or_else(|_| {
-        let record: WithoutAddress = decode(key, bytes)?;
-        Ok(JobRecord {
-            spec: record.spec,
-            terms: record.terms,
-            accepted_unix_ms: record.accepted_unix_ms,
-            address: None,
-        })
-    })
-}
-
 /// Decodes a job's progress; records of earlier versions end before [`Progress::last_run`] or
 /// [`Progress::faults`], and earlier versions ignore what follows.
 pub(crate) fn decode_progress(key: &str, bytes: &[u8]) -> Result<Progress> {
--- a/crates/jobs/tests/late_submissions.rs
+++ b/crates/jobs/tests/late_submissions.rs
@@ -116,6 +116,25 @@
     assert_eq!(harness.status("a"), Some(running));
 }
 
+/// Guards against a submission that is told it is accepted because another route's job has its id.
+#[test]
+fn submission_whose_id_another_routes_job_has_is_rejected() {
+    let mut harness = with_vm();
+    submit(&mut harness, "a");
+
+    for _ in 0..2 {
+        let reply = submit_on(&mut harness, "a", OTHER);
+        assert_eq!(reply, Some(JobReply::id_taken()));
+        harness.take_over();
+        harness.sync_all();
+    }
+
+    assert_eq!(harness.running().len(), 1);
+    assert_eq!(submit(&mut harness, "a"), Some(JobReply::Accepted));
+    harness.cancel_on("a", route(OTHER));
+    assert_refused(submit_on(&mut harness, "a", OTHER));
+}
+
 /// Guards against a flood that fills the store, or that other callers wait for: 3,000 callers cancel
 /// jobs that never come, and 10 submit.
 #[test]
