Idempotency keys are claimed for a route's path, not for its name

What callers would see: a request repeated with its idempotency key, after operators gave its route another name, ran a second time.

Cause: as for jobs, the route's name stood for its identity; callers name the path.

Evidence: with the claim by name, key_is_claimed_for_the_path_under_any_name fails: claims for "settle" and "payout" for one path.

Change: a claim holds the path.

Not run with real processes; the site programs don't use claims.

--- a/crates/entry/src/shard/owned.rs
+++ b/crates/entry/src/shard/owned.rs
@@ -87,7 +87,7 @@
     /// Tasks whose end or loss is proposed but not committed.
     ending: IndexSet<TaskKey>,
     /// Claims that are proposed but not committed.
-    claiming: IndexMap<(RouteName, Name), Ticket>,
+    claiming: IndexMap<(RouteAddress, Name), Ticket>,
     /// Jobs that wait for a predecessor, by the predecessor's key.
     blocked: IndexMap<JobKey, IndexSet<JobId>>,
     evicting: IndexSet<TaskKey>,
--- a/crates/journal/src/retain.rs
+++ b/crates/journal/src/retain.rs
@@ -21,7 +21,7 @@
 pub const MAX_CLAIMS: usize = 50_000;
 
 /// A claim's route and key.
-type ClaimAt = (RouteName, Name);
+type ClaimAt = (RouteAddress, Name);
 
 /// The retained jobs and claims with their times, oldest first.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -62,7 +62,7 @@
 pub struct ShardState {
     jobs: IndexMap<JobId, Job>,
     keys: IndexMap<JobKey, JobId>,
-    claims: IndexMap<(RouteName, Name), (Claim, u64)>,
+    claims: IndexMap<(RouteAddress, Name), (Claim, u64)>,
     retained: Retained,
     now_ms: u64,
     grace: Duration,
@@ -130,7 +130,7 @@
     }
 
     /// Returns the claim on an idempotency key.
-    pub fn claim(&self, route: &RouteName, key: &Name) -> Option<&Claim> {
+    pub fn claim(&self, route: &RouteAddress, key: &Name) -> Option<&Claim> {
         let (claim, _) = self.claims.get(&(route.clone(), Arc::clone(key)))?;
         Some(claim)
     }
--- a/crates/route/src/active.rs
+++ b/crates/route/src/active.rs
@@ -93,7 +93,7 @@
     pub(crate) fn claim_call(&self, timeout: Duration) -> Option<NextAction> {
         let key = self.meta.key.clone()?;
         let claim = Claim {
-            route: self.route.name.clone(),
+            route: RouteAddress::of("", &self.route.path),
             key,
             request: self.sent_as.clone(),
             target: self.destination.target.clone(),
--- a/crates/route/tests/outcomes.rs
+++ b/crates/route/tests/outcomes.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use route::{AttemptEnd, NextAction, RequestMeta, RequestStep, Router, SendStep};
-use tables::TablesDoc;
+use tables::{Tables, TablesDoc};
 use wire::{Announcement, Claim, ClaimReply, RevokeReply, TargetState};
 
 const ROUTES: &str = r#"
@@ -245,6 +245,22 @@
     assert!(send(router.claimed(now, &id(), Ok(ClaimReply::Granted))).is_repeat);
 }
 
+/// Guards against a repetition that runs again since the route has another name by then.
+#[test]
+fn key_is_claimed_for_the_path_under_any_name() {
+    let (mut router, now) = router_with(2);
+    let first = claimed_route(router.admit(now, keyed(now)));
+
+    router.set_tables(tables(2, &ROUTES.replace("routes.settle", "routes.payout")));
+    let again = RequestMeta {
+        id: numbered(2),
+        route: "payout".into(),
+        ..keyed(now)
+    };
+
+    assert_eq!(claimed_route(router.admit(now, again)), first);
+}
+
 #[test]
 fn request_whose_key_cannot_be_claimed_is_not_run() {
     let (mut router, now) = router_with(2);
@@ -270,7 +286,7 @@
     let (mut router, now) = router_with(2);
     router.admit(now, keyed(now));
     let held = Claim {
-        route: "settle".into(),
+        route: "/settle".into(),
         key: "lot-7".into(),
         request: "other-1".into(),
         target: "runner-1".into(),
@@ -342,20 +358,23 @@
 
 const DEADLINE: Duration = Duration::from_secs(10);
 
-fn router_with(targets: u16) -> (Router, Instant) {
+fn tables(generation: u64, routes: &str) -> Arc<Tables> {
     let doc = TablesDoc {
         version: TablesDoc::VERSION,
-        generation: Generation(1),
-        routes: ROUTES.into(),
+        generation: Generation(generation),
+        routes: routes.into(),
         pools: POOLS.into(),
         author: "test".into(),
         applied_at_ms: 0,
         comment: "".into(),
         nonce: Nonce(1),
     };
-    let tables = doc.tables().expect("valid tables");
+    Arc::new(doc.tables().expect("valid tables"))
+}
+
+fn router_with(targets: u16) -> (Router, Instant) {
     let mut router = Router::new("entry-0".into(), "viti-suva".into(), 7);
-    router.set_tables(Arc::new(tables));
+    router.set_tables(tables(1, ROUTES));
     for at in 0..targets {
         router.target_announced(announcement(at, Incarnation(1)));
     }
@@ -435,6 +454,13 @@
     }
 }
 
+fn claimed_route(next: NextAction) -> RouteAddress {
+    match next {
+        NextAction::Claim { claim, .. } => claim.route,
+        other => panic!("expected a claim, got {other:?}"),
+    }
+}
+
 fn not_run(reason: &str) -> AttemptEnd {
     AttemptEnd::NotRun {
         reason: reason.into(),
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -262,8 +262,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Claim {
-    /// The route.
-    pub route: RouteName,
+    /// The route: its path, which callers name, since its name may change before a retry.
+    pub route: RouteAddress,
     /// The caller's idempotency key.
     pub key: Name,
     /// The id that the request is sent with.
