--- a/crates/jobs/tests/late_submissions.rs
+++ b/crates/jobs/tests/late_submissions.rs
@@ -11,8 +11,6 @@
 use harness::{Harness, ROUTE, route};
 
 const OTHER: &str = "settlements";
-
-/// How long ended jobs and tombstones are kept in these tests.
 const RETENTION: Duration = Duration::from_secs(120);
 
 fn submit(harness: &mut Harness, id: &str) -> Option<JobReply> {
@@ -24,7 +22,6 @@
     harness.replies.get(&token).cloned()
 }
 
-#[track_caller]
 fn assert_refused(reply: Option<JobReply>) {
     assert!(matches!(reply, Some(JobReply::Refused { .. })), "{reply:?}");
 }
--- a/crates/jobs/tests/renamed_routes.rs
+++ b/crates/jobs/tests/renamed_routes.rs
@@ -12,10 +12,9 @@
 
 /// Returns the route at the address of `route(at)` that has another name now.
 fn renamed(at: &str, name: &str) -> RouteRef {
-    let address = route(at).address;
     RouteRef {
         name: name.into(),
-        address,
+        ..route(at)
     }
 }
 
